Frame of the build: modules, domain records, events and commands, messages, kernel

Cause: nothing stands yet; the parts can only be written side by side against interfaces that are fixed first.

Change: Maven modules with one purpose each, formatter and linter failing the build, ArchUnit rules for the arrows between modules, the domain records, the events and commands of both state machines, the scheduler's interface, the protobuf messages with their generated code, the kernel with duties and rings, and the narrow interface to the platform's store.

Ruled out: a claim row per task (several hundred writes a second against 180,000 starts), a generator in the build, one module for everything.

--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/ClaimResult.java
@@ -0,0 +1,39 @@
+package io.caperturn.core.entry;
+
+import io.caperturn.core.model.ProcessId;
+import java.util.Objects;
+
+/** What the platform's store said about a claim. */
+public sealed interface ClaimResult {
+    /**
+     * The claim is durable and belongs to this incarnation.
+     *
+     * @param fence the fence number for its attempts
+     * @param existedBefore true if the row was there before this request, written by this same incarnation
+     */
+    record Granted(long fence, boolean existedBefore) implements ClaimResult {}
+
+    /**
+     * Another incarnation holds the claim.
+     *
+     * @param owner the holder
+     * @param ownerAddress the holder's link address as {@code host:port}
+     * @param fence the holder's fence number
+     * @param digest the digest of the body that was claimed
+     */
+    record HeldByOther(ProcessId owner, String ownerAddress, long fence, String digest) implements ClaimResult {
+        /** Checks that all parts are present. */
+        public HeldByOther {
+            Objects.requireNonNull(owner, "owner");
+            Objects.requireNonNull(ownerAddress, "ownerAddress");
+            Objects.requireNonNull(digest, "digest");
+        }
+    }
+
+    /**
+     * The store did not settle the claim in time; the row may or may not come to exist.
+     *
+     * @param detail one line for people
+     */
+    record Unavailable(String detail) implements ClaimResult {}
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -0,0 +1,115 @@
+package io.caperturn.core.entry;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.UpstreamDescription;
+import java.util.List;
+
+/** What an {@link EntryMachine} reacts to. */
+public sealed interface EntryEvent {
+    /**
+     * A client submitted work, or asked again for the answer to work submitted before.
+     *
+     * @param submission the work
+     * @param waiter the number under which the answer is returned
+     */
+    record SubmissionArrived(Submission submission, long waiter) implements EntryEvent {}
+
+    /**
+     * A client asked to cancel a submission.
+     *
+     * @param submission the submission
+     */
+    record CancelRequested(SubmissionId submission) implements EntryEvent {}
+
+    /**
+     * A client is no longer there to receive its answer.
+     *
+     * @param submission the submission that it waited for
+     * @param waiter the number of its wait
+     */
+    record WaiterGone(SubmissionId submission, long waiter) implements EntryEvent {}
+
+    /**
+     * The platform's store settled a claim.
+     *
+     * @param submission the submission
+     * @param result what the store said
+     */
+    record ClaimSettled(SubmissionId submission, ClaimResult result) implements EntryEvent {}
+
+    /**
+     * Another entry answered a relayed submission, or its link closed.
+     *
+     * @param submission the submission
+     * @param reply the owner's reply
+     */
+    record RelaySettled(SubmissionId submission, RelayReply reply) implements EntryEvent {}
+
+    /**
+     * A sidecar's link opened, or its upstream's state changed.
+     *
+     * @param sidecar the sidecar
+     * @param upstream its upstream
+     * @param serving false while the upstream is leaving, silent or absent
+     * @param window most attempts that this entry may have outstanding there
+     */
+    record SidecarChanged(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window)
+            implements EntryEvent {}
+
+    /**
+     * A sidecar's link closed or fell silent; its attempts are in doubt until it is back.
+     *
+     * @param sidecar the sidecar
+     */
+    record SidecarLost(ProcessId sidecar) implements EntryEvent {}
+
+    /**
+     * A sidecar changed the number of attempts that this entry may have outstanding there.
+     *
+     * @param sidecar the sidecar
+     * @param window most attempts outstanding
+     */
+    record WindowChanged(ProcessId sidecar, int window) implements EntryEvent {}
+
+    /**
+     * A sidecar reported on attempts.
+     *
+     * @param sidecar the sidecar
+     * @param reports one report for each attempt
+     * @param window most attempts that this entry may have outstanding there from now on
+     */
+    record ReportsReceived(ProcessId sidecar, List<AttemptReport> reports, int window) implements EntryEvent {
+        /** Copies the reports. */
+        public ReportsReceived {
+            reports = List.copyOf(reports);
+        }
+    }
+
+    /**
+     * A sidecar answered a resolve.
+     *
+     * @param sidecar the sidecar
+     * @param attempt the attempt that was asked about
+     * @param state what its ledger says; not-started means fenced there
+     */
+    record AttemptResolved(ProcessId sidecar, AttemptId attempt, AttemptState state) implements EntryEvent {}
+
+    /**
+     * A newer table is known.
+     *
+     * @param table the table
+     */
+    record TableChanged(Table table) implements EntryEvent {}
+
+    /** A planned stop began: new submissions are refused, accepted ones are finished. */
+    record DrainRequested() implements EntryEvent {}
+
+    /** Time passed; sent at a regular interval so that deadlines are kept. */
+    record Tick() implements EntryEvent {}
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/AttemptId.java
@@ -0,0 +1,25 @@
+package io.caperturn.core.model;
+
+import java.util.Objects;
+
+/**
+ * Identity of one attempt to run a task.
+ *
+ * @param key the task
+ * @param fence the fence number of the claim under which the attempt was made; 0 for requests without a claim
+ * @param attempt the number of the attempt under that fence, from 1
+ */
+public record AttemptId(TaskKey key, long fence, int attempt) {
+    /** Checks the numbers' ranges. */
+    public AttemptId {
+        Objects.requireNonNull(key, "key");
+        if (fence < 0 || attempt < 1) {
+            throw new IllegalArgumentException("fence must be >= 0 and attempt >= 1");
+        }
+    }
+
+    @Override
+    public String toString() {
+        return key + "#" + fence + "." + attempt;
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/Repeatability.java
@@ -0,0 +1,9 @@
+package io.caperturn.core.model;
+
+/** Tells whether a task of a submission may be started a second time. */
+public enum Repeatability {
+    /** Each task starts at most once: the tasks of jobs, and non-idempotent requests. */
+    AT_MOST_ONCE,
+    /** The request may be retried within its deadline and the retry budget. */
+    IDEMPOTENT
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/Submission.java
@@ -0,0 +1,49 @@
+package io.caperturn.core.model;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A job or single request as an entry accepted it from a client.
+ *
+ * @param id the identity of the submission
+ * @param kind the kind of work, a row of the table
+ * @param urgency the urgency that the client asked for; the table's applies where it is absent
+ * @param repeatability whether a task may be started a second time
+ * @param deadline the instant by which the client must have an answer
+ * @param digest hash of the submitted body; the same identity with another digest is a conflict
+ * @param tasks the tasks in the client's order, at least one, with distinct identities
+ */
+public record Submission(
+        SubmissionId id,
+        String kind,
+        Optional<Urgency> urgency,
+        Repeatability repeatability,
+        Instant deadline,
+        String digest,
+        List<TaskSpec> tasks) {
+    /** Copies the tasks and checks that there is at least one. */
+    public Submission {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(urgency, "urgency");
+        Objects.requireNonNull(repeatability, "repeatability");
+        Objects.requireNonNull(deadline, "deadline");
+        Objects.requireNonNull(digest, "digest");
+        tasks = List.copyOf(tasks);
+        if (tasks.isEmpty()) {
+            throw new IllegalArgumentException("a submission has at least one task");
+        }
+    }
+
+    /**
+     * Tells whether a durable claim must exist before the first start.
+     *
+     * @return true unless the submission is idempotent
+     */
+    public boolean needsClaim() {
+        return repeatability == Repeatability.AT_MOST_ONCE;
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/Table.java
@@ -0,0 +1,43 @@
+package io.caperturn.core.model;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The operators' table of weights and limits at one version.
+ *
+ * @param version the version of the whole table, raised by each accepted change; 0 before the first is known
+ * @param kinds the rows of kinds, by kind
+ * @param teams the rows of teams, by team; a team without a row has no quota
+ */
+public record Table(long version, Map<String, KindRow> kinds, Map<String, TeamRow> teams) {
+    /** The table before any is known. */
+    public static final Table EMPTY = new Table(0, Map.of(), Map.of());
+
+    /** Copies the rows. */
+    public Table {
+        kinds = Map.copyOf(kinds);
+        teams = Map.copyOf(teams);
+    }
+
+    /**
+     * Finds the row of a kind.
+     *
+     * @param kind the kind's name
+     * @return its row, or empty if the table has none
+     */
+    public Optional<KindRow> kind(String kind) {
+        return Optional.ofNullable(kinds.get(kind));
+    }
+
+    /**
+     * Returns the limits of a team.
+     *
+     * @param team the team's name
+     * @return its limits, {@link Limits#NONE} where the table has no row for it
+     */
+    public Limits teamLimits(String team) {
+        TeamRow row = teams.get(team);
+        return row == null ? Limits.NONE : row.limits();
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/TaskSpec.java
@@ -0,0 +1,23 @@
+package io.caperturn.core.model;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * One task of a submission as the client declared it.
+ *
+ * @param id the client's name for the task, unique within its submission
+ * @param estimate the declared run time at a back end of speed 1; a prior that measurement overrides
+ * @param payload the body that is handed to the upstream, JSON text
+ */
+public record TaskSpec(String id, Optional<Duration> estimate, String payload) {
+    /** Checks that the identity is not blank. */
+    public TaskSpec {
+        Objects.requireNonNull(estimate, "estimate");
+        Objects.requireNonNull(payload, "payload");
+        if (id.isBlank()) {
+            throw new IllegalArgumentException("task id must not be blank");
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/TeamRow.java
@@ -0,0 +1,20 @@
+package io.caperturn.core.model;
+
+import java.util.Objects;
+
+/**
+ * Row of the table for the quota of one team.
+ *
+ * @param team the team's name
+ * @param limits its limits over the whole system
+ * @param rowVersion the version of this row, raised by each edit
+ */
+public record TeamRow(String team, Limits limits, long rowVersion) {
+    /** Checks that the team is named. */
+    public TeamRow {
+        Objects.requireNonNull(limits, "limits");
+        if (team.isBlank()) {
+            throw new IllegalArgumentException("team must be named");
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/UpstreamDescription.java
@@ -0,0 +1,36 @@
+package io.caperturn.core.model;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What an upstream announces about itself.
+ *
+ * @param name the upstream's name
+ * @param kinds the kinds of work that it serves
+ * @param slots how many tasks it runs at once, at least 1
+ * @param connections how many connections it accepts, at least 1
+ * @param worker the worker that it runs on
+ * @param rack the rack of the worker
+ * @param availabilityZone the availability zone of the worker
+ */
+public record UpstreamDescription(
+        String name,
+        Set<String> kinds,
+        int slots,
+        int connections,
+        String worker,
+        String rack,
+        String availabilityZone) {
+    /** Copies the kinds and checks the numbers. */
+    public UpstreamDescription {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(worker, "worker");
+        Objects.requireNonNull(rack, "rack");
+        Objects.requireNonNull(availabilityZone, "availabilityZone");
+        kinds = Set.copyOf(kinds);
+        if (slots < 1 || connections < 1) {
+            throw new IllegalArgumentException("slots and connections must be at least 1");
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable records of the domain: submissions, tasks, attempts, outcomes, answers and the table. */
+package io.caperturn.core.model;
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Placement.java
@@ -0,0 +1,19 @@
+package io.caperturn.core.schedule;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.TaskKey;
+import java.util.Objects;
+
+/**
+ * Decision to run a waiting task at a sidecar's upstream.
+ *
+ * @param task the task
+ * @param sidecar the sidecar
+ */
+public record Placement(TaskKey task, ProcessId sidecar) {
+    /** Checks that both parts are present. */
+    public Placement {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(sidecar, "sidecar");
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/package-info.java
@@ -0,0 +1,2 @@
+/** Order, limits and placement of waiting tasks. */
+package io.caperturn.core.schedule;
--- /dev/null
+++ b/caperturn-kernel/src/main/java/io/caperturn/kernel/EventLine.java
@@ -0,0 +1,63 @@
+package io.caperturn.kernel;
+
+import java.util.Objects;
+
+/**
+ * Builder of one log line of key=value pairs, the first of which names the event.
+ *
+ * <p>Values with spaces, quotes, equals signs or control characters are quoted, so that a line stays one line and can
+ * be split again.
+ */
+public final class EventLine {
+    private final StringBuilder line;
+
+    private EventLine(String event) {
+        line = new StringBuilder("event=").append(event);
+    }
+
+    /**
+     * Begins a line.
+     *
+     * @param event the event's name in lower case with hyphens
+     * @return the line
+     */
+    public static EventLine of(String event) {
+        return new EventLine(Objects.requireNonNull(event, "event"));
+    }
+
+    /**
+     * Appends a pair.
+     *
+     * @param key the key in lower case
+     * @param value the value, written by its {@code toString}
+     * @return this line
+     */
+    public EventLine with(String key, Object value) {
+        line.append(' ').append(key).append('=').append(quote(String.valueOf(value)));
+        return this;
+    }
+
+    @Override
+    public String toString() {
+        return line.toString();
+    }
+
+    private static String quote(String value) {
+        boolean plain = !value.isEmpty() && value.chars().allMatch(c -> c > ' ' && c != '"' && c != '=' && c != 127);
+        if (plain) {
+            return value;
+        }
+        StringBuilder quoted = new StringBuilder("\"");
+        for (char c : value.toCharArray()) {
+            switch (c) {
+                case '"' -> quoted.append("\\\"");
+                case '\\' -> quoted.append("\\\\");
+                case '\n' -> quoted.append("\\n");
+                case '\r' -> quoted.append("\\r");
+                case '\t' -> quoted.append("\\t");
+                default -> quoted.append(c < ' ' ? '?' : c);
+            }
+        }
+        return quoted.append('"').toString();
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Purpose of this module. */
+package io.caperturn.testkit;
