--- /dev/null
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/MessageCodec.java
@@ -0,0 +1,259 @@
+package io.caperturn.wire;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskKey;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.wire.message.AttemptIdentity;
+import io.caperturn.wire.message.ProcessIdentity;
+import io.caperturn.wire.message.Report;
+import io.caperturn.wire.message.State;
+import io.caperturn.wire.message.SubmissionIdentity;
+import io.caperturn.wire.message.Upstream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+
+/**
+ * Translation between messages and the records of processes, attempts and upstreams.
+ *
+ * <p>Methods that read a message throw {@link IllegalArgumentException} where a field is out of its range; the caller
+ * treats that as garbage.
+ */
+public final class MessageCodec {
+    private static final long NANOSECONDS_PER_MICROSECOND = 1_000;
+
+    private MessageCodec() {}
+
+    /**
+     * Writes a process identity.
+     *
+     * @param process the identity
+     * @return the message
+     */
+    public static ProcessIdentity toMessage(ProcessId process) {
+        return ProcessIdentity.newBuilder()
+                .setName(process.name())
+                .setIncarnation(process.incarnation())
+                .build();
+    }
+
+    /**
+     * Reads a process identity.
+     *
+     * @param message the message
+     * @return the identity
+     */
+    public static ProcessId fromMessage(ProcessIdentity message) {
+        return new ProcessId(message.getName(), message.getIncarnation());
+    }
+
+    /**
+     * Writes a submission identity.
+     *
+     * @param submission the identity
+     * @return the message
+     */
+    public static SubmissionIdentity toMessage(SubmissionId submission) {
+        return SubmissionIdentity.newBuilder()
+                .setTeam(submission.team())
+                .setKey(submission.key())
+                .build();
+    }
+
+    /**
+     * Reads a submission identity.
+     *
+     * @param message the message
+     * @return the identity
+     */
+    public static SubmissionId fromMessage(SubmissionIdentity message) {
+        return new SubmissionId(message.getTeam(), message.getKey());
+    }
+
+    /**
+     * Writes an attempt identity.
+     *
+     * @param attempt the identity
+     * @return the message
+     */
+    public static AttemptIdentity toMessage(AttemptId attempt) {
+        return AttemptIdentity.newBuilder()
+                .setSubmission(toMessage(attempt.key().submission()))
+                .setTask(attempt.key().task())
+                .setFence(attempt.fence())
+                .setAttempt(attempt.attempt())
+                .build();
+    }
+
+    /**
+     * Reads an attempt identity.
+     *
+     * @param message the message
+     * @return the identity
+     */
+    public static AttemptId fromMessage(AttemptIdentity message) {
+        TaskKey key = new TaskKey(fromMessage(message.getSubmission()), message.getTask());
+        return new AttemptId(key, message.getFence(), message.getAttempt());
+    }
+
+    /**
+     * Writes an attempt's state.
+     *
+     * @param state the state
+     * @return the message
+     */
+    public static State toMessage(AttemptState state) {
+        State.Builder builder = State.newBuilder();
+        switch (state) {
+            case AttemptState.Queued() -> builder.setQueued(State.Queued.getDefaultInstance());
+            case AttemptState.Running() -> builder.setRunning(State.Running.getDefaultInstance());
+            case AttemptState.NotStarted(NotStartedReason reason) ->
+                builder.setNotStarted(State.NotStarted.newBuilder().setReason(reason.name()));
+            case AttemptState.Done(TaskOutcome.Completed(String result, Duration serviceTime)) ->
+                builder.setCompleted(State.Completed.newBuilder()
+                        .setResult(result)
+                        .setServiceTimeMicroseconds(toMicroseconds(serviceTime)));
+            case AttemptState.Done(TaskOutcome.Failed(Execution execution, String reason, Duration serviceTime)) ->
+                builder.setFailed(State.Failed.newBuilder()
+                        .setExecution(toMessage(execution))
+                        .setReason(reason)
+                        .setServiceTimeMicroseconds(toMicroseconds(serviceTime)));
+        }
+        return builder.build();
+    }
+
+    /**
+     * Reads an attempt's state.
+     *
+     * @param message the message
+     * @return the state
+     */
+    public static AttemptState fromMessage(State message) {
+        return switch (message.getStateCase()) {
+            case QUEUED -> new AttemptState.Queued();
+            case RUNNING -> new AttemptState.Running();
+            case COMPLETED ->
+                new AttemptState.Done(new TaskOutcome.Completed(
+                        message.getCompleted().getResult(),
+                        fromMicroseconds(message.getCompleted().getServiceTimeMicroseconds())));
+            case FAILED ->
+                new AttemptState.Done(new TaskOutcome.Failed(
+                        fromMessage(message.getFailed().getExecution()),
+                        message.getFailed().getReason(),
+                        fromMicroseconds(message.getFailed().getServiceTimeMicroseconds())));
+            case NOT_STARTED ->
+                new AttemptState.NotStarted(
+                        NotStartedReason.valueOf(message.getNotStarted().getReason()));
+            case STATE_NOT_SET -> throw new IllegalArgumentException("state without a case");
+        };
+    }
+
+    /**
+     * Writes reports.
+     *
+     * @param reports the reports
+     * @return the messages, in the same order
+     */
+    public static List<Report> toMessages(List<AttemptReport> reports) {
+        return reports.stream()
+                .map(report -> Report.newBuilder()
+                        .setAttempt(toMessage(report.attempt()))
+                        .setState(toMessage(report.state()))
+                        .build())
+                .toList();
+    }
+
+    /**
+     * Reads reports.
+     *
+     * @param messages the messages
+     * @return the reports, in the same order
+     */
+    public static List<AttemptReport> fromMessages(List<Report> messages) {
+        return messages.stream()
+                .map(message -> new AttemptReport(fromMessage(message.getAttempt()), fromMessage(message.getState())))
+                .toList();
+    }
+
+    /**
+     * Writes what is known about whether work ran.
+     *
+     * @param execution the knowledge
+     * @return the message's value
+     */
+    public static io.caperturn.wire.message.Execution toMessage(Execution execution) {
+        return switch (execution) {
+            case NOT_RUN -> io.caperturn.wire.message.Execution.EXECUTION_NOT_RUN;
+            case MAY_HAVE_RUN -> io.caperturn.wire.message.Execution.EXECUTION_MAY_HAVE_RUN;
+            case RAN -> io.caperturn.wire.message.Execution.EXECUTION_RAN;
+        };
+    }
+
+    /**
+     * Reads what is known about whether work ran; a value that this version does not know proves nothing.
+     *
+     * @param message the message's value
+     * @return the knowledge
+     */
+    public static Execution fromMessage(io.caperturn.wire.message.Execution message) {
+        return switch (message) {
+            case EXECUTION_NOT_RUN -> Execution.NOT_RUN;
+            case EXECUTION_RAN -> Execution.RAN;
+            case EXECUTION_MAY_HAVE_RUN, EXECUTION_UNSPECIFIED, UNRECOGNIZED -> Execution.MAY_HAVE_RUN;
+        };
+    }
+
+    /**
+     * Writes an upstream with its state and the receiver's window.
+     *
+     * @param upstream the upstream
+     * @param serving false while it takes no new work
+     * @param window most attempts that the receiver may have outstanding
+     * @return the message
+     */
+    public static Upstream toMessage(UpstreamDescription upstream, boolean serving, int window) {
+        return Upstream.newBuilder()
+                .setName(upstream.name())
+                .addAllKinds(upstream.kinds())
+                .setSlots(upstream.slots())
+                .setConnections(upstream.connections())
+                .setWorker(upstream.worker())
+                .setRack(upstream.rack())
+                .setAvailabilityZone(upstream.availabilityZone())
+                .setServing(serving)
+                .setWindow(window)
+                .build();
+    }
+
+    /**
+     * Reads an upstream's description.
+     *
+     * @param message the message
+     * @return the description
+     */
+    public static UpstreamDescription fromMessage(Upstream message) {
+        return new UpstreamDescription(
+                message.getName(),
+                new HashSet<>(message.getKindsList()),
+                message.getSlots(),
+                message.getConnections(),
+                message.getWorker(),
+                message.getRack(),
+                message.getAvailabilityZone());
+    }
+
+    private static int toMicroseconds(Duration duration) {
+        return (int) Math.min(Integer.MAX_VALUE, duration.toNanos() / NANOSECONDS_PER_MICROSECOND);
+    }
+
+    private static Duration fromMicroseconds(int microseconds) {
+        return Duration.ofNanos(Integer.toUnsignedLong(microseconds) * NANOSECONDS_PER_MICROSECOND);
+    }
+}
--- /dev/null
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Netty handlers behind the links; no API. */
+package io.caperturn.wire.internal;
