--- a/caperturn-settings/src/main/java/io/caperturn/settings/package-info.java
+++ b/caperturn-settings/src/main/java/io/caperturn/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Purpose of this module. */
+/** Checked JSON settings of the daemons. */
 package io.caperturn.settings;
