--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/DeadlineQueue.java
@@ -0,0 +1,38 @@
+package io.caperturn.core.entry;
+
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * Deadlines of submissions, earliest first.
+ *
+ * <p>Entries of submissions that were answered stay until their deadline passes, so that answering costs no search.
+ */
+final class DeadlineQueue {
+    private final PriorityQueue<Deadline> deadlines = new PriorityQueue<>(Comparator.comparing(Deadline::at));
+
+    void add(Submission submission) {
+        deadlines.add(new Deadline(submission.deadline(), submission.id()));
+    }
+
+    List<SubmissionId> pollDue(Instant now) {
+        List<SubmissionId> due = new ArrayList<>();
+        while (!deadlines.isEmpty() && !now.isBefore(deadlines.peek().at())) {
+            due.add(deadlines.poll().submission());
+        }
+        return due;
+    }
+
+    /**
+     * A submission's deadline.
+     *
+     * @param at when it passes
+     * @param submission the submission
+     */
+    private record Deadline(Instant at, SubmissionId submission) {}
+}
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -91,6 +91,19 @@
         }
     }
 
+    /**
+     * Attempts could not be handed to a link; nothing of them was written, so they did not start.
+     *
+     * @param sidecar the sidecar that they were for
+     * @param attempts the attempts
+     */
+    record DispatchNotSent(ProcessId sidecar, List<AttemptId> attempts) implements EntryEvent {
+        /** Copies the attempts. */
+        public DispatchNotSent {
+            attempts = List.copyOf(attempts);
+        }
+    }
+
     /**
      * A sidecar answered a resolve.
      *
