Links say where their process accepts links once it is bound

Cause: the port may be asked from the operating system, so the address that hello carries is known only after binding. Change: the endpoint advertises the bound address. Ruled out: a settings record that is built twice.

--- a/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
@@ -51,7 +51,7 @@
     }
 
     /**
-     * Accepts links at an address.
+     * Accepts links at an address, and says so on links opened from then on.
      *
      * @param host the address to bind, an IP number
      * @param port the port to bind, 0 for any
@@ -66,8 +66,10 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(pipeline.accepting());
         try {
-            return (InetSocketAddress)
+            InetSocketAddress bound = (InetSocketAddress)
                     bootstrap.bind(host, port).sync().channel().localAddress();
+            pipeline.advertise(host + ":" + bound.getPort());
+            return bound;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while binding " + host + ":" + port, e);
--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
@@ -87,7 +87,7 @@
                         .setProcess(MessageCodec.toMessage(self.process()))
                         .setRole(self.role())
                         .setAvailabilityZone(self.availabilityZone())
-                        .setLinkAddress(self.linkAddress())));
+                        .setLinkAddress(pipeline.linkAddress())));
     }
 
     @Override
--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
@@ -27,6 +27,7 @@
     private final LinkListener listener;
     private final Map<String, LinkHandler> accepted = new HashMap<>();
     private final AtomicInteger open = new AtomicInteger();
+    private volatile String linkAddress;
 
     /**
      * Creates the factory.
@@ -39,6 +40,20 @@
         this.settings = settings;
         this.stamp = stamp;
         this.listener = listener;
+        this.linkAddress = settings.self().linkAddress();
+    }
+
+    /**
+     * Notes where this process accepts links, once that is known.
+     *
+     * @param address the address as {@code host:port}
+     */
+    public void advertise(String address) {
+        linkAddress = address;
+    }
+
+    String linkAddress() {
+        return linkAddress;
     }
 
     /**
