--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
@@ -0,0 +1,107 @@
+package io.caperturn.core.entry;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.model.Urgency;
+import io.caperturn.core.schedule.FifoScheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/** An entry machine in virtual time with what tests need to drive it. */
+final class EntryFixture {
+    static final String KIND = "assay";
+    static final SubmissionId ID = new SubmissionId("lab", "job-1");
+    static final ProcessId SIDECAR = new ProcessId("sidecar-1", 1);
+    static final ProcessId OTHER_SIDECAR = new ProcessId("sidecar-2", 1);
+
+    private final EntryMachine machine = new EntryMachine(new FifoScheduler(), EntryPolicy.DEFAULT);
+    private final List<EntryCommand> commands = new ArrayList<>();
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private long waiters;
+
+    EntryFixture() {
+        KindRow row = new KindRow(KIND, 1, Urgency.NORMAL, Limits.NONE, Duration.ofSeconds(10), 1);
+        send(new EntryEvent.TableChanged(new Table(1, Map.of(KIND, row), Map.of())));
+    }
+
+    List<EntryCommand> send(EntryEvent event) {
+        List<EntryCommand> next = machine.on(event, now);
+        commands.addAll(next);
+        return next;
+    }
+
+    void pass(Duration duration) {
+        now = now.plus(duration);
+        send(new EntryEvent.Tick());
+    }
+
+    long submit(Submission submission) {
+        waiters++;
+        send(new EntryEvent.SubmissionArrived(submission, waiters));
+        return waiters;
+    }
+
+    void grantClaim() {
+        send(new EntryEvent.ClaimSettled(ID, new ClaimResult.Granted(1, false)));
+    }
+
+    void open(ProcessId sidecar, int window) {
+        UpstreamDescription upstream =
+                new UpstreamDescription("upstream of " + sidecar.name(), Set.of(KIND), 8, 64, "w", "r", "z");
+        send(new EntryEvent.SidecarChanged(sidecar, upstream, true, window));
+    }
+
+    void report(ProcessId sidecar, AttemptId attempt, AttemptState state) {
+        send(new EntryEvent.ReportsReceived(sidecar, List.of(new AttemptReport(attempt, state)), 8));
+    }
+
+    Submission job(int tasks) {
+        return submission(Repeatability.AT_MOST_ONCE, tasks, "digest");
+    }
+
+    Submission submission(Repeatability repeatability, int tasks, String digest) {
+        List<TaskSpec> specs = IntStream.rangeClosed(1, tasks)
+                .mapToObj(number -> new TaskSpec("t" + number, Optional.empty(), "{}"))
+                .toList();
+        return new Submission(ID, KIND, Optional.empty(), repeatability, now.plusSeconds(60), digest, specs);
+    }
+
+    List<EntryCommand.Dispatch> dispatches() {
+        return commands(EntryCommand.SendDispatches.class).stream()
+                .flatMap(send -> send.dispatches().stream())
+                .toList();
+    }
+
+    AttemptId lastAttempt() {
+        return dispatches().getLast().attempt();
+    }
+
+    List<EntryCommand.GiveAnswer> answers() {
+        return commands(EntryCommand.GiveAnswer.class);
+    }
+
+    <T extends EntryCommand> List<T> commands(Class<T> type) {
+        return commands.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    static AttemptState completed(String result) {
+        return new AttemptState.Done(new TaskOutcome.Completed(result, Duration.ofMillis(50)));
+    }
+}
