Adoption of submissions whose owner is gone

Cause: when an entry dies, a resubmission elsewhere could only be told that the work may have run, although the sidecars' ledgers usually know.

Ruled out: starting again after a time-out (a time-out proves nothing); fencing only the sidecars that the adopter happens to know (the owner may have used others).

Change: an unreachable owner's claim is replaced with a higher fence, every sidecar incarnation that it could have used is fenced and asked for its lines, finished and running tasks are taken over, and only tasks without a line start. One that does not answer makes the job fail clearly. Claims older than the ledgers' reach are not adopted. An owner that wakes learns from SUPERSEDED that it was replaced, and relays its clients to the adopter.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/AttemptTracker.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/AttemptTracker.java
@@ -50,6 +50,9 @@
         /** A task ended without a result and may not be tried again. */
         record TaskFailed(Work work, String detail) implements Verdict {}
 
+        /** Another entry adopted the submission. */
+        record Superseded(Work work) implements Verdict {}
+
         /** An attempt ended; nothing follows for the submission itself. */
         record Settled(Work work) implements Verdict {}
     }
@@ -149,6 +152,31 @@
         return verdicts;
     }
 
+    /** Takes over what the ledgers hold of a submission whose owner is gone. */
+    List<Verdict> restore(Work work, Map<String, Adoption.Line> lines, Instant now) {
+        List<Verdict> verdicts = new ArrayList<>();
+        lines.forEach((name, line) -> {
+            TaskProgress task = work.task(name);
+            if (task != null) {
+                task.adopted(line.report().attempt(), line.sidecar(), now);
+                work.taskPlaced();
+                outstanding
+                        .computeIfAbsent(line.sidecar(), ignored -> new LinkedHashSet<>())
+                        .add(line.report().attempt());
+                verdicts.addAll(settle(work, task, line.report().state(), now));
+            }
+        });
+        return verdicts;
+    }
+
+    /** Forgets the outstanding attempts of a submission that belongs to another entry now. */
+    void dropOutstanding(Work work, Instant now) {
+        work.tasks().stream().filter(TaskProgress::isOutstanding).forEach(task -> {
+            end(work, task, PlacementEnd.UNKNOWN, Duration.ZERO, now);
+            task.failed(now);
+        });
+    }
+
     private List<Verdict> giveUp(ProcessId sidecar, Map<SubmissionId, Work> works, String detail, Instant now) {
         lost.remove(sidecar);
         Set<AttemptId> unknown = outstanding.remove(sidecar);
@@ -176,6 +204,12 @@
                 task.confirmed(now);
                 yield List.of();
             }
+            case AttemptState.NotStarted(NotStartedReason reason)
+            when reason == NotStartedReason.SUPERSEDED -> {
+                end(work, task, PlacementEnd.NOT_STARTED, Duration.ZERO, now);
+                task.failed(now);
+                yield List.of(new Verdict.Superseded(work));
+            }
             case AttemptState.NotStarted(NotStartedReason reason) -> {
                 end(work, task, PlacementEnd.NOT_STARTED, Duration.ZERO, now);
                 yield List.of(placeAgain(work, task, reason, now));
@@ -231,7 +265,9 @@
             here.remove(task.current());
         }
         work.taskEnded();
-        scheduler.ended(work.key(task), task.sidecar(), how, serviceTime, now);
+        if (!task.isAdopted()) {
+            scheduler.ended(work.key(task), task.sidecar(), how, serviceTime, now);
+        }
     }
 
     private static TaskProgress find(AttemptId attempt, ProcessId sidecar, Map<SubmissionId, Work> works) {
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/ClaimResult.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/ClaimResult.java
@@ -1,6 +1,7 @@
 package io.caperturn.core.entry;
 
 import io.caperturn.core.model.ProcessId;
+import java.time.Instant;
 import java.util.Objects;
 
 /** What the platform's store said about a claim. */
@@ -20,13 +21,16 @@
      * @param ownerAddress the holder's link address as {@code host:port}
      * @param fence the holder's fence number
      * @param digest the digest of the body that was claimed
+     * @param claimedAt when it was claimed first, by the clock of the entry that wrote it
      */
-    record HeldByOther(ProcessId owner, String ownerAddress, long fence, String digest) implements ClaimResult {
+    record HeldByOther(ProcessId owner, String ownerAddress, long fence, String digest, Instant claimedAt)
+            implements ClaimResult {
         /** Checks that all parts are present. */
         public HeldByOther {
             Objects.requireNonNull(owner, "owner");
             Objects.requireNonNull(ownerAddress, "ownerAddress");
             Objects.requireNonNull(digest, "digest");
+            Objects.requireNonNull(claimedAt, "claimedAt");
         }
     }
 
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
@@ -27,6 +27,23 @@
      */
     record RelayToOwner(Submission submission, ProcessId owner, String ownerAddress) implements EntryCommand {}
 
+    /**
+     * Replace the claim of an owner that is gone, and find out which sidecars that owner could have used.
+     *
+     * @param submission the submission
+     * @param held the claim that is to be replaced
+     */
+    record AdoptClaim(Submission submission, ClaimResult.HeldByOther held) implements EntryCommand {}
+
+    /**
+     * Refuse lower fences of a submission at a sidecar from now on, and ask for its ledger's lines.
+     *
+     * @param sidecar the sidecar, by incarnation
+     * @param submission the submission
+     * @param fence the fence number
+     */
+    record SendFence(ProcessId sidecar, SubmissionId submission, long fence) implements EntryCommand {}
+
     /**
      * Send attempts to a sidecar, in one frame.
      *
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -51,6 +51,30 @@
      */
     record RelaySettled(SubmissionId submission, RelayReply reply) implements EntryEvent {}
 
+    /**
+     * An attempt to adopt the claim of an owner that is gone was settled.
+     *
+     * @param submission the submission
+     * @param result what came of it
+     */
+    record AdoptionSettled(SubmissionId submission, AdoptionResult result) implements EntryEvent {}
+
+    /**
+     * A sidecar fenced a submission and told what its ledger holds of it.
+     *
+     * @param sidecar the sidecar
+     * @param submission the submission
+     * @param fence the fence number now in force there
+     * @param reports the ledger's lines of the submission
+     */
+    record SubmissionFenced(ProcessId sidecar, SubmissionId submission, long fence, List<AttemptReport> reports)
+            implements EntryEvent {
+        /** Copies the reports. */
+        public SubmissionFenced {
+            reports = List.copyOf(reports);
+        }
+    }
+
     /**
      * A sidecar's link opened, or its upstream's state changed.
      *
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/TaskProgress.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/TaskProgress.java
@@ -28,6 +28,7 @@
     private ProcessId sidecar;
     private Instant since;
     private String result;
+    private boolean adopted;
 
     TaskProgress(TaskSpec spec, int attemptsBefore, Instant now) {
         this.spec = spec;
@@ -72,8 +73,19 @@
         return isOutstanding() && current.equals(attempt) && sidecar.equals(reporter);
     }
 
+    /** Tells whether an earlier owner placed the current attempt, so that no placement here stands for it. */
+    boolean isAdopted() {
+        return adopted;
+    }
+
+    void adopted(AttemptId attempt, ProcessId target, Instant now) {
+        placed(attempt, target, now);
+        adopted = true;
+    }
+
     void placed(AttemptId attempt, ProcessId target, Instant now) {
-        attempts = attempt.attempt();
+        adopted = false;
+        attempts = Math.max(attempts, attempt.attempt());
         current = attempt;
         sidecar = target;
         enter(Stage.PLACED, now);
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
@@ -24,6 +24,8 @@
         CLAIMING,
         /** Another entry owns it and was asked. */
         RELAYED,
+        /** Its owner is gone and its claim and the ledgers' lines are being taken over. */
+        ADOPTING,
         /** Its tasks wait or run. */
         RUNNING,
         /** It has its answer; attempts may still be outstanding. */
@@ -43,6 +45,8 @@
     private int completed;
     private boolean startKnown;
     private boolean startPossible;
+    private boolean superseded;
+    private ClaimResult.HeldByOther held;
     private Answer answer;
 
     Work(Submission submission, Urgency urgency, Duration taskTimeout, Instant now) {
@@ -134,14 +138,38 @@
         return taken;
     }
 
-    void relayed() {
+    /** Returns the claim that another entry held when last asked. */
+    ClaimResult.HeldByOther held() {
+        return held;
+    }
+
+    /** Tells whether another entry adopted the submission from this one. */
+    boolean isSuperseded() {
+        return superseded;
+    }
+
+    void relayed(ClaimResult.HeldByOther holder) {
         phase = Phase.RELAYED;
+        held = holder;
+    }
+
+    void adopting() {
+        phase = Phase.ADOPTING;
+    }
+
+    /** Goes back to claiming after another entry adopted the submission; nothing here is outstanding any more. */
+    void superseded() {
+        phase = Phase.CLAIMING;
+        superseded = true;
+        startPossible = true;
+        tasks.clear();
+        completed = 0;
     }
 
-    void run(long claimFence, int attemptsBefore, Instant now) {
+    void run(long claimFence, int attemptsBefore, Instant claimed, Instant now) {
         phase = Phase.RUNNING;
         fence = claimFence;
-        claimedAt = now;
+        claimedAt = claimed;
         for (TaskSpec spec : submission.tasks()) {
             tasks.put(spec.id(), new TaskProgress(spec, attemptsBefore, now));
         }
--- a/caperturn-core/src/main/java/io/caperturn/core/model/NotStartedReason.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/model/NotStartedReason.java
@@ -8,8 +8,10 @@
     LEAVING,
     /** The sidecar is draining for a planned stop. */
     DRAINING,
-    /** The identity was fenced by a resolve or a higher fence number. */
+    /** A resolve fenced this attempt; a later attempt of the same claim may start. */
     FENCED,
+    /** Another entry adopted the submission under a higher fence number. */
+    SUPERSEDED,
     /** The dispatch was addressed to another incarnation. */
     WRONG_INCARNATION,
     /** The claim is older than the ledger reaches back. */
--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/AdoptionTest.java
@@ -0,0 +1,160 @@
+package io.caperturn.core.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.core.model.Answer;
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.FailureReason;
+import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.TaskKey;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.TaskResult;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class AdoptionTest {
+    private static final ProcessId OWNER = new ProcessId("entry-2", 7);
+    private static final long OWNER_FENCE = 1;
+    private static final long ADOPTER_FENCE = 2;
+
+    private final EntryFixture entry = new EntryFixture();
+
+    @Test
+    void unreachableOwnerIsAdoptedFrom() {
+        loseOwner(2, entry.now());
+        assertEquals(
+                OWNER,
+                entry.commands(EntryCommand.AdoptClaim.class).getFirst().held().owner());
+    }
+
+    @Test
+    void claimOlderThanTheLedgersReachIsNeverAdopted() {
+        loseOwner(1, entry.now().minus(EntryPolicy.DEFAULT.adoptionReach()).minusMillis(1));
+        assertTrue(entry.commands(EntryCommand.AdoptClaim.class).isEmpty());
+        assertFailed(FailureReason.OWNER_LOST);
+    }
+
+    @Test
+    void failedAdoptionIsAnsweredAtOnceAsMayHaveRun() {
+        loseOwner(1, entry.now());
+        entry.send(new EntryEvent.AdoptionSettled(EntryFixture.ID, new AdoptionResult.Failed("store down")));
+        assertFailed(FailureReason.OWNER_LOST);
+    }
+
+    @Test
+    void nothingStartsBeforeEverySidecarIsFenced() {
+        adopt(2, EntryFixture.SIDECAR, EntryFixture.OTHER_SIDECAR);
+        fenced(EntryFixture.SIDECAR);
+        assertTrue(entry.dispatches().isEmpty());
+        fenced(EntryFixture.OTHER_SIDECAR);
+        assertEquals(2, entry.dispatches().size());
+        assertEquals(ADOPTER_FENCE, entry.lastAttempt().fence());
+    }
+
+    @Test
+    void onlyTasksWithoutALineAreStarted() {
+        adopt(3, EntryFixture.SIDECAR);
+        fenced(EntryFixture.SIDECAR, line("t1", EntryFixture.completed("1")), line("t2", new AttemptState.Running()));
+        assertEquals(1, entry.dispatches().size());
+        assertEquals("t3", entry.lastAttempt().key().task());
+        entry.report(EntryFixture.SIDECAR, ownerAttempt("t2"), EntryFixture.completed("2"));
+        entry.report(EntryFixture.SIDECAR, entry.lastAttempt(), EntryFixture.completed("3"));
+        assertEquals(
+                new Answer.Complete(
+                        List.of(new TaskResult("t1", "1"), new TaskResult("t2", "2"), new TaskResult("t3", "3"))),
+                entry.answers().getFirst().answer());
+    }
+
+    @Test
+    void lineThatNeverStartedMayStart() {
+        adopt(1, EntryFixture.SIDECAR);
+        fenced(EntryFixture.SIDECAR, line("t1", new AttemptState.NotStarted(NotStartedReason.SUPERSEDED)));
+        assertEquals(1, entry.dispatches().size());
+    }
+
+    @Test
+    void sidecarThatDoesNotAnswerMakesTheJobFailAsMayHaveRun() {
+        adopt(2, EntryFixture.SIDECAR, new ProcessId("gone", 1));
+        fenced(EntryFixture.SIDECAR, line("t1", EntryFixture.completed("1")));
+        entry.pass(EntryPolicy.DEFAULT.adoptionTimeout());
+        assertTrue(entry.dispatches().isEmpty());
+        Answer.Failed failed =
+                assertInstanceOf(Answer.Failed.class, entry.answers().getFirst().answer());
+        assertEquals(FailureReason.OWNER_LOST, failed.reason());
+        assertEquals(Execution.RAN, failed.execution());
+    }
+
+    @Test
+    void resultsOfEverythingAnswerEvenIfASidecarIsGone() {
+        adopt(1, EntryFixture.SIDECAR, new ProcessId("gone", 1));
+        fenced(EntryFixture.SIDECAR, line("t1", EntryFixture.completed("1")));
+        entry.pass(EntryPolicy.DEFAULT.adoptionTimeout());
+        assertInstanceOf(Answer.Complete.class, entry.answers().getFirst().answer());
+    }
+
+    @Test
+    void taskThatFailedUnderTheOwnerFailsTheJob() {
+        adopt(1, EntryFixture.SIDECAR);
+        TaskOutcome failed = new TaskOutcome.Failed(Execution.MAY_HAVE_RUN, "reset", Duration.ZERO);
+        fenced(EntryFixture.SIDECAR, line("t1", new AttemptState.Done(failed)));
+        assertFailed(FailureReason.TASK_FAILED);
+    }
+
+    @Test
+    void ownerThatWasSupersededAsksTheAdopter() {
+        entry.open(EntryFixture.SIDECAR, 1);
+        entry.submit(entry.job(2));
+        entry.grantClaim();
+        entry.report(
+                EntryFixture.SIDECAR, entry.lastAttempt(), new AttemptState.NotStarted(NotStartedReason.SUPERSEDED));
+        assertEquals(2, entry.commands(EntryCommand.RequestClaim.class).size());
+        assertEquals(1, entry.dispatches().size());
+        entry.send(new EntryEvent.ClaimSettled(
+                EntryFixture.ID, new ClaimResult.HeldByOther(OWNER, "127.0.0.1:1", 2, "digest", entry.now())));
+        assertEquals(1, entry.commands(EntryCommand.RelayToOwner.class).size());
+    }
+
+    private void loseOwner(int tasks, Instant claimedAt) {
+        entry.open(EntryFixture.SIDECAR, 8);
+        entry.submit(entry.job(tasks));
+        entry.send(new EntryEvent.ClaimSettled(
+                EntryFixture.ID, new ClaimResult.HeldByOther(OWNER, "127.0.0.1:1", OWNER_FENCE, "digest", claimedAt)));
+        entry.send(new EntryEvent.RelaySettled(EntryFixture.ID, new RelayReply.OwnerUnreachable("gone")));
+    }
+
+    private void adopt(int tasks, ProcessId... sidecars) {
+        loseOwner(tasks, entry.now());
+        entry.send(new EntryEvent.AdoptionSettled(
+                EntryFixture.ID, new AdoptionResult.Adopted(ADOPTER_FENCE, entry.now(), Set.of(sidecars))));
+        assertEquals(
+                sidecars.length, entry.commands(EntryCommand.SendFence.class).size());
+    }
+
+    private void fenced(ProcessId sidecar, AttemptReport... lines) {
+        entry.send(new EntryEvent.SubmissionFenced(sidecar, EntryFixture.ID, ADOPTER_FENCE, List.of(lines)));
+    }
+
+    private static AttemptReport line(String task, AttemptState state) {
+        return new AttemptReport(ownerAttempt(task), state);
+    }
+
+    private static AttemptId ownerAttempt(String task) {
+        return new AttemptId(new TaskKey(EntryFixture.ID, task), OWNER_FENCE, 1);
+    }
+
+    private void assertFailed(FailureReason reason) {
+        Answer.Failed failed =
+                assertInstanceOf(Answer.Failed.class, entry.answers().getFirst().answer());
+        assertEquals(reason, failed.reason());
+        assertEquals(Execution.MAY_HAVE_RUN, failed.execution());
+    }
+}
--- a/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
@@ -41,6 +41,10 @@
         send(new EntryEvent.TableChanged(new Table(1, Map.of(KIND, row), Map.of())));
     }
 
+    Instant now() {
+        return now;
+    }
+
     List<EntryCommand> send(EntryEvent event) {
         List<EntryCommand> next = machine.on(event, now);
         commands.addAll(next);
