--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/PendingClaim.java
@@ -0,0 +1,90 @@
+package io.caperturn.platform.claim;
+
+import io.caperturn.core.model.Submission;
+import io.caperturn.platform.RowKey;
+import io.caperturn.platform.Write;
+import io.caperturn.platform.internal.ClaimRow;
+import io.caperturn.platform.internal.Json;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Claim that is not settled yet; confined to the thread of the {@link ClaimWriter} once it was taken from the ring. */
+final class PendingClaim {
+    private static final long FIRST_FENCE = 1;
+
+    private final Submission submission;
+    private final RowKey key;
+    private final long request;
+    private final OptionalLong adoptedFence;
+    private final long deadlineNanoseconds;
+    private long expectedVersion;
+    private long fence;
+    private boolean inDoubt;
+
+    PendingClaim(Submission submission, long request, OptionalLong adoptedFence, long deadlineNanoseconds) {
+        this.submission = submission;
+        this.key = ClaimRow.keyOf(submission.id());
+        this.request = request;
+        this.adoptedFence = adoptedFence;
+        this.deadlineNanoseconds = deadlineNanoseconds;
+        this.fence = adoptedFence.isPresent() ? adoptedFence.getAsLong() + 1 : FIRST_FENCE;
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    RowKey key() {
+        return key;
+    }
+
+    long request() {
+        return request;
+    }
+
+    OptionalLong adoptedFence() {
+        return adoptedFence;
+    }
+
+    long expectedVersion() {
+        return expectedVersion;
+    }
+
+    long fence() {
+        return fence;
+    }
+
+    /** Tells whether an earlier try may have taken effect. */
+    boolean isInDoubt() {
+        return inDoubt;
+    }
+
+    boolean isPast(long nowNanoseconds) {
+        return nowNanoseconds - deadlineNanoseconds >= 0;
+    }
+
+    void doubt() {
+        inDoubt = true;
+    }
+
+    /** Sets which version of the row the next try replaces, and the fence that it writes. */
+    void replace(long version, long nextFence) {
+        expectedVersion = version;
+        fence = nextFence;
+    }
+
+    Write write(ClaimOwner owner, Instant now, Duration expiry) {
+        ClaimRow row = new ClaimRow(
+                owner.process().name(),
+                owner.process().incarnation(),
+                owner.linkAddress(),
+                fence,
+                submission.digest(),
+                now.toEpochMilli(),
+                now.plus(expiry).toEpochMilli(),
+                request);
+        return new Write(key, expectedVersion, Optional.of(Json.write(row)));
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Durable claims on jobs, written in groups. */
+package io.caperturn.platform.claim;
