--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/ClaimRow.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/internal/ClaimRow.java
@@ -33,6 +33,9 @@
         Objects.requireNonNull(owner, "owner");
         Objects.requireNonNull(linkAddress, "linkAddress");
         Objects.requireNonNull(digest, "digest");
+        if (owner.isBlank()) {
+            throw new IllegalArgumentException("owner must be named");
+        }
     }
 
     /**
--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/internal/TableReader.java
@@ -0,0 +1,142 @@
+package io.caperturn.platform.internal;
+
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TeamRow;
+import io.caperturn.kernel.EventLine;
+import io.caperturn.platform.PlatformStore;
+import io.caperturn.platform.Row;
+import io.caperturn.platform.StoreResult;
+import io.caperturn.platform.Transaction;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BiFunction;
+
+/** Reader of the table of weights and limits from the store. */
+public final class TableReader {
+    private static final System.Logger LOGGER = System.getLogger(TableReader.class.getName());
+    private static final int PAGE_ROWS = 500;
+    private static final int MAXIMUM_READS = 5;
+
+    private final PlatformStore store;
+
+    /**
+     * Creates a reader.
+     *
+     * @param store the store
+     */
+    public TableReader(PlatformStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Reads the version of the whole table.
+     *
+     * @return the version, 0 before the first edit; empty if the store does not answer
+     */
+    public OptionalLong version() {
+        StoreResult result = store.transact(new Transaction(List.of(TableRow.VERSION_KEY), List.of()));
+        if (!(result instanceof StoreResult.Committed(List<Row> rows)) || rows.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        Optional<String> value = rows.getFirst().value();
+        if (value.isEmpty()) {
+            return OptionalLong.of(0);
+        }
+        return Json.read(value.get(), TableRow.VersionValue.class)
+                .map(version -> OptionalLong.of(version.version()))
+                .orElseGet(OptionalLong::empty);
+    }
+
+    /**
+     * Reads the whole table at one version.
+     *
+     * @return the table, or empty if the store does not answer or edits kept moving the version
+     */
+    public Optional<Table> read() {
+        OptionalLong before = version();
+        for (int reads = 0; reads < MAXIMUM_READS && before.isPresent(); reads++) {
+            Optional<Map<String, KindRow>> kinds = kinds();
+            Optional<Map<String, TeamRow>> teams = teams();
+            OptionalLong after = version();
+            if (kinds.isEmpty() || teams.isEmpty() || after.isEmpty()) {
+                return Optional.empty();
+            }
+            if (after.equals(before)) {
+                return Optional.of(new Table(after.getAsLong(), kinds.get(), teams.get()));
+            }
+            before = after;
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Map<String, KindRow>> kinds() {
+        return all(
+                TableRow.KINDS,
+                (text, version) -> Json.read(text, TableRow.KindValue.class).map(value -> value.toRow(version)));
+    }
+
+    private Optional<Map<String, TeamRow>> teams() {
+        return all(
+                TableRow.TEAMS,
+                (text, version) -> Json.read(text, TableRow.TeamValue.class).map(value -> value.toRow(version)));
+    }
+
+    private <T> Optional<Map<String, T>> all(String table, BiFunction<String, Long, Optional<T>> reader) {
+        return scan(store, table).map(rows -> {
+            Map<String, T> values = new HashMap<>();
+            for (Row row : rows) {
+                parse(row, reader).ifPresent(value -> values.put(row.key().key(), value));
+            }
+            return values;
+        });
+    }
+
+    private static <T> Optional<T> parse(Row row, BiFunction<String, Long, Optional<T>> reader) {
+        Optional<T> value = Optional.empty();
+        try {
+            value = row.value().flatMap(text -> reader.apply(text, row.version()));
+        } catch (IllegalArgumentException | NullPointerException e) {
+            LOGGER.log(System.Logger.Level.DEBUG, "table row out of range", e);
+        }
+        if (value.isEmpty()) {
+            LOGGER.log(
+                    System.Logger.Level.WARNING,
+                    EventLine.of("table-row-unreadable")
+                            .with("table", row.key().table())
+                            .with("key", row.key().key())
+                            .toString());
+        }
+        return value;
+    }
+
+    /**
+     * Reads all rows of a table, page by page.
+     *
+     * @param store the store
+     * @param table the table's name
+     * @return the rows in the order of their keys, or empty if the store does not answer
+     */
+    public static Optional<List<Row>> scan(PlatformStore store, String table) {
+        List<Row> all = new ArrayList<>();
+        String after = "";
+        while (true) {
+            if (!(store.scan(table, after, PAGE_ROWS) instanceof StoreResult.Committed(List<Row> rows))) {
+                return Optional.empty();
+            }
+            all.addAll(rows);
+            if (rows.size() < PAGE_ROWS) {
+                return Optional.of(List.copyOf(all));
+            }
+            String last = rows.getLast().key().key();
+            if (last.equals(after)) {
+                return Optional.empty();
+            }
+            after = last;
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/table/RowEdit.java
@@ -0,0 +1,105 @@
+package io.caperturn.platform.table;
+
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.TeamRow;
+import io.caperturn.platform.RowKey;
+import io.caperturn.platform.Write;
+import io.caperturn.platform.internal.Json;
+import io.caperturn.platform.internal.TableRow;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Edit of one row, under the condition that the row's version is the expected one. */
+public sealed interface RowEdit {
+    /**
+     * Returns the version that the row must have.
+     *
+     * @return the version, 0 if the row must not exist
+     */
+    long expectedVersion();
+
+    /**
+     * Returns the place of the row that is edited.
+     *
+     * @return the place in the store
+     */
+    RowKey key();
+
+    /**
+     * Writes the row of a kind.
+     *
+     * @param expectedVersion the version that the row must have, 0 if it must not exist
+     * @param row the new row; its own version has no meaning here
+     */
+    record PutKind(long expectedVersion, KindRow row) implements RowEdit {
+        /** Checks that the row is present. */
+        public PutKind {
+            Objects.requireNonNull(row, "row");
+        }
+
+        @Override
+        public RowKey key() {
+            return new RowKey(TableRow.KINDS, row.kind());
+        }
+    }
+
+    /**
+     * Writes the row of a team.
+     *
+     * @param expectedVersion the version that the row must have, 0 if it must not exist
+     * @param row the new row; its own version has no meaning here
+     */
+    record PutTeam(long expectedVersion, TeamRow row) implements RowEdit {
+        /** Checks that the row is present. */
+        public PutTeam {
+            Objects.requireNonNull(row, "row");
+        }
+
+        @Override
+        public RowKey key() {
+            return new RowKey(TableRow.TEAMS, row.team());
+        }
+    }
+
+    /**
+     * Deletes the row of a kind.
+     *
+     * @param expectedVersion the version that the row must have
+     * @param kind the kind's name
+     */
+    record DeleteKind(long expectedVersion, String kind) implements RowEdit {
+        @Override
+        public RowKey key() {
+            return new RowKey(TableRow.KINDS, kind);
+        }
+    }
+
+    /**
+     * Deletes the row of a team.
+     *
+     * @param expectedVersion the version that the row must have
+     * @param team the team's name
+     */
+    record DeleteTeam(long expectedVersion, String team) implements RowEdit {
+        @Override
+        public RowKey key() {
+            return new RowKey(TableRow.TEAMS, team);
+        }
+    }
+
+    /**
+     * Returns the conditional write that carries the edit out.
+     *
+     * @param changeId the change that the edit belongs to
+     * @return the write
+     */
+    default Write write(String changeId) {
+        Optional<String> value = switch (this) {
+            case PutKind put -> Optional.of(Json.write(TableRow.KindValue.of(put.row(), changeId)));
+            case PutTeam put -> Optional.of(Json.write(TableRow.TeamValue.of(put.row(), changeId)));
+            case DeleteKind ignored -> Optional.empty();
+            case DeleteTeam ignored -> Optional.empty();
+        };
+        return new Write(key(), expectedVersion(), value);
+    }
+}
