--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/claim/ClaimService.java
@@ -0,0 +1,107 @@
+package io.caperturn.entry.claim;
+
+import io.caperturn.core.entry.AdoptionResult;
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.link.LinkService;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import io.caperturn.kernel.ServiceName;
+import io.caperturn.platform.PlatformStore;
+import io.caperturn.platform.claim.ClaimOwner;
+import io.caperturn.platform.claim.ClaimPolicy;
+import io.caperturn.platform.claim.ClaimWriter;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Service that writes claims in groups and reports each one's fate to the engine. */
+public final class ClaimService implements Service {
+    /** Name under which the service is found. */
+    public static final ServiceName<ClaimService> NAME = new ServiceName<>("claims", ClaimService.class);
+
+    private final ProcessId self;
+    private final PlatformStore store;
+    private final ClaimPolicy policy;
+    private final Map<SubmissionId, PendingAdoption> adoptions = new ConcurrentHashMap<>();
+    private Engine engine;
+    private ClaimWriter writer;
+
+    /**
+     * Creates the service.
+     *
+     * @param self the identity under which claims are held
+     * @param store the platform's store
+     * @param policy how claims are written
+     */
+    public ClaimService(ProcessId self, PlatformStore store, ClaimPolicy policy) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.store = Objects.requireNonNull(store, "store");
+        this.policy = Objects.requireNonNull(policy, "policy");
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        engine = kernel.find(Engine.NAME);
+        String linkAddress = kernel.find(LinkService.NAME).address();
+        writer = new ClaimWriter(store, new ClaimOwner(self, linkAddress), policy, this::onSettled);
+        writer.start();
+    }
+
+    @Override
+    public void stop() {
+        writer.stop();
+    }
+
+    /**
+     * Asks for the claim of a submission; its fate reaches the engine as an event.
+     *
+     * @param submission the submission
+     * @return false if too many claims wait; nothing was then written
+     */
+    public boolean request(Submission submission) {
+        return writer.request(submission);
+    }
+
+    /**
+     * Asks for the claim of a lost owner; its fate reaches the engine as an event.
+     *
+     * @param command what to adopt
+     * @param sidecars every sidecar that the owner could have used
+     */
+    public void adopt(EntryCommand.AdoptClaim command, Set<ProcessId> sidecars) {
+        adoptions.put(
+                command.submission().id(), new PendingAdoption(command.held().claimedAt(), sidecars));
+        writer.adopt(command.submission(), command.held());
+    }
+
+    private void onSettled(EntryEvent.ClaimSettled settled) {
+        PendingAdoption adoption = adoptions.remove(settled.submission());
+        if (adoption == null) {
+            engine.put(settled);
+            return;
+        }
+        AdoptionResult result = switch (settled.result()) {
+            case ClaimResult.Granted granted ->
+                new AdoptionResult.Adopted(granted.fence(), adoption.claimedAt(), adoption.sidecars());
+            case ClaimResult.HeldByOther held -> new AdoptionResult.Failed("adopted by " + held.owner() + " meanwhile");
+            case ClaimResult.Unavailable(String detail) -> new AdoptionResult.Failed(detail);
+        };
+        engine.put(new EntryEvent.AdoptionSettled(settled.submission(), result));
+    }
+
+    /**
+     * An adoption whose claim is being written.
+     *
+     * @param claimedAt when the submission was claimed first
+     * @param sidecars every sidecar that the owner could have used
+     */
+    private record PendingAdoption(Instant claimedAt, Set<ProcessId> sidecars) {}
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Durable claims of submissions. */
+package io.caperturn.entry.claim;
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/engine/CommandExecutor.java
@@ -0,0 +1,67 @@
+package io.caperturn.entry.engine;
+
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.entry.claim.ClaimService;
+import io.caperturn.entry.link.LinkService;
+import io.caperturn.entry.observe.Observer;
+import io.caperturn.entry.registry.RegistryService;
+import io.caperturn.kernel.Kernel;
+
+/** Carries out the commands of the state machine by the services that each concerns. */
+final class CommandExecutor {
+    private final Engine engine;
+    private final LinkService links;
+    private final ClaimService claims;
+    private final RegistryService registry;
+    private final Waiters waiters;
+    private final Observer observer;
+    private final Runnable onDrained;
+
+    CommandExecutor(Kernel kernel, Engine engine, Runnable onDrained) {
+        this.engine = engine;
+        this.links = kernel.find(LinkService.NAME);
+        this.claims = kernel.find(ClaimService.NAME);
+        this.registry = kernel.find(RegistryService.NAME);
+        this.waiters = kernel.find(Waiters.NAME);
+        this.observer = kernel.find(Observer.NAME);
+        this.onDrained = onDrained;
+    }
+
+    void execute(EntryCommand command) {
+        switch (command) {
+            case EntryCommand.RequestClaim request -> {
+                if (!claims.request(request.submission())) {
+                    engine.feedBack(new EntryEvent.ClaimSettled(
+                            request.submission().id(), new ClaimResult.Unavailable("too many claims wait")));
+                }
+            }
+            case EntryCommand.RelayToOwner relay -> links.relay(relay);
+            case EntryCommand.AdoptClaim adopt -> registry.adopt(adopt);
+            case EntryCommand.SendFence fence -> links.sendFence(fence);
+            case EntryCommand.SendDispatches dispatches -> send(dispatches);
+            case EntryCommand.SendDemand demand -> links.sendDemand(demand);
+            case EntryCommand.SendResolve resolve -> links.sendResolve(resolve);
+            case EntryCommand.SendCancels cancels -> links.sendCancels(cancels);
+            case EntryCommand.GiveAnswer given ->
+                given.waiters()
+                        .forEach(number -> waiters.take(number)
+                                .ifPresent(receiver -> receiver.onAnswer(given.submission(), given.answer())));
+            case EntryCommand.Publish publish -> observer.publish(publish.occurrence());
+            case EntryCommand.Drained() -> onDrained.run();
+        }
+    }
+
+    private void send(EntryCommand.SendDispatches dispatches) {
+        if (links.sendDispatches(dispatches)) {
+            return;
+        }
+        engine.feedBack(new EntryEvent.SidecarLost(dispatches.sidecar()));
+        engine.feedBack(new EntryEvent.DispatchNotSent(
+                dispatches.sidecar(),
+                dispatches.dispatches().stream()
+                        .map(EntryCommand.Dispatch::attempt)
+                        .toList()));
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/AnswerWriter.java
@@ -0,0 +1,64 @@
+package io.caperturn.entry.http;
+
+import io.caperturn.core.model.Answer;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskResult;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writer of answers; a complete answer is assembled whole before its first byte goes out. */
+final class AnswerWriter {
+    private static final int OK = 200;
+
+    private AnswerWriter() {}
+
+    static void writeJob(Response response, Callback callback, SubmissionId submission, Answer answer) {
+        switch (answer) {
+            case Answer.Failed failed -> Replies.problem(response, callback, Problem.of(submission, failed));
+            case Answer.Complete complete -> {
+                StringBuilder json = open(submission).append(",\"results\":[");
+                String separator = "";
+                for (TaskResult result : complete.results()) {
+                    json.append(separator).append("{\"task\":");
+                    quote(json, result.task());
+                    json.append(",\"result\":").append(result.result()).append('}');
+                    separator = ",";
+                }
+                write(response, callback, json.append("]}"));
+            }
+        }
+    }
+
+    static void writeRequest(Response response, Callback callback, SubmissionId submission, Answer answer) {
+        switch (answer) {
+            case Answer.Failed failed -> Replies.problem(response, callback, Problem.of(submission, failed));
+            case Answer.Complete complete ->
+                write(
+                        response,
+                        callback,
+                        open(submission)
+                                .append(",\"result\":")
+                                .append(complete.results().getFirst().result())
+                                .append('}'));
+        }
+    }
+
+    private static StringBuilder open(SubmissionId submission) {
+        StringBuilder json = new StringBuilder("{\"submission\":");
+        quote(json, submission.toString());
+        return json;
+    }
+
+    private static void quote(StringBuilder json, String text) {
+        json.append('"');
+        json.append(
+                com.fasterxml.jackson.core.io.JsonStringEncoder.getInstance().quoteAsString(text));
+        json.append('"');
+    }
+
+    private static void write(Response response, Callback callback, StringBuilder json) {
+        Replies.write(
+                response, callback, OK, "application/json", json.toString().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/BodyReader.java
@@ -0,0 +1,30 @@
+package io.caperturn.entry.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Optional;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+
+/** Reader of request bodies within a bound. */
+public final class BodyReader {
+    private BodyReader() {}
+
+    /**
+     * Reads a body, waiting for it.
+     *
+     * @param request the request
+     * @param maximumBytes the largest body accepted
+     * @return the body, or empty if it is larger
+     * @throws IOException if the client breaks off
+     */
+    public static Optional<byte[]> read(Request request, int maximumBytes) throws IOException {
+        if (request.getLength() > maximumBytes) {
+            return Optional.empty();
+        }
+        try (InputStream stream = Content.Source.asInputStream(request)) {
+            byte[] body = stream.readNBytes(maximumBytes + 1);
+            return body.length > maximumBytes ? Optional.empty() : Optional.of(body);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -0,0 +1,120 @@
+package io.caperturn.entry.http;
+
+import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.engine.Waiters;
+import io.caperturn.entry.observe.Observer;
+import io.caperturn.entry.table.TableService;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import io.caperturn.kernel.ServiceName;
+import io.caperturn.kernel.ServiceStartException;
+import io.caperturn.settings.EntrySettings;
+import java.time.Clock;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.VirtualThreads;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Service that serves callers and operators over HTTP. */
+public final class HttpService implements Service {
+    /** Name under which the service is found. */
+    public static final ServiceName<HttpService> NAME = new ServiceName<>("http", HttpService.class);
+
+    private static final int MAXIMUM_THREADS = 32;
+
+    private final EntrySettings settings;
+    private final Clock clock;
+    private Server server;
+    private ServerConnector connector;
+    private TableService table;
+    private volatile boolean draining;
+
+    /**
+     * Creates the service.
+     *
+     * @param settings the entry's settings
+     * @param clock source of time
+     */
+    public HttpService(EntrySettings settings, Clock clock) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    @Override
+    public void start(Kernel kernel) throws ServiceStartException {
+        table = kernel.find(TableService.NAME);
+        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS);
+        threads.setName("http");
+        threads.setVirtualThreadsExecutor(VirtualThreads.getDefaultVirtualThreadsExecutor());
+        server = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setRequestHeaderSize(settings.requests().maximumHeaderBytes());
+        configuration.setSendServerVersion(false);
+        connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+        int colon = settings.httpAddress().lastIndexOf(':');
+        connector.setHost(settings.httpAddress().substring(0, colon));
+        connector.setPort(Integer.parseInt(settings.httpAddress().substring(colon + 1)));
+        server.addConnector(connector);
+        server.setHandler(new Router(routes(kernel)));
+        server.setErrorHandler(new ProblemErrorHandler());
+        try {
+            server.start();
+        } catch (Exception e) {
+            stop();
+            throw new ServiceStartException("HTTP can't be served: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP did not stop", e);
+        }
+    }
+
+    /** Makes readiness false, so that the balancer sends no more clients here. */
+    public void beginDrain() {
+        draining = true;
+    }
+
+    /**
+     * Returns where HTTP is served.
+     *
+     * @return the address as {@code host:port}
+     */
+    public String address() {
+        return connector.getHost() + ":" + connector.getLocalPort();
+    }
+
+    private List<Router.Route> routes(Kernel kernel) {
+        Engine engine = kernel.find(Engine.NAME);
+        Waiters waiters = kernel.find(Waiters.NAME);
+        Observer observer = kernel.find(Observer.NAME);
+        HealthEndpoint health = new HealthEndpoint(this::unreadiness, observer.meters());
+        return List.of(
+                new Router.Route(
+                        "/v1/jobs",
+                        new WorkEndpoint(WorkEndpoint.Resource.JOBS, engine, waiters, settings.requests(), clock)),
+                new Router.Route(
+                        "/v1/requests",
+                        new WorkEndpoint(WorkEndpoint.Resource.REQUESTS, engine, waiters, settings.requests(), clock)),
+                new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
+                new Router.Route("/healthz", health),
+                new Router.Route("/readyz", health),
+                new Router.Route("/metrics", health));
+    }
+
+    private Optional<String> unreadiness() {
+        if (draining) {
+            return Optional.of("draining");
+        }
+        return table.tableVersion() == 0 ? Optional.of("no table is known yet") : Optional.empty();
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/Problem.java
@@ -0,0 +1,97 @@
+package io.caperturn.entry.http;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.core.model.Answer;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.FailureReason;
+import io.caperturn.core.model.SubmissionId;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Problem details of RFC 9457, with members that say whether the work ran and when to come back.
+ *
+ * @param status the HTTP status
+ * @param reason the machine-readable cause in lower case with hyphens
+ * @param detail one line for people
+ * @param execution what is known about whether the work ran
+ * @param submission the submission, where it is known
+ * @param retryAfter when to come back, where that can help
+ */
+public record Problem(
+        int status,
+        String reason,
+        String detail,
+        Execution execution,
+        Optional<SubmissionId> submission,
+        Optional<Duration> retryAfter) {
+    /** Checks that all parts are present. */
+    public Problem {
+        Objects.requireNonNull(reason, "reason");
+        Objects.requireNonNull(detail, "detail");
+        Objects.requireNonNull(execution, "execution");
+        Objects.requireNonNull(submission, "submission");
+        Objects.requireNonNull(retryAfter, "retryAfter");
+    }
+
+    /**
+     * Creates the problem of a request that can't be served as it is; nothing ran.
+     *
+     * @param status the HTTP status
+     * @param detail one line for people
+     * @return the problem
+     */
+    public static Problem badRequest(int status, String detail) {
+        return new Problem(status, "bad-request", detail, Execution.NOT_RUN, Optional.empty(), Optional.empty());
+    }
+
+    /**
+     * Creates the problem of a failed answer.
+     *
+     * @param submission the submission
+     * @param answer its answer
+     * @return the problem
+     */
+    public static Problem of(SubmissionId submission, Answer.Failed answer) {
+        return new Problem(
+                status(answer.reason()),
+                answer.reason().name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                answer.detail(),
+                answer.execution(),
+                Optional.of(submission),
+                answer.retryAfter());
+    }
+
+    /**
+     * Returns the problem as a JSON object.
+     *
+     * @return the object
+     */
+    public ObjectNode toJson() {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("type", "urn:caperturn:" + reason);
+        json.put("title", reason.replace('-', ' '));
+        json.put("status", status);
+        json.put("detail", detail);
+        json.put("reason", reason);
+        json.put("execution", execution.label());
+        submission.ifPresent(id -> json.put("submission", id.toString()));
+        retryAfter.ifPresent(after -> json.put("retryAfterMilliseconds", after.toMillis()));
+        return json;
+    }
+
+    private static int status(FailureReason reason) {
+        return switch (reason) {
+            case DIGEST_CONFLICT, CANCELLED -> 409;
+            case ANSWER_EXPIRED -> 410;
+            case UNKNOWN_KIND -> 422;
+            case QUEUE_FULL, RATE_LIMITED -> 429;
+            case TASK_FAILED, OWNER_LOST -> 502;
+            case OVERLOADED, DRAINING, NO_UPSTREAM, STORE_UNAVAILABLE, STALE_TABLE -> 503;
+            case DEADLINE -> 504;
+        };
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/ProblemErrorHandler.java
@@ -0,0 +1,17 @@
+package io.caperturn.entry.http;
+
+import java.util.Objects;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+
+/** Error handler that answers with a problem where the request never reached an endpoint. */
+final class ProblemErrorHandler extends ErrorHandler {
+    @Override
+    protected void generateResponse(
+            Request request, Response response, int code, String message, Throwable cause, Callback callback) {
+        Replies.problem(
+                response, callback, Problem.badRequest(code, Objects.requireNonNullElse(message, "bad request")));
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/Replies.java
@@ -0,0 +1,85 @@
+package io.caperturn.entry.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writers of HTTP replies; none of them blocks. */
+public final class Replies {
+    private static final long MILLISECONDS_PER_SECOND = 1_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Replies() {}
+
+    /**
+     * Writes a JSON reply.
+     *
+     * @param response the response
+     * @param callback completed when the reply is written
+     * @param status the HTTP status
+     * @param json the body
+     */
+    public static void json(Response response, Callback callback, int status, JsonNode json) {
+        write(response, callback, status, "application/json", bytes(json));
+    }
+
+    /**
+     * Writes a plain text reply.
+     *
+     * @param response the response
+     * @param callback completed when the reply is written
+     * @param status the HTTP status
+     * @param text the body
+     */
+    public static void text(Response response, Callback callback, int status, String text) {
+        write(response, callback, status, "text/plain;charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Writes a problem, with {@code Retry-After} rounded up to whole seconds where it says when to come back.
+     *
+     * @param response the response
+     * @param callback completed when the reply is written
+     * @param problem the problem
+     */
+    public static void problem(Response response, Callback callback, Problem problem) {
+        problem.retryAfter()
+                .ifPresent(after ->
+                        response.getHeaders().put(HttpHeader.RETRY_AFTER, String.valueOf(wholeSeconds(after))));
+        write(response, callback, problem.status(), "application/problem+json", bytes(problem.toJson()));
+    }
+
+    /**
+     * Writes a reply.
+     *
+     * @param response the response
+     * @param callback completed when the reply is written
+     * @param status the HTTP status
+     * @param contentType the body's type
+     * @param body the body
+     */
+    public static void write(Response response, Callback callback, int status, String contentType, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    private static long wholeSeconds(Duration duration) {
+        return Math.max(1, (duration.toMillis() + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND);
+    }
+
+    private static byte[] bytes(JsonNode json) {
+        try {
+            return MAPPER.writeValueAsBytes(json);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree can always be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/Router.java
@@ -0,0 +1,63 @@
+package io.caperturn.entry.http;
+
+import io.caperturn.kernel.EventLine;
+import java.util.List;
+import java.util.Objects;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Handler that hands each request to the endpoint whose prefix its path has. */
+final class Router extends Handler.Abstract {
+    private static final System.Logger LOGGER = System.getLogger(Router.class.getName());
+    private static final int NOT_FOUND = 404;
+    private static final int INTERNAL_SERVER_ERROR = 500;
+
+    private final List<Route> routes;
+
+    Router(List<Route> routes) {
+        this.routes = List.copyOf(routes);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Objects.requireNonNullElse(request.getHttpURI().getPath(), "");
+        for (Route route : routes) {
+            if (route.matches(path)) {
+                handle(route.endpoint(), request, response, callback);
+                return true;
+            }
+        }
+        Replies.problem(response, callback, Problem.badRequest(NOT_FOUND, "nothing is served at " + path));
+        return true;
+    }
+
+    private static void handle(Endpoint endpoint, Request request, Response response, Callback callback) {
+        try {
+            endpoint.handle(request, response, callback);
+        } catch (java.io.IOException e) {
+            callback.failed(e);
+        } catch (Exception e) {
+            LOGGER.log(
+                    System.Logger.Level.ERROR,
+                    EventLine.of("request-failed")
+                            .with("path", request.getHttpURI().getPath())
+                            .toString(),
+                    e);
+            Replies.problem(response, callback, Problem.badRequest(INTERNAL_SERVER_ERROR, "internal error"));
+        }
+    }
+
+    /**
+     * A prefix with its endpoint.
+     *
+     * @param prefix the path itself, or what paths begin with if it ends with a slash
+     * @param endpoint who handles them
+     */
+    record Route(String prefix, Endpoint endpoint) {
+        boolean matches(String path) {
+            return prefix.endsWith("/") ? path.startsWith(prefix) : path.equals(prefix);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/SubmissionReader.java
@@ -0,0 +1,239 @@
+package io.caperturn.entry.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.core.model.Urgency;
+import io.caperturn.settings.EntrySettings.RequestBounds;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+
+/** Reader of the JSON bodies of {@code POST /v1/jobs} and {@code POST /v1/requests}. */
+final class SubmissionReader {
+    private static final int BAD_REQUEST = 400;
+    private static final int MAXIMUM_NAME_LENGTH = 200;
+    private static final Set<String> JOB_MEMBERS = Set.of("team", "kind", "urgency", "deadlineMilliseconds", "tasks");
+    private static final Set<String> TASK_MEMBERS = Set.of("id", "estimateMilliseconds", "payload");
+    private static final Set<String> REQUEST_MEMBERS =
+            Set.of("team", "kind", "urgency", "deadlineMilliseconds", "idempotent", "estimateMilliseconds", "payload");
+
+    private final RequestBounds bounds;
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    SubmissionReader(RequestBounds bounds) {
+        this.bounds = bounds;
+    }
+
+    RequestReading readJob(byte[] body, Optional<String> key, Instant now) {
+        try {
+            JsonNode root = parse(body, JOB_MEMBERS);
+            if (key.isEmpty()) {
+                throw new MalformedException("the header Idempotency-Key is missing");
+            }
+            JsonNode tasks = root.path("tasks");
+            if (!tasks.isArray() || tasks.isEmpty()) {
+                throw new MalformedException("tasks: at least one task is needed");
+            }
+            if (tasks.size() > bounds.maximumTasks()) {
+                throw new MalformedException("tasks: " + tasks.size() + ", allowed are " + bounds.maximumTasks());
+            }
+            List<TaskSpec> specs = new ArrayList<>(tasks.size());
+            Set<String> seen = new HashSet<>();
+            for (int index = 0; index < tasks.size(); index++) {
+                TaskSpec spec = readTask(tasks.get(index), "tasks[" + index + "]");
+                if (!seen.add(spec.id())) {
+                    throw new MalformedException("tasks[" + index + "].id: duplicate " + spec.id());
+                }
+                specs.add(spec);
+            }
+            return accept(root, key.get(), Repeatability.AT_MOST_ONCE, specs, now);
+        } catch (MalformedException e) {
+            return new RequestReading.Malformed(BAD_REQUEST, e.getMessage());
+        }
+    }
+
+    RequestReading readRequest(byte[] body, Optional<String> key, Instant now) {
+        try {
+            JsonNode root = parse(body, REQUEST_MEMBERS);
+            JsonNode idempotent = root.path("idempotent");
+            if (!idempotent.isMissingNode() && !idempotent.isBoolean()) {
+                throw new MalformedException("idempotent: true or false");
+            }
+            boolean repeatable = idempotent.asBoolean(true);
+            if (!repeatable && key.isEmpty()) {
+                throw new MalformedException("a non-idempotent request needs the header Idempotency-Key");
+            }
+            TaskSpec spec = new TaskSpec("1", readEstimate(root, ""), payload(root));
+            return accept(
+                    root,
+                    key.orElseGet(() -> UUID.randomUUID().toString()),
+                    repeatable ? Repeatability.IDEMPOTENT : Repeatability.AT_MOST_ONCE,
+                    List.of(spec),
+                    now);
+        } catch (MalformedException e) {
+            return new RequestReading.Malformed(BAD_REQUEST, e.getMessage());
+        }
+    }
+
+    private RequestReading accept(
+            JsonNode root, String key, Repeatability repeatability, List<TaskSpec> tasks, Instant now)
+            throws MalformedException {
+        String team = name(root, "team", "");
+        String kind = name(root, "kind", "");
+        if (key.isBlank() || key.length() > MAXIMUM_NAME_LENGTH) {
+            throw new MalformedException("Idempotency-Key: 1 to " + MAXIMUM_NAME_LENGTH + " characters");
+        }
+        Optional<Urgency> urgency = readUrgency(root);
+        Duration deadline = readDeadline(root);
+        return new RequestReading.Accepted(new Submission(
+                new SubmissionId(team, key),
+                kind,
+                urgency,
+                repeatability,
+                now.plus(deadline),
+                digest(kind, urgency, repeatability, tasks),
+                tasks));
+    }
+
+    private JsonNode parse(byte[] body, Set<String> members) throws MalformedException {
+        JsonNode root;
+        try {
+            root = mapper.readTree(body);
+        } catch (JsonProcessingException e) {
+            throw new MalformedException("not JSON: " + e.getOriginalMessage());
+        } catch (java.io.IOException e) {
+            throw new MalformedException("not JSON: " + e.getMessage());
+        }
+        if (root == null || !root.isObject()) {
+            throw new MalformedException("the body must be a JSON object");
+        }
+        checkMembers(root, members, "");
+        return root;
+    }
+
+    private static void checkMembers(JsonNode node, Set<String> members, String path) throws MalformedException {
+        for (var names = node.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!members.contains(name)) {
+                throw new MalformedException(path + name + ": unknown member");
+            }
+        }
+    }
+
+    private TaskSpec readTask(JsonNode task, String path) throws MalformedException {
+        if (!task.isObject()) {
+            throw new MalformedException(path + ": must be an object");
+        }
+        checkMembers(task, TASK_MEMBERS, path + ".");
+        return new TaskSpec(name(task, "id", path + "."), readEstimate(task, path + "."), payload(task));
+    }
+
+    private static String name(JsonNode node, String member, String path) throws MalformedException {
+        JsonNode value = node.path(member);
+        boolean valid = value.isTextual()
+                && !value.textValue().isBlank()
+                && value.textValue().length() <= MAXIMUM_NAME_LENGTH
+                && value.textValue().chars().noneMatch(Character::isISOControl);
+        if (!valid) {
+            throw new MalformedException(path + member + ": a text of 1 to " + MAXIMUM_NAME_LENGTH + " characters");
+        }
+        return value.textValue();
+    }
+
+    private static String payload(JsonNode node) {
+        JsonNode payload = node.path("payload");
+        return payload.isMissingNode() ? "null" : payload.toString();
+    }
+
+    private Optional<Duration> readEstimate(JsonNode node, String path) throws MalformedException {
+        JsonNode value = node.path("estimateMilliseconds");
+        if (value.isMissingNode()) {
+            return Optional.empty();
+        }
+        boolean valid = value.isIntegralNumber()
+                && value.canConvertToLong()
+                && value.longValue() >= 0
+                && value.longValue() <= bounds.maximumDeadlineMilliseconds();
+        if (!valid) {
+            throw new MalformedException(
+                    path + "estimateMilliseconds: a whole number from 0 to " + bounds.maximumDeadlineMilliseconds());
+        }
+        return Optional.of(Duration.ofMillis(value.longValue()));
+    }
+
+    private static Optional<Urgency> readUrgency(JsonNode root) throws MalformedException {
+        JsonNode value = root.path("urgency");
+        if (value.isMissingNode()) {
+            return Optional.empty();
+        }
+        for (Urgency urgency : Urgency.values()) {
+            if (value.isTextual() && urgency.name().equals(value.textValue().toUpperCase(Locale.ROOT))) {
+                return Optional.of(urgency);
+            }
+        }
+        throw new MalformedException("urgency: urgent, normal or background");
+    }
+
+    private Duration readDeadline(JsonNode root) throws MalformedException {
+        JsonNode value = root.path("deadlineMilliseconds");
+        boolean valid = value.isIntegralNumber()
+                && value.canConvertToLong()
+                && value.longValue() >= 1
+                && value.longValue() <= bounds.maximumDeadlineMilliseconds();
+        if (!valid) {
+            throw new MalformedException(
+                    "deadlineMilliseconds: a whole number from 1 to " + bounds.maximumDeadlineMilliseconds());
+        }
+        return Duration.ofMillis(value.longValue());
+    }
+
+    private static String digest(
+            String kind, Optional<Urgency> urgency, Repeatability repeatability, List<TaskSpec> tasks) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            update(digest, kind);
+            update(digest, urgency.map(Urgency::name).orElse(""));
+            update(digest, repeatability.name());
+            for (TaskSpec task : tasks) {
+                update(digest, task.id());
+                update(digest, task.payload());
+            }
+            return HexFormat.of().formatHex(digest.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+
+    private static void update(MessageDigest digest, String part) {
+        digest.update(part.getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+    }
+
+    /** Says what is malformed; used within this reader only. */
+    private static final class MalformedException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        MalformedException(String message) {
+            super(message, null, false, false);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
@@ -0,0 +1,105 @@
+package io.caperturn.entry.http;
+
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.model.Answer;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.FailureReason;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.engine.Waiters;
+import io.caperturn.settings.EntrySettings.RequestBounds;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Endpoint of {@code POST /v1/jobs} and {@code POST /v1/requests}. */
+final class WorkEndpoint implements Endpoint {
+    /** Which of the two resources. */
+    enum Resource {
+        /** Jobs of many tasks. */
+        JOBS,
+        /** Single requests. */
+        REQUESTS
+    }
+
+    private static final int PAYLOAD_TOO_LARGE = 413;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final Duration OVERLOAD_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final Resource resource;
+    private final Engine engine;
+    private final Waiters waiters;
+    private final RequestBounds bounds;
+    private final SubmissionReader reader;
+    private final Clock clock;
+
+    WorkEndpoint(Resource resource, Engine engine, Waiters waiters, RequestBounds bounds, Clock clock) {
+        this.resource = resource;
+        this.engine = engine;
+        this.waiters = waiters;
+        this.bounds = bounds;
+        this.reader = new SubmissionReader(bounds);
+        this.clock = clock;
+    }
+
+    @Override
+    public void handle(Request request, Response response, Callback callback) throws Exception {
+        if (!"POST".equals(request.getMethod())) {
+            response.getHeaders().put("Allow", "POST");
+            Replies.problem(response, callback, Problem.badRequest(METHOD_NOT_ALLOWED, "only POST is allowed here"));
+            return;
+        }
+        Optional<byte[]> body = BodyReader.read(request, bounds.maximumBodyBytes());
+        if (body.isEmpty()) {
+            Replies.problem(
+                    response,
+                    callback,
+                    Problem.badRequest(PAYLOAD_TOO_LARGE, "the body exceeds " + bounds.maximumBodyBytes() + " bytes"));
+            return;
+        }
+        Optional<String> key = Optional.ofNullable(request.getHeaders().get("Idempotency-Key"));
+        RequestReading reading = switch (resource) {
+            case JOBS -> reader.readJob(body.get(), key, clock.instant());
+            case REQUESTS -> reader.readRequest(body.get(), key, clock.instant());
+        };
+        switch (reading) {
+            case RequestReading.Malformed(int status, String detail) ->
+                Replies.problem(response, callback, Problem.badRequest(status, detail));
+            case RequestReading.Accepted(Submission submission) -> submit(submission, request, response, callback);
+        }
+    }
+
+    private void submit(Submission submission, Request request, Response response, Callback callback) {
+        Executor executor = request.getComponents().getExecutor();
+        long waiter = waiters.register((id, answer) -> executor.execute(() -> write(response, callback, id, answer)));
+        request.addIdleTimeoutListener(ignored -> false);
+        request.addFailureListener(failure -> {
+            if (waiters.take(waiter).isPresent()) {
+                engine.offer(new EntryEvent.WaiterGone(submission.id(), waiter));
+                callback.failed(failure);
+            }
+        });
+        if (!engine.offer(new EntryEvent.SubmissionArrived(submission, waiter))) {
+            waiters.take(waiter)
+                    .ifPresent(receiver -> receiver.onAnswer(
+                            submission.id(),
+                            new Answer.Failed(
+                                    FailureReason.OVERLOADED,
+                                    Execution.NOT_RUN,
+                                    "this entry is overloaded",
+                                    Optional.of(OVERLOAD_RETRY_AFTER))));
+        }
+    }
+
+    private void write(Response response, Callback callback, SubmissionId submission, Answer answer) {
+        switch (resource) {
+            case JOBS -> AnswerWriter.writeJob(response, callback, submission, answer);
+            case REQUESTS -> AnswerWriter.writeRequest(response, callback, submission, answer);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface to callers and operators. */
+package io.caperturn.entry.http;
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
@@ -0,0 +1,200 @@
+package io.caperturn.entry.link;
+
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.entry.RelayReply;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Submission;
+import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.engine.Waiters;
+import io.caperturn.kernel.Duty;
+import io.caperturn.wire.Link;
+import io.caperturn.wire.LinkEndpoint;
+import io.caperturn.wire.message.Relay;
+import io.caperturn.wire.message.RelayAnswer;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Relays of submissions to the entries that own their claims, and answers to relays from others.
+ *
+ * <p>A duty of its own holds all state. An owner that can't be reached under the incarnation that holds the claim is
+ * reported at once, or after {@link #OPEN_TIMEOUT} where nothing answers at its address.
+ */
+final class RelayService {
+    private static final Duration OPEN_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration INTERVAL = Duration.ofMillis(100);
+    private static final int RING_CAPACITY = 1 << 14;
+
+    private final LinkEndpoint endpoint;
+    private final Engine engine;
+    private final Waiters waiters;
+    private final Clock clock;
+    private final Duty<Step> duty;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Instant> lastUse = new HashMap<>();
+    private long lastNumber;
+
+    RelayService(LinkEndpoint endpoint, Engine engine, Waiters waiters, Clock clock) {
+        this.endpoint = endpoint;
+        this.engine = engine;
+        this.waiters = waiters;
+        this.clock = clock;
+        this.duty = new Duty<>("relays", RING_CAPACITY, INTERVAL, new Work());
+    }
+
+    void start() {
+        duty.start();
+    }
+
+    void stop() {
+        duty.stop();
+    }
+
+    void relay(EntryCommand.RelayToOwner command) {
+        if (!duty.offer(new Step.Begin(command))) {
+            engine.feedBack(new EntryEvent.RelaySettled(
+                    command.submission().id(), new RelayReply.OwnerUnreachable("too many relays wait")));
+        }
+    }
+
+    void onOpened(Link link) {
+        duty.offer(new Step.Opened(link));
+    }
+
+    void onClosed(Link link, String reason) {
+        duty.offer(new Step.Closed(link, reason));
+    }
+
+    void onRelayAnswer(RelayAnswer answer) {
+        duty.offer(new Step.Answered(answer));
+    }
+
+    /** Takes a relayed submission from another entry: it arrives here as if its client had come here. */
+    void onRelay(Link link, Relay relay) {
+        Submission submission = FrameFactory.submission(relay, clock.instant());
+        long number = relay.getRelayNumber();
+        long waiter = waiters.register((ignored, answer) -> link.send(FrameFactory.answer(number, answer)));
+        engine.put(new EntryEvent.SubmissionArrived(submission, waiter));
+    }
+
+    /** What the duty's ring carries. */
+    private sealed interface Step {
+        /** A submission is to be relayed. */
+        record Begin(EntryCommand.RelayToOwner command) implements Step {}
+
+        /** A link to another entry opened. */
+        record Opened(Link link) implements Step {}
+
+        /** A link to another entry closed. */
+        record Closed(Link link, String reason) implements Step {}
+
+        /** An owner answered. */
+        record Answered(RelayAnswer answer) implements Step {}
+    }
+
+    /** A relay without an answer yet. */
+    private record Pending(EntryCommand.RelayToOwner command, Instant since, boolean sent) {}
+
+    private final class Work implements Duty.Work<Step> {
+        @Override
+        public void onBatch(List<Step> batch) {
+            for (Step step : batch) {
+                switch (step) {
+                    case Step.Begin(EntryCommand.RelayToOwner command) -> begin(command);
+                    case Step.Opened(Link link) -> opened(link);
+                    case Step.Closed(Link link, String reason) -> closed(link, reason);
+                    case Step.Answered(RelayAnswer answer) -> answered(answer);
+                }
+            }
+        }
+
+        @Override
+        public void onInterval() {
+            Instant now = clock.instant();
+            for (Map.Entry<Long, Pending> entry : List.copyOf(pending.entrySet())) {
+                Pending relay = entry.getValue();
+                if (!relay.sent() && !now.isBefore(relay.since().plus(OPEN_TIMEOUT))) {
+                    settle(entry.getKey(), new RelayReply.OwnerUnreachable("its owner does not answer"));
+                }
+            }
+            for (Map.Entry<String, Instant> use : List.copyOf(lastUse.entrySet())) {
+                boolean idle = !now.isBefore(use.getValue().plus(IDLE_TIMEOUT));
+                if (idle && pending.values().stream().noneMatch(relay -> isFor(relay, use.getKey()))) {
+                    lastUse.remove(use.getKey());
+                    endpoint.disconnect(use.getKey());
+                }
+            }
+        }
+    }
+
+    private void begin(EntryCommand.RelayToOwner command) {
+        long number = ++lastNumber;
+        pending.put(number, new Pending(command, clock.instant(), false));
+        lastUse.put(command.ownerAddress(), clock.instant());
+        Link link = links.get(command.ownerAddress());
+        if (link == null) {
+            endpoint.connect(command.ownerAddress());
+        } else {
+            send(number, link);
+        }
+    }
+
+    private void opened(Link link) {
+        String address = link.peer().linkAddress();
+        if (!lastUse.containsKey(address)) {
+            return;
+        }
+        links.put(address, link);
+        List.copyOf(pending.keySet()).stream()
+                .filter(number -> isFor(pending.get(number), address))
+                .filter(number -> !pending.get(number).sent())
+                .forEach(number -> send(number, link));
+    }
+
+    private void send(long number, Link link) {
+        Pending relay = pending.get(number);
+        ProcessId owner = relay.command().owner();
+        if (!link.peer().process().equals(owner)) {
+            settle(number, new RelayReply.OwnerUnreachable("its owner " + owner + " is gone"));
+            return;
+        }
+        pending.put(number, new Pending(relay.command(), relay.since(), true));
+        if (!link.send(FrameFactory.relay(relay.command().submission(), number, clock.instant()))) {
+            settle(number, new RelayReply.OwnerUnreachable("the link to its owner is closed"));
+        }
+    }
+
+    private void closed(Link link, String reason) {
+        String address = link.peer().linkAddress();
+        if (!links.remove(address, link)) {
+            return;
+        }
+        for (Map.Entry<Long, Pending> entry : List.copyOf(pending.entrySet())) {
+            if (entry.getValue().sent() && isFor(entry.getValue(), address)) {
+                settle(entry.getKey(), new RelayReply.OwnerUnreachable("the link to its owner closed: " + reason));
+            }
+        }
+    }
+
+    private void answered(RelayAnswer answer) {
+        if (pending.containsKey(answer.getRelayNumber())) {
+            settle(answer.getRelayNumber(), new RelayReply.Answered(FrameFactory.answer(answer)));
+        }
+    }
+
+    private void settle(long number, RelayReply reply) {
+        Pending relay = pending.remove(number);
+        engine.put(new EntryEvent.RelaySettled(relay.command().submission().id(), reply));
+    }
+
+    private static boolean isFor(Pending relay, String address) {
+        return relay.command().ownerAddress().equals(address);
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/observe/EntryMeters.java
@@ -0,0 +1,140 @@
+package io.caperturn.entry.observe;
+
+import io.caperturn.core.entry.EntryOccurrence;
+import io.caperturn.core.model.FailureReason;
+import io.caperturn.core.model.Urgency;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+/**
+ * Metrics of an entry: histograms by urgency and by team, refusals by reason, messages by type.
+ *
+ * <p>Label sets are bounded: teams beyond {@link #MAXIMUM_TEAMS} share the label {@code other}. Recording is confined
+ * to the observer's thread; scraping may come from any.
+ */
+public final class EntryMeters {
+    /** Most teams with a histogram of their own. */
+    public static final int MAXIMUM_TEAMS = 800;
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(5),
+        Duration.ofMillis(25),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(250),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(30)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<Urgency, Timer> waiting = new HashMap<>();
+    private final Map<Urgency, Timer> response = new HashMap<>();
+    private final Map<String, Timer> teamResponse = new HashMap<>();
+    private final Set<String> teams = new HashSet<>();
+    private final AtomicLong occurrencesDropped = new AtomicLong();
+
+    /** Creates the metrics with nothing recorded. */
+    public EntryMeters() {
+        registry.gauge("caperturn_occurrences_dropped", occurrencesDropped);
+    }
+
+    /**
+     * Adds a gauge that is read at each scrape.
+     *
+     * @param name its name
+     * @param value its source
+     */
+    public void gauge(String name, Supplier<Number> value) {
+        io.micrometer.core.instrument.Gauge.builder(name, value).register(registry);
+    }
+
+    /**
+     * Records an occurrence.
+     *
+     * @param occurrence what happened
+     */
+    public void record(EntryOccurrence occurrence) {
+        switch (occurrence) {
+            case EntryOccurrence.Admitted admitted ->
+                registry.counter("caperturn_admitted", "urgency", label(admitted.urgency()))
+                        .increment();
+            case EntryOccurrence.Dispatched dispatched -> recordDispatch(dispatched);
+            case EntryOccurrence.AttemptEnded ended ->
+                registry.counter("caperturn_attempts_ended", "outcome", ended.outcome())
+                        .increment();
+            case EntryOccurrence.Answered answered -> recordAnswer(answered);
+            case EntryOccurrence.LateReportDropped ignored ->
+                registry.counter("caperturn_messages_wasted", "type", "late-report")
+                        .increment();
+        }
+    }
+
+    /**
+     * Notes how many occurrences were lost because the observer was behind.
+     *
+     * @param total the number since the start
+     */
+    public void occurrencesDropped(long total) {
+        occurrencesDropped.set(total);
+    }
+
+    /**
+     * Returns all metrics in Prometheus' text format.
+     *
+     * @return the text
+     */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    private void recordDispatch(EntryOccurrence.Dispatched dispatched) {
+        registry.counter("caperturn_messages", "type", "dispatch").increment();
+        waiting.computeIfAbsent(Urgency.NORMAL, urgency -> timer("caperturn_waiting", "urgency", "all"))
+                .record(dispatched.waited());
+    }
+
+    private void recordAnswer(EntryOccurrence.Answered answered) {
+        registry.counter(
+                        "caperturn_answered",
+                        "result",
+                        answered.failure().map(FailureReason::name).orElse("COMPLETE"),
+                        "execution",
+                        answered.execution().label())
+                .increment();
+        response.computeIfAbsent(answered.urgency(), urgency -> timer("caperturn_response", "urgency", label(urgency)))
+                .record(answered.elapsed());
+        String team = boundedTeam(answered.submission().team());
+        teamResponse
+                .computeIfAbsent(team, name -> timer("caperturn_team_response", "team", name))
+                .record(answered.elapsed());
+    }
+
+    private String boundedTeam(String team) {
+        if (teams.contains(team) || teams.size() < MAXIMUM_TEAMS) {
+            teams.add(team);
+            return team;
+        }
+        return "other";
+    }
+
+    private Timer timer(String name, String label, String value) {
+        return Timer.builder(name)
+                .tag(label, value)
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry);
+    }
+
+    private static String label(Urgency urgency) {
+        return urgency.name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/observe/OccurrenceLog.java
@@ -0,0 +1,55 @@
+package io.caperturn.entry.observe;
+
+import io.caperturn.core.entry.EntryOccurrence;
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.kernel.EventLine;
+
+/** Writer of one log line for each occurrence; every line of a job carries its team, submission and attempt. */
+final class OccurrenceLog {
+    private static final System.Logger LOGGER = System.getLogger(OccurrenceLog.class.getName());
+
+    private OccurrenceLog() {}
+
+    static void log(EntryOccurrence occurrence) {
+        LOGGER.log(System.Logger.Level.INFO, () -> line(occurrence).toString());
+    }
+
+    private static EventLine line(EntryOccurrence occurrence) {
+        return switch (occurrence) {
+            case EntryOccurrence.Admitted admitted ->
+                submission("admitted", admitted.submission())
+                        .with("kind", admitted.kind())
+                        .with("urgency", admitted.urgency())
+                        .with("tasks", admitted.tasks());
+            case EntryOccurrence.Dispatched dispatched ->
+                attempt("dispatched", dispatched.attempt())
+                        .with("sidecar", dispatched.sidecar())
+                        .with("waitedMilliseconds", dispatched.waited().toMillis());
+            case EntryOccurrence.AttemptEnded ended ->
+                attempt("attempt-ended", ended.attempt())
+                        .with("sidecar", ended.sidecar())
+                        .with("outcome", ended.outcome())
+                        .with("detail", ended.detail())
+                        .with("elapsedMilliseconds", ended.elapsed().toMillis());
+            case EntryOccurrence.Answered answered ->
+                submission("answered", answered.submission())
+                        .with("kind", answered.kind())
+                        .with("result", answered.failure().map(Enum::name).orElse("COMPLETE"))
+                        .with("execution", answered.execution().label())
+                        .with("elapsedMilliseconds", answered.elapsed().toMillis());
+            case EntryOccurrence.LateReportDropped late ->
+                attempt("late-report-dropped", late.attempt()).with("sidecar", late.sidecar());
+        };
+    }
+
+    private static EventLine submission(String event, SubmissionId submission) {
+        return EventLine.of(event).with("team", submission.team()).with("submission", submission.key());
+    }
+
+    private static EventLine attempt(String event, AttemptId attempt) {
+        return submission(event, attempt.key().submission())
+                .with("task", attempt.key().task())
+                .with("attempt", attempt.fence() + "." + attempt.attempt());
+    }
+}
--- a/caperturn-entry/src/main/java/io/caperturn/entry/package-info.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/package-info.java
@@ -1,2 +1,2 @@
-/** Purpose of this module. */
+/** Daemon that takes submissions from callers, decides where their tasks run, and gives each its one answer. */
 package io.caperturn.entry;
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/registry/RegistryService.java
@@ -0,0 +1,203 @@
+package io.caperturn.entry.registry;
+
+import io.caperturn.core.entry.AdoptionResult;
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.entry.claim.ClaimService;
+import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.link.LinkService;
+import io.caperturn.kernel.Duty;
+import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import io.caperturn.kernel.ServiceName;
+import io.caperturn.platform.PlatformStore;
+import io.caperturn.platform.registry.EnrolmentResult;
+import io.caperturn.platform.registry.EnrolmentStore;
+import io.caperturn.platform.registry.EntryRegistration;
+import io.caperturn.platform.registry.EntryRegistry;
+import io.caperturn.platform.registry.RegistryResult;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Duty that keeps this entry's rows in the platform's store, and prepares adoptions.
+ *
+ * <p>A sidecar gets work only after it was enrolled, so that an adopter knows where this entry could have started
+ * something. Rows are written at the start and when a sidecar is first seen, never for heartbeats.
+ */
+public final class RegistryService implements Service {
+    /** Name under which the service is found. */
+    public static final ServiceName<RegistryService> NAME = new ServiceName<>("registry", RegistryService.class);
+
+    private static final System.Logger LOGGER = System.getLogger(RegistryService.class.getName());
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
+    private static final int INTERVALS_PER_LISTING = 40;
+    private static final int RING_CAPACITY = 1 << 14;
+
+    private final ProcessId self;
+    private final String availabilityZone;
+    private final EnrolmentStore enrolments;
+    private final EntryRegistry entries;
+    private final Duty<Step> duty = new Duty<>("registry", RING_CAPACITY, RETRY_INTERVAL, new Work());
+    private final Set<ProcessId> enrolled = new HashSet<>();
+    private final Set<ProcessId> awaiting = new HashSet<>();
+    private LinkService links;
+    private ClaimService claims;
+    private Engine engine;
+    private boolean registered;
+    private int intervals;
+    private volatile boolean closed;
+
+    /**
+     * Creates the service.
+     *
+     * @param self the identity of this entry
+     * @param availabilityZone where it runs
+     * @param store the platform's store
+     */
+    public RegistryService(ProcessId self, String availabilityZone, PlatformStore store) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.availabilityZone = Objects.requireNonNull(availabilityZone, "availabilityZone");
+        this.enrolments = new EnrolmentStore(store);
+        this.entries = new EntryRegistry(store);
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        links = kernel.find(LinkService.NAME);
+        claims = kernel.find(ClaimService.NAME);
+        engine = kernel.find(Engine.NAME);
+        duty.start();
+    }
+
+    @Override
+    public void stop() {
+        duty.stop();
+    }
+
+    /**
+     * Enrols a sidecar; {@link LinkService#onEnrolled} hears of it once it is on record.
+     *
+     * @param sidecar the sidecar, by incarnation
+     */
+    public void enrol(ProcessId sidecar) {
+        duty.offer(new Step.Enrol(sidecar));
+    }
+
+    /**
+     * Closes the record of a lost owner and replaces its claim; the outcome reaches the engine as an event.
+     *
+     * @param command what to adopt
+     */
+    public void adopt(EntryCommand.AdoptClaim command) {
+        if (!duty.offer(new Step.Adopt(command))) {
+            engine.feedBack(new EntryEvent.AdoptionSettled(
+                    command.submission().id(), new AdoptionResult.Failed("too many adoptions wait")));
+        }
+    }
+
+    /**
+     * Tells whether another entry took this one for lost; it may then use no further sidecar.
+     *
+     * @return true once the record was found closed
+     */
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /** What the duty's ring carries. */
+    private sealed interface Step {
+        /** A sidecar is to be enrolled. */
+        record Enrol(ProcessId sidecar) implements Step {}
+
+        /** A claim is to be adopted. */
+        record Adopt(EntryCommand.AdoptClaim command) implements Step {}
+    }
+
+    private final class Work implements Duty.Work<Step> {
+        @Override
+        public void onBatch(List<Step> batch) {
+            for (Step step : batch) {
+                switch (step) {
+                    case Step.Enrol(ProcessId sidecar) -> awaiting.add(sidecar);
+                    case Step.Adopt(EntryCommand.AdoptClaim command) -> prepareAdoption(command);
+                }
+            }
+            enrolAwaiting();
+        }
+
+        @Override
+        public void onInterval() {
+            if (!registered) {
+                register();
+            }
+            enrolAwaiting();
+            if (intervals++ % INTERVALS_PER_LISTING == 0) {
+                listEntries();
+            }
+        }
+    }
+
+    private void register() {
+        EntryRegistration registration =
+                new EntryRegistration(self, links.address(), availabilityZone, Set.of(), false);
+        registered = entries.register(registration) instanceof RegistryResult.Entries;
+    }
+
+    private void listEntries() {
+        if (entries.list() instanceof RegistryResult.Entries(List<EntryRegistration> listed)) {
+            links.onEntriesListed(listed.stream()
+                    .filter(entry -> !entry.process().name().equals(self.name()))
+                    .toList());
+        }
+    }
+
+    private void enrolAwaiting() {
+        awaiting.removeAll(enrolled);
+        if (awaiting.isEmpty() || closed) {
+            return;
+        }
+        Set<ProcessId> all = new HashSet<>(enrolled);
+        all.addAll(awaiting);
+        switch (enrolments.enrol(self, all)) {
+            case EnrolmentResult.Enrolled ignored -> {
+                List<ProcessId> fresh = new ArrayList<>(awaiting);
+                enrolled.addAll(fresh);
+                awaiting.clear();
+                fresh.forEach(links::onEnrolled);
+            }
+            case EnrolmentResult.Closed ignored -> {
+                closed = true;
+                LOGGER.log(
+                        System.Logger.Level.WARNING,
+                        EventLine.of("registration-closed")
+                                .with("process", self)
+                                .toString());
+            }
+            case EnrolmentResult.Failed(String detail) ->
+                LOGGER.log(
+                        System.Logger.Level.DEBUG,
+                        () -> EventLine.of("enrolment-failed")
+                                .with("detail", detail)
+                                .toString());
+        }
+    }
+
+    private void prepareAdoption(EntryCommand.AdoptClaim command) {
+        switch (enrolments.close(command.held().owner())) {
+            case EnrolmentResult.Closed(Set<ProcessId> sidecars) -> claims.adopt(command, sidecars);
+            case EnrolmentResult.Enrolled ignored -> failAdoption(command, "the owner's record did not close");
+            case EnrolmentResult.Failed(String detail) -> failAdoption(command, detail);
+        }
+    }
+
+    private void failAdoption(EntryCommand.AdoptClaim command, String detail) {
+        engine.put(new EntryEvent.AdoptionSettled(command.submission().id(), new AdoptionResult.Failed(detail)));
+    }
+}
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimVerdict.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimVerdict.java
@@ -52,11 +52,14 @@
         if (ours && sameBody) {
             return new Settled(new ClaimResult.Granted(row.fence(), true));
         }
-        boolean adoptable =
-                claim.adoptedFence().isPresent() && claim.adoptedFence().getAsLong() == row.fence();
-        if (!ours && sameBody && adoptable) {
+        if (!ours && sameBody && claim.adopts(row.fence())) {
             return new Replaceable(version, row.fence() + 1);
         }
-        return new Settled(new ClaimResult.HeldByOther(row.process(), row.linkAddress(), row.fence(), row.digest()));
+        return new Settled(new ClaimResult.HeldByOther(
+                row.process(),
+                row.linkAddress(),
+                row.fence(),
+                row.digest(),
+                Instant.ofEpochMilli(row.claimedAtMilliseconds())));
     }
 }
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
@@ -20,7 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -104,24 +104,24 @@
      * @return false if the ring is full or the store is known to be down; nothing was or will be written then
      */
     public boolean request(Submission submission) {
-        return !circuit.isOpen() && duty.offer(claim(submission, OptionalLong.empty()));
+        return !circuit.isOpen() && duty.offer(claim(submission, Optional.empty()));
     }
 
     /**
      * Asks to replace the claim of an owner that is gone; no effect on a claim that has changed hands since.
      *
      * @param submission the submission
-     * @param heldFence the fence under which the owner that is gone held it
+     * @param held the claim that the owner that is gone held; when it was claimed is kept
      */
-    public void adopt(Submission submission, long heldFence) {
-        if (circuit.isOpen() || !duty.offer(claim(submission, OptionalLong.of(heldFence)))) {
+    public void adopt(Submission submission, ClaimResult.HeldByOther held) {
+        if (circuit.isOpen() || !duty.offer(claim(submission, Optional.of(held)))) {
             settle(submission, new ClaimResult.Unavailable("the store is down or too many claims wait"));
         }
     }
 
-    private PendingClaim claim(Submission submission, OptionalLong heldFence) {
+    private PendingClaim claim(Submission submission, Optional<ClaimResult.HeldByOther> held) {
         long deadline = System.nanoTime() + policy.timeout().toNanos();
-        return new PendingClaim(submission, requests.incrementAndGet(), heldFence, deadline);
+        return new PendingClaim(submission, requests.incrementAndGet(), held, deadline);
     }
 
     private void gather(List<PendingClaim> batch) {
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/PendingClaim.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/PendingClaim.java
@@ -1,5 +1,6 @@
 package io.caperturn.platform.claim;
 
+import io.caperturn.core.entry.ClaimResult.HeldByOther;
 import io.caperturn.core.model.Submission;
 import io.caperturn.platform.RowKey;
 import io.caperturn.platform.Write;
@@ -8,7 +9,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /** Claim that is not settled yet; confined to the thread of the {@link ClaimWriter} once it was taken from the ring. */
 final class PendingClaim {
@@ -17,19 +17,19 @@
     private final Submission submission;
     private final RowKey key;
     private final long request;
-    private final OptionalLong adoptedFence;
+    private final Optional<HeldByOther> adopted;
     private final long deadlineNanoseconds;
     private long expectedVersion;
     private long fence;
     private boolean inDoubt;
 
-    PendingClaim(Submission submission, long request, OptionalLong adoptedFence, long deadlineNanoseconds) {
+    PendingClaim(Submission submission, long request, Optional<HeldByOther> adopted, long deadlineNanoseconds) {
         this.submission = submission;
         this.key = ClaimRow.keyOf(submission.id());
         this.request = request;
-        this.adoptedFence = adoptedFence;
+        this.adopted = adopted;
         this.deadlineNanoseconds = deadlineNanoseconds;
-        this.fence = adoptedFence.isPresent() ? adoptedFence.getAsLong() + 1 : FIRST_FENCE;
+        this.fence = adopted.map(held -> held.fence() + 1).orElse(FIRST_FENCE);
     }
 
     Submission submission() {
@@ -44,8 +44,9 @@
         return request;
     }
 
-    OptionalLong adoptedFence() {
-        return adoptedFence;
+    /** Tells whether this claim is to replace the one under a certain fence. */
+    boolean adopts(long heldFence) {
+        return adopted.filter(held -> held.fence() == heldFence).isPresent();
     }
 
     long expectedVersion() {
@@ -82,7 +83,7 @@
                 owner.linkAddress(),
                 fence,
                 submission.digest(),
-                now.toEpochMilli(),
+                adopted.map(HeldByOther::claimedAt).orElse(now).toEpochMilli(),
                 now.plus(expiry).toEpochMilli(),
                 request);
         return new Write(key, expectedVersion, Optional.of(Json.write(row)));
