--- /dev/null
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/AnnouncementService.java
@@ -0,0 +1,165 @@
+package io.caperturn.sidecar.internal;
+
+import io.caperturn.core.sidecar.SidecarEvent;
+import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import io.caperturn.kernel.ServiceStartException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** HTTP for the upstream's announcements and for operators: health, readiness and metrics. */
+public final class AnnouncementService implements Service {
+    private static final System.Logger LOGGER = System.getLogger(AnnouncementService.class.getName());
+    private static final int MAXIMUM_THREADS = 6;
+    private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
+
+    private final String host;
+    private final int port;
+    private final TableKeeper table;
+    private Server server;
+    private ServerConnector connector;
+    private MachineService machine;
+    private UpstreamClient upstream;
+    private SidecarMeters meters;
+    private volatile boolean draining;
+
+    /**
+     * Creates the service.
+     *
+     * @param address where to listen, {@code host:port}; port 0 for any
+     * @param table the table in force here
+     */
+    public AnnouncementService(String address, TableKeeper table) {
+        int colon = address.lastIndexOf(':');
+        this.host = address.substring(0, colon);
+        this.port = Integer.parseInt(address.substring(colon + 1));
+        this.table = table;
+    }
+
+    @Override
+    public void start(Kernel kernel) throws ServiceStartException {
+        machine = kernel.find(SidecarServices.MACHINE);
+        upstream = kernel.find(SidecarServices.UPSTREAM);
+        meters = kernel.find(SidecarServices.METERS);
+        meters.gauge("caperturn.table.version", "Version of the table in force", table::tableVersion);
+        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 1);
+        threads.setName("announcements");
+        threads.setDaemon(true);
+        threads.setReservedThreads(0);
+        server = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+        connector.setHost(host);
+        connector.setPort(port);
+        server.addConnector(connector);
+        server.setHandler(new Routes());
+        try {
+            server.start();
+        } catch (Exception e) {
+            stop();
+            throw new ServiceStartException("can't listen on " + host + ":" + port + ": " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            LOGGER.log(
+                    System.Logger.Level.WARNING,
+                    EventLine.of("announcements-stop-failed").toString(),
+                    e);
+        }
+    }
+
+    /**
+     * Returns the address that it listens on.
+     *
+     * @return the address as {@code host:port}
+     */
+    public String address() {
+        return host + ":" + connector.getLocalPort();
+    }
+
+    /** Says from now on that the process is not ready. */
+    public void beginDrain() {
+        draining = true;
+    }
+
+    private void announce(Announcement announcement) {
+        upstream.follow(announcement.address(), announcement.connections());
+        table.serve(announcement.description().kinds());
+        machine.post(new SidecarEvent.UpstreamAnnounced(announcement.description(), announcement.isLeaving()));
+    }
+
+    private final class Routes extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            String path = Request.getPathInContext(request);
+            boolean get = "GET".equals(request.getMethod());
+            switch (path) {
+                case "/v1/announcements" -> {
+                    if ("POST".equals(request.getMethod())) {
+                        readAnnouncement(request, response, callback);
+                    } else {
+                        respond(response, callback, HttpStatus.METHOD_NOT_ALLOWED_405, "POST only\n");
+                    }
+                }
+                case "/healthz" -> respond(response, callback, get ? HttpStatus.OK_200 : 405, "ok\n");
+                case "/readyz" -> {
+                    boolean ready = !draining && meters.load().serving();
+                    respond(
+                            response,
+                            callback,
+                            ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503,
+                            ready ? "ready\n" : "not ready\n");
+                }
+                case "/metrics" -> respond(response, callback, HttpStatus.OK_200, meters.scrape());
+                default -> respond(response, callback, HttpStatus.NOT_FOUND_404, "no such path\n");
+            }
+            return true;
+        }
+
+        private void readAnnouncement(Request request, Response response, Callback callback) {
+            Content.Source.asByteArrayAsync(request, MAXIMUM_BODY_BYTES).whenComplete((body, failure) -> {
+                if (failure != null) {
+                    respond(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body not read\n");
+                    return;
+                }
+                try {
+                    announce(Announcement.parse(body));
+                    response.setStatus(HttpStatus.NO_CONTENT_204);
+                    callback.succeeded();
+                } catch (MalformedAnnouncementException e) {
+                    LOGGER.log(
+                            System.Logger.Level.WARNING,
+                            EventLine.of("announcement-malformed")
+                                    .with("reason", e.getMessage())
+                                    .toString());
+                    respond(response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage() + "\n");
+                }
+            });
+        }
+    }
+
+    private static void respond(Response response, Callback callback, int status, String text) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain;charset=utf-8");
+        response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+    }
+}
--- /dev/null
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -0,0 +1,169 @@
+package io.caperturn.sidecar.internal;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.sidecar.SidecarEvent;
+import io.caperturn.core.sidecar.SidecarEvent.ReceivedDispatch;
+import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import io.caperturn.settings.LinkTimes;
+import io.caperturn.settings.SidecarSettings;
+import io.caperturn.wire.Link;
+import io.caperturn.wire.LinkEndpoint;
+import io.caperturn.wire.LinkListener;
+import io.caperturn.wire.LinkSettings;
+import io.caperturn.wire.MessageCodec;
+import io.caperturn.wire.Peer;
+import io.caperturn.wire.message.Dispatch;
+import io.caperturn.wire.message.DispatchBatch;
+import io.caperturn.wire.message.EntryAddress;
+import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.Role;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Links to entries: turns frames into events and commands into frames. */
+public final class LinkService implements Service, LinkListener {
+    private static final System.Logger LOGGER = System.getLogger(LinkService.class.getName());
+    private static final int MAXIMUM_FRAME_BYTES = 32 * 1024 * 1024;
+
+    private final SidecarSettings settings;
+    private final TableKeeper table;
+    private final LinkEndpoint endpoint;
+    private final Map<ProcessId, Link> links = new ConcurrentHashMap<>();
+    private MachineService machine;
+
+    /**
+     * Creates the service.
+     *
+     * @param self this process, by incarnation
+     * @param settings the sidecar's settings
+     * @param table the table in force here
+     */
+    public LinkService(ProcessId self, SidecarSettings settings, TableKeeper table) {
+        this.settings = settings;
+        this.table = table;
+        LinkTimes times = settings.links();
+        LinkSettings linkSettings = new LinkSettings(
+                new Peer(self, Role.ROLE_SIDECAR, settings.availabilityZone(), ""),
+                Duration.ofMillis(times.heartbeatIntervalMilliseconds()),
+                Duration.ofMillis(times.silenceTimeoutMilliseconds()),
+                Duration.ofMillis(times.reconnectDelayMilliseconds()),
+                MAXIMUM_FRAME_BYTES);
+        this.endpoint = new LinkEndpoint(linkSettings, table, this);
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        machine = kernel.find(SidecarServices.MACHINE);
+        kernel.find(SidecarServices.METERS).gauge("caperturn.links.open", "Links to entries", links::size);
+        settings.entrySeeds().forEach(endpoint::connect);
+    }
+
+    @Override
+    public void stop() {
+        endpoint.close();
+    }
+
+    /**
+     * Sends a frame to an entry.
+     *
+     * @param entry the entry, by incarnation
+     * @param frame the frame with its body set
+     * @return false if there is no open link to it or the frame could not be queued
+     */
+    public boolean send(ProcessId entry, Frame.Builder frame) {
+        Link link = links.get(entry);
+        return link != null && link.send(frame);
+    }
+
+    @Override
+    public void onOpened(Link link) {
+        if (link.peer().role() != Role.ROLE_ENTRY) {
+            link.close();
+            return;
+        }
+        links.put(link.peer().process(), link);
+        log("link-opened", link, "hello");
+        machine.post(new SidecarEvent.EntryLinked(link.peer().process()));
+    }
+
+    @Override
+    public void onClosed(Link link, String reason) {
+        if (links.remove(link.peer().process(), link)) {
+            log("link-closed", link, reason);
+            machine.post(new SidecarEvent.EntryLost(link.peer().process()));
+        }
+    }
+
+    @Override
+    public void onFrame(Link link, Frame frame) {
+        ProcessId entry = link.peer().process();
+        switch (frame.getBodyCase()) {
+            case DISPATCH_BATCH -> machine.post(dispatches(entry, frame.getDispatchBatch()));
+            case DEMAND ->
+                machine.post(
+                        new SidecarEvent.DemandReceived(entry, frame.getDemand().getDemand()));
+            case RESOLVE ->
+                machine.post(new SidecarEvent.ResolveReceived(
+                        entry,
+                        MessageCodec.fromMessage(frame.getResolve().getAddressee()),
+                        MessageCodec.fromMessage(frame.getResolve().getAttempt())));
+            case CANCEL_BATCH ->
+                machine.post(new SidecarEvent.CancelReceived(
+                        entry,
+                        frame.getCancelBatch().getAttemptsList().stream()
+                                .map(MessageCodec::fromMessage)
+                                .toList()));
+            case FENCE ->
+                machine.post(new SidecarEvent.FenceReceived(
+                        entry,
+                        MessageCodec.fromMessage(frame.getFence().getSubmission()),
+                        frame.getFence().getFence()));
+            case TABLE_ROWS -> {
+                if (table.accept(frame.getTableRows())) {
+                    machine.post(new SidecarEvent.TableChanged(table.table()));
+                }
+            }
+            case ENTRY_LIST ->
+                frame.getEntryList().getEntriesList().stream()
+                        .map(EntryAddress::getLinkAddress)
+                        .filter(address -> !address.isEmpty())
+                        .forEach(endpoint::connect);
+            default ->
+                LOGGER.log(
+                        System.Logger.Level.DEBUG,
+                        () -> EventLine.of("frame-ignored")
+                                .with("entry", entry)
+                                .with("body", frame.getBodyCase())
+                                .toString());
+        }
+    }
+
+    private static SidecarEvent dispatches(ProcessId entry, DispatchBatch batch) {
+        return new SidecarEvent.DispatchReceived(
+                entry,
+                MessageCodec.fromMessage(batch.getAddressee()),
+                batch.getDispatchesList().stream().map(LinkService::dispatch).toList(),
+                batch.getDemand());
+    }
+
+    private static ReceivedDispatch dispatch(Dispatch message) {
+        return new ReceivedDispatch(
+                MessageCodec.fromMessage(message.getAttempt()),
+                message.getKind(),
+                message.getPayload(),
+                Duration.ofMillis(message.getClaimAgeMilliseconds()),
+                Duration.ofMillis(Integer.toUnsignedLong(message.getTimeoutMilliseconds())));
+    }
+
+    private static void log(String event, Link link, String reason) {
+        LOGGER.log(
+                System.Logger.Level.INFO,
+                () -> EventLine.of(event)
+                        .with("entry", link.peer().process())
+                        .with("reason", reason)
+                        .toString());
+    }
+}
--- /dev/null
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/MachineService.java
@@ -0,0 +1,106 @@
+package io.caperturn.sidecar.internal;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.sidecar.SidecarCommand;
+import io.caperturn.core.sidecar.SidecarEvent;
+import io.caperturn.core.sidecar.SidecarMachine;
+import io.caperturn.core.sidecar.SidecarPolicy;
+import io.caperturn.kernel.Duty;
+import io.caperturn.kernel.Kernel;
+import io.caperturn.kernel.Service;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** The sidecar's decision logic on its own thread, fed by a bounded ring. */
+public final class MachineService implements Service {
+    private static final int RING_CAPACITY = 8_192;
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final long FULL_RING_PAUSE_NANOSECONDS = TimeUnit.MICROSECONDS.toNanos(100);
+
+    private final SidecarMachine machine;
+    private final Duty<SidecarEvent> duty;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean running;
+    private CommandExecutor executor;
+    private SidecarMeters meters;
+
+    /**
+     * Creates the service.
+     *
+     * @param self this process, by incarnation
+     * @param policy bounds that the machine keeps to
+     */
+    public MachineService(ProcessId self, SidecarPolicy policy) {
+        machine = new SidecarMachine(self, policy);
+        duty = new Duty<>("machine", RING_CAPACITY, TICK_INTERVAL, new Work());
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        meters = kernel.find(SidecarServices.METERS);
+        executor = new CommandExecutor(
+                kernel.find(SidecarServices.LINKS), kernel.find(SidecarServices.UPSTREAM), meters, this);
+        running = true;
+        duty.start();
+    }
+
+    @Override
+    public void stop() {
+        running = false;
+        duty.stop();
+    }
+
+    /**
+     * Hands an event to the machine; waits for space while the ring is full, which holds back the sender's connection.
+     *
+     * @param event the event
+     */
+    public void post(SidecarEvent event) {
+        while (running && !duty.offer(event)) {
+            LockSupport.parkNanos(FULL_RING_PAUSE_NANOSECONDS);
+        }
+    }
+
+    /**
+     * Begins a planned stop and waits until all accepted work has ended and was reported.
+     *
+     * @param timeout the longest wait
+     * @return false if the wait timed out
+     */
+    public boolean drain(Duration timeout) {
+        post(new SidecarEvent.DrainRequested());
+        try {
+            return drained.await(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    void noteDrained() {
+        drained.countDown();
+    }
+
+    private final class Work implements Duty.Work<SidecarEvent> {
+        @Override
+        public void onBatch(List<SidecarEvent> batch) {
+            Instant now = Instant.now();
+            for (SidecarEvent event : batch) {
+                for (SidecarCommand command : machine.on(event, now)) {
+                    executor.execute(command);
+                }
+            }
+            executor.flush();
+            meters.update(machine.load());
+        }
+
+        @Override
+        public void onInterval() {
+            onBatch(List.of(new SidecarEvent.Tick()));
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Services of the sidecar; no API. */
+package io.caperturn.sidecar.internal;
