Tests of the sidecar's decision logic, and a refusal that holds for good

Cause: a dispatch for another incarnation was refused without a look at the ledger and without a line, so the same attempt could start later although it had been answered not-started; found by refusedDispatchNeverStarts. Change: such a dispatch takes the way of all refusals.

--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -155,15 +155,11 @@
         windows.demanded(received.entry(), received.demand(), now);
         boolean addressed = received.addressee().equals(self);
         for (ReceivedDispatch dispatch : received.dispatches()) {
-            if (addressed) {
-                onDispatch(received.entry(), dispatch, now);
-            } else {
-                report(received.entry(), dispatch.attempt(), notStarted(NotStartedReason.WRONG_INCARNATION));
-            }
+            onDispatch(received.entry(), addressed, dispatch, now);
         }
     }
 
-    private void onDispatch(ProcessId entry, ReceivedDispatch dispatch, Instant now) {
+    private void onDispatch(ProcessId entry, boolean addressed, ReceivedDispatch dispatch, Instant now) {
         AttemptId attempt = dispatch.attempt();
         LedgerLine line = ledger.find(attempt);
         if (line != null && !line.isNotStarted()) {
@@ -176,7 +172,8 @@
             report(entry, attempt, notStarted(NotStartedReason.FENCED));
             return;
         }
-        Optional<NotStartedReason> refusal = findRefusal(dispatch, line != null);
+        Optional<NotStartedReason> refusal =
+                addressed ? findRefusal(dispatch, line != null) : Optional.of(NotStartedReason.WRONG_INCARNATION);
         if (refusal.isPresent()) {
             refuse(entry, attempt, refusal.get(), line != null, now);
             return;
--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/LedgerRulesTest.java
@@ -0,0 +1,256 @@
+package io.caperturn.core.sidecar;
+
+import static io.caperturn.core.sidecar.SidecarScenario.FIRST_ENTRY;
+import static io.caperturn.core.sidecar.SidecarScenario.POLICY;
+import static io.caperturn.core.sidecar.SidecarScenario.REACH;
+import static io.caperturn.core.sidecar.SidecarScenario.SECOND_ENTRY;
+import static io.caperturn.core.sidecar.SidecarScenario.SELF;
+import static io.caperturn.core.sidecar.SidecarScenario.attempt;
+import static io.caperturn.core.sidecar.SidecarScenario.completed;
+import static io.caperturn.core.sidecar.SidecarScenario.notStarted;
+import static io.caperturn.core.sidecar.SidecarScenario.received;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.TaskOutcome;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class LedgerRulesTest {
+    private static final AttemptId ATTEMPT = attempt(1, 1, 1);
+
+    /** How far the earlier attempt of the same task has come. */
+    enum Progress {
+        QUEUED,
+        RUNNING,
+        DONE
+    }
+
+    static Stream<Arguments> refusals() {
+        return Stream.of(
+                refusal(
+                        NotStartedReason.WRONG_INCARNATION,
+                        scenario -> scenario.on(new SidecarEvent.DispatchReceived(
+                                FIRST_ENTRY,
+                                SidecarScenario.EARLIER_SELF,
+                                List.of(received(ATTEMPT, "assay", Duration.ZERO)),
+                                0))),
+                refusal(NotStartedReason.LEAVING, scenario -> {
+                    scenario.on(new SidecarEvent.UpstreamAnnounced(SidecarScenario.upstream(2, 64), true));
+                    scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+                }),
+                refusal(NotStartedReason.LEAVING, scenario -> {
+                    scenario.advance(SidecarScenario.ANNOUNCEMENT_TIMEOUT.plusMillis(1));
+                    scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+                }),
+                refusal(NotStartedReason.DRAINING, scenario -> {
+                    scenario.on(new SidecarEvent.DrainRequested());
+                    scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+                }),
+                refusal(NotStartedReason.KIND_NOT_SERVED, scenario -> receive(scenario, "other", Duration.ZERO)),
+                refusal(NotStartedReason.CLAIM_TOO_OLD, scenario -> receive(scenario, "assay", REACH.plusMillis(1))),
+                refusal(
+                        NotStartedReason.FULL,
+                        scenario -> scenario.dispatch(
+                                FIRST_ENTRY,
+                                attempt(2, 1, 1),
+                                attempt(3, 1, 1),
+                                attempt(4, 1, 1),
+                                attempt(5, 1, 1),
+                                ATTEMPT)),
+                refusal(NotStartedReason.FENCED, scenario -> {
+                    scenario.on(new SidecarEvent.FenceReceived(SECOND_ENTRY, SidecarScenario.JOB, 2));
+                    scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+                }));
+    }
+
+    @ParameterizedTest
+    @MethodSource("refusals")
+    void refusedDispatchNeverStarts(NotStartedReason reason, Consumer<SidecarScenario> dispatched) {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        dispatched.accept(scenario);
+        assertEquals(List.of(new AttemptReport(ATTEMPT, notStarted(reason))), scenario.reportsTo(FIRST_ENTRY));
+        scenario.announce(64, 64);
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        assertEquals(0, startsOf(scenario, ATTEMPT));
+    }
+
+    @Test
+    void dispatchWithoutAnyUpstreamIsRefused() {
+        SidecarScenario scenario = new SidecarScenario(POLICY);
+        scenario.on(new SidecarEvent.EntryLinked(FIRST_ENTRY));
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        assertEquals(
+                List.of(new AttemptReport(ATTEMPT, notStarted(NotStartedReason.LEAVING))),
+                scenario.reportsTo(FIRST_ENTRY));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Progress.class)
+    void secondDispatchOfTaskGetsStateOfFirst(Progress progress) {
+        SidecarScenario scenario = withTaskAt(progress);
+        AttemptId second = attempt(1, 2, 5);
+        scenario.dispatch(SECOND_ENTRY, second);
+        assertEquals(List.of(new AttemptReport(second, stateOf(progress))), scenario.reportsTo(SECOND_ENTRY));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Progress.class)
+    void secondDispatchOfTaskNeverStarts(Progress progress) {
+        SidecarScenario scenario = withTaskAt(progress);
+        scenario.dispatch(SECOND_ENTRY, attempt(1, 2, 5));
+        scenario.end(attempt(2, 1, 1));
+        scenario.end(ATTEMPT);
+        assertEquals(List.of(ATTEMPT), startsOfTask(scenario, 1));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Progress.class,
+            names = {"QUEUED", "RUNNING"})
+    void laterEndIsReportedToEveryAsker(Progress progress) {
+        SidecarScenario scenario = withTaskAt(progress);
+        AttemptId second = attempt(1, 2, 5);
+        scenario.dispatch(SECOND_ENTRY, second);
+        scenario.end(attempt(2, 1, 1));
+        scenario.end(ATTEMPT);
+        AttemptState done = new AttemptState.Done(completed("{}"));
+        assertEquals(List.of(new AttemptReport(ATTEMPT, done)), scenario.reportsTo(FIRST_ENTRY));
+        assertEquals(List.of(new AttemptReport(second, done)), scenario.reportsTo(SECOND_ENTRY));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 1, false", "1, 2, false", "1, 3, true", "2, 1, true", "2, 9, true"})
+    void onlyGreaterAttemptMayFollowOneThatDidNotStart(long fence, int number, boolean starts) {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.resolve(FIRST_ENTRY, attempt(1, 1, 2));
+        AttemptId next = attempt(1, fence, number);
+        scenario.dispatch(FIRST_ENTRY, next);
+        assertEquals(starts ? List.of(next) : List.of(), scenario.started());
+        assertEquals(
+                starts ? List.of() : List.of(new AttemptReport(next, notStarted(NotStartedReason.FENCED))),
+                scenario.reportsTo(FIRST_ENTRY));
+    }
+
+    @Test
+    void idempotentAttemptStartsWhileEarlierOneRuns() {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 0, 1));
+        scenario.dispatch(SECOND_ENTRY, attempt(1, 0, 2));
+        assertEquals(List.of(attempt(1, 0, 1), attempt(1, 0, 2)), scenario.started());
+    }
+
+    @Test
+    void sameIdempotentAttemptStartsOnce() {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 0, 1));
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 0, 1));
+        assertEquals(List.of(attempt(1, 0, 1)), scenario.started());
+    }
+
+    @Test
+    void refusalByUpstreamLetsTaskStartAgain() {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        scenario.on(new SidecarEvent.RunEnded(
+                ATTEMPT, new TaskOutcome.Failed(Execution.NOT_RUN, "refused", Duration.ZERO)));
+        assertEquals(
+                List.of(new AttemptReport(ATTEMPT, notStarted(NotStartedReason.REFUSED_BY_UPSTREAM))),
+                scenario.reportsTo(FIRST_ENTRY));
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 1, 2));
+        assertEquals(List.of(ATTEMPT, attempt(1, 1, 2)), scenario.started());
+    }
+
+    @Test
+    void fullLedgerOfYoungLinesRefuses() {
+        SidecarPolicy policy = new SidecarPolicy(Duration.ofSeconds(3), 1, REACH, 2, 1_000);
+        SidecarScenario scenario = SidecarScenario.serving(8, policy);
+        scenario.dispatchTasks(FIRST_ENTRY, 3);
+        assertEquals(
+                List.of(new AttemptReport(attempt(3, 1, 1), notStarted(NotStartedReason.FULL))),
+                scenario.reportsTo(FIRST_ENTRY));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-1, 1", "1, 0"})
+    void endedLineIsDroppedOnlyBeyondReach(long millisecondsBeyondReach, int linesLeft) {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        scenario.end(ATTEMPT);
+        scenario.pass(REACH.plusMillis(millisecondsBeyondReach), 8);
+        assertEquals(linesLeft, scenario.machine().load().ledgerLines());
+    }
+
+    @Test
+    void runningLineIsNeverDropped() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        scenario.pass(REACH.multipliedBy(3), 8);
+        assertEquals(1, scenario.machine().load().ledgerLines());
+    }
+
+    @Test
+    void oldestResultsBeyondByteBoundAreDropped() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatchTasks(FIRST_ENTRY, 2);
+        scenario.on(new SidecarEvent.RunEnded(attempt(1, 1, 1), completed("x".repeat(600))));
+        scenario.on(new SidecarEvent.RunEnded(attempt(2, 1, 1), completed("y".repeat(600))));
+        scenario.resolve(FIRST_ENTRY, attempt(1, 1, 1));
+        assertEquals(
+                new AttemptState.Done(
+                        new TaskOutcome.Failed(Execution.RAN, "result no longer kept", Duration.ofMillis(50))),
+                scenario.last(SidecarCommand.SendResolved.class).getFirst().state());
+        assertEquals(600, scenario.machine().load().resultBytes());
+    }
+
+    private static SidecarScenario withTaskAt(Progress progress) {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        if (progress == Progress.QUEUED) {
+            scenario.dispatch(FIRST_ENTRY, attempt(2, 1, 1));
+        }
+        scenario.dispatch(FIRST_ENTRY, ATTEMPT);
+        if (progress == Progress.DONE) {
+            scenario.end(ATTEMPT);
+        }
+        return scenario;
+    }
+
+    private static AttemptState stateOf(Progress progress) {
+        return switch (progress) {
+            case QUEUED -> new AttemptState.Queued();
+            case RUNNING -> new AttemptState.Running();
+            case DONE -> new AttemptState.Done(completed("{}"));
+        };
+    }
+
+    private static Arguments refusal(NotStartedReason reason, Consumer<SidecarScenario> dispatched) {
+        return Arguments.of(reason, dispatched);
+    }
+
+    private static void receive(SidecarScenario scenario, String kind, Duration claimAge) {
+        scenario.on(
+                new SidecarEvent.DispatchReceived(FIRST_ENTRY, SELF, List.of(received(ATTEMPT, kind, claimAge)), 0));
+    }
+
+    private static long startsOf(SidecarScenario scenario, AttemptId attempt) {
+        return scenario.started().stream().filter(attempt::equals).count();
+    }
+
+    private static List<AttemptId> startsOfTask(SidecarScenario scenario, int task) {
+        return scenario.started().stream()
+                .filter(started -> started.key().equals(attempt(task, 1, 1).key()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SidecarScenario.java
@@ -0,0 +1,149 @@
+package io.caperturn.core.sidecar;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskKey;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.sidecar.SidecarEvent.ReceivedDispatch;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/** A machine in virtual time with two linked entries, and short ways to its events and commands. */
+final class SidecarScenario {
+    static final ProcessId SELF = new ProcessId("sidecar", 7);
+    static final ProcessId EARLIER_SELF = new ProcessId("sidecar", 6);
+    static final ProcessId FIRST_ENTRY = new ProcessId("entry-1", 1);
+    static final ProcessId SECOND_ENTRY = new ProcessId("entry-2", 1);
+    static final SubmissionId JOB = new SubmissionId("team", "job");
+    static final Duration REACH = Duration.ofMinutes(10);
+    static final Duration ANNOUNCEMENT_TIMEOUT = Duration.ofSeconds(3);
+    static final SidecarPolicy POLICY = new SidecarPolicy(ANNOUNCEMENT_TIMEOUT, 1, REACH, 100, 1_000);
+
+    private final SidecarMachine machine;
+    private final List<SidecarCommand> all = new ArrayList<>();
+    private List<SidecarCommand> last = List.of();
+    private Instant now = Instant.EPOCH;
+
+    SidecarScenario(SidecarPolicy policy) {
+        machine = new SidecarMachine(SELF, policy);
+    }
+
+    /** Returns a scenario whose upstream serves the kind "assay" with the given slots. */
+    static SidecarScenario serving(int slots) {
+        return serving(slots, POLICY);
+    }
+
+    static SidecarScenario serving(int slots, SidecarPolicy policy) {
+        SidecarScenario scenario = new SidecarScenario(policy);
+        scenario.announce(slots, 64);
+        scenario.on(new SidecarEvent.EntryLinked(FIRST_ENTRY));
+        scenario.on(new SidecarEvent.EntryLinked(SECOND_ENTRY));
+        return scenario;
+    }
+
+    static UpstreamDescription upstream(int slots, int connections) {
+        return new UpstreamDescription("upstream", Set.of("assay"), slots, connections, "worker", "rack", "zone-a");
+    }
+
+    static AttemptId attempt(int task, long fence, int attempt) {
+        return new AttemptId(new TaskKey(JOB, "task-" + task), fence, attempt);
+    }
+
+    static TaskOutcome completed(String result) {
+        return new TaskOutcome.Completed(result, Duration.ofMillis(50));
+    }
+
+    static AttemptState notStarted(NotStartedReason reason) {
+        return new AttemptState.NotStarted(reason);
+    }
+
+    SidecarMachine machine() {
+        return machine;
+    }
+
+    List<SidecarCommand> on(SidecarEvent event) {
+        last = machine.on(event, now);
+        all.addAll(last);
+        return last;
+    }
+
+    void advance(Duration time) {
+        now = now.plus(time);
+    }
+
+    /** Lets time pass and ticks, with the upstream still announcing itself. */
+    void pass(Duration time, int slots) {
+        advance(time);
+        announce(slots, 64);
+        on(new SidecarEvent.Tick());
+    }
+
+    List<SidecarCommand> announce(int slots, int connections) {
+        return on(new SidecarEvent.UpstreamAnnounced(upstream(slots, connections), false));
+    }
+
+    List<SidecarCommand> dispatch(ProcessId entry, AttemptId... attempts) {
+        return dispatch(entry, 0, attempts);
+    }
+
+    List<SidecarCommand> dispatch(ProcessId entry, int demand, AttemptId... attempts) {
+        List<ReceivedDispatch> dispatches = Arrays.stream(attempts)
+                .map(attempt -> received(attempt, "assay", Duration.ZERO))
+                .toList();
+        return on(new SidecarEvent.DispatchReceived(entry, SELF, dispatches, demand));
+    }
+
+    /** Dispatches tasks 1 to the given number under fence 1, attempt 1. */
+    List<SidecarCommand> dispatchTasks(ProcessId entry, int tasks) {
+        return dispatch(
+                entry,
+                IntStream.rangeClosed(1, tasks)
+                        .mapToObj(task -> attempt(task, 1, 1))
+                        .toArray(AttemptId[]::new));
+    }
+
+    static ReceivedDispatch received(AttemptId attempt, String kind, Duration claimAge) {
+        return new ReceivedDispatch(attempt, kind, "{}", claimAge, Duration.ofSeconds(5));
+    }
+
+    List<SidecarCommand> end(AttemptId attempt) {
+        return on(new SidecarEvent.RunEnded(attempt, completed("{}")));
+    }
+
+    List<SidecarCommand> resolve(ProcessId entry, AttemptId attempt) {
+        return on(new SidecarEvent.ResolveReceived(entry, SELF, attempt));
+    }
+
+    /** Returns every attempt that was ever started, in order. */
+    List<AttemptId> started() {
+        return all.stream()
+                .filter(SidecarCommand.StartRun.class::isInstance)
+                .map(command -> ((SidecarCommand.StartRun) command).attempt())
+                .toList();
+    }
+
+    /** Returns the reports that the last event sent to an entry. */
+    List<AttemptReport> reportsTo(ProcessId entry) {
+        return last.stream()
+                .filter(SidecarCommand.SendReports.class::isInstance)
+                .map(SidecarCommand.SendReports.class::cast)
+                .filter(command -> command.entry().equals(entry))
+                .flatMap(command -> command.reports().stream())
+                .toList();
+    }
+
+    /** Returns the commands of one type that the last event gave. */
+    <T extends SidecarCommand> List<T> last(Class<T> type) {
+        return last.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
@@ -0,0 +1,189 @@
+package io.caperturn.core.sidecar;
+
+import static io.caperturn.core.sidecar.SidecarScenario.FIRST_ENTRY;
+import static io.caperturn.core.sidecar.SidecarScenario.SECOND_ENTRY;
+import static io.caperturn.core.sidecar.SidecarScenario.attempt;
+import static io.caperturn.core.sidecar.SidecarScenario.notStarted;
+import static io.caperturn.core.sidecar.SidecarScenario.upstream;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.NotStartedReason;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class SlotsAndWindowsTest {
+    @ParameterizedTest
+    @CsvSource({"4, 64, 4", "8, 3, 3", "1, 1, 1"})
+    void runsAreBoundedBySlotsAndConnections(int slots, int connections, int runs) {
+        SidecarScenario scenario = SidecarScenario.serving(slots);
+        scenario.announce(slots, connections);
+        scenario.dispatchTasks(FIRST_ENTRY, 20);
+        assertEquals(runs, scenario.started().size());
+    }
+
+    @Test
+    void waitingAttemptsStartInOrderOfArrival() {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.dispatchTasks(FIRST_ENTRY, 4);
+        scenario.end(attempt(2, 1, 1));
+        scenario.end(attempt(1, 1, 1));
+        assertEquals(
+                IntStream.rangeClosed(1, 4)
+                        .mapToObj(task -> attempt(task, 1, 1))
+                        .toList(),
+                scenario.started());
+    }
+
+    @Test
+    void fewerSlotsStartNothingUntilRunsAreBelowThem() {
+        SidecarScenario scenario = SidecarScenario.serving(2);
+        scenario.dispatchTasks(FIRST_ENTRY, 3);
+        scenario.announce(1, 64);
+        scenario.end(attempt(1, 1, 1));
+        assertEquals(2, scenario.started().size());
+    }
+
+    @Test
+    void moreSlotsStartWaitingAttemptsAtOnce() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 2);
+        scenario.announce(2, 64);
+        assertEquals(2, scenario.started().size());
+    }
+
+    @Test
+    void reportsOfOneEventShareFrame() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 9);
+        assertEquals(1, scenario.last(SidecarCommand.SendReports.class).size());
+        assertEquals(7, scenario.reportsTo(FIRST_ENTRY).size());
+    }
+
+    static Stream<Arguments> closings() {
+        return Stream.of(
+                closing(
+                        NotStartedReason.LEAVING,
+                        scenario -> scenario.on(new SidecarEvent.UpstreamAnnounced(upstream(1, 64), true))),
+                closing(NotStartedReason.LEAVING, scenario -> {
+                    scenario.advance(SidecarScenario.ANNOUNCEMENT_TIMEOUT.plusMillis(1));
+                    scenario.on(new SidecarEvent.Tick());
+                }),
+                closing(NotStartedReason.DRAINING, scenario -> scenario.on(new SidecarEvent.DrainRequested())));
+    }
+
+    @ParameterizedTest
+    @MethodSource("closings")
+    void closedGateIsToldToAllEntriesAtOnce(NotStartedReason reason, Consumer<SidecarScenario> closing) {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        closing.accept(scenario);
+        assertEquals(
+                List.of(
+                        new SidecarCommand.SendUpstream(FIRST_ENTRY, upstream(1, 64), false, 0),
+                        new SidecarCommand.SendUpstream(SECOND_ENTRY, upstream(1, 64), false, 0)),
+                scenario.last(SidecarCommand.SendUpstream.class));
+    }
+
+    @ParameterizedTest
+    @MethodSource("closings")
+    void closedGateSendsBackWhatWaits(NotStartedReason reason, Consumer<SidecarScenario> closing) {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 2);
+        closing.accept(scenario);
+        assertEquals(List.of(new AttemptReport(attempt(2, 1, 1), notStarted(reason))), scenario.reportsTo(FIRST_ENTRY));
+        scenario.end(attempt(1, 1, 1));
+        assertEquals(List.of(attempt(1, 1, 1)), scenario.started());
+    }
+
+    @Test
+    void repeatedAnnouncementCostsNoMessage() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        assertEquals(List.of(), scenario.announce(1, 64));
+    }
+
+    @Test
+    void drainEndsWithLastRun() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 1);
+        scenario.on(new SidecarEvent.DrainRequested());
+        assertTrue(scenario.last(SidecarCommand.Drained.class).isEmpty());
+        List<SidecarCommand> commands = scenario.end(attempt(1, 1, 1));
+        assertEquals(1, scenario.reportsTo(FIRST_ENTRY).size());
+        assertEquals(new SidecarCommand.Drained(), commands.getLast());
+    }
+
+    @Test
+    void drainOfIdleSidecarEndsAtOnce() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.on(new SidecarEvent.DrainRequested());
+        assertEquals(1, scenario.last(SidecarCommand.Drained.class).size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0, 2, 2", "100, 0, 14, 2", "100, 100, 8, 8", "3, 100, 3, 13"})
+    void windowsFollowDemand(int firstDemand, int secondDemand, int firstWindow, int secondWindow) {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, firstDemand));
+        scenario.on(new SidecarEvent.DemandReceived(SECOND_ENTRY, secondDemand));
+        scenario.announce(8, 65);
+        assertEquals(Map.of(FIRST_ENTRY, firstWindow, SECOND_ENTRY, secondWindow), windows(scenario));
+    }
+
+    @Test
+    void demandIsForgottenAfterOneSecond() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, 100));
+        scenario.advance(Duration.ofSeconds(1));
+        scenario.announce(8, 65);
+        assertEquals(Map.of(FIRST_ENTRY, 2, SECOND_ENTRY, 2), windows(scenario));
+    }
+
+    @Test
+    void grownWindowIsToldWhenNoReportIsDue() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatch(FIRST_ENTRY, 50, attempt(1, 1, 1));
+        assertEquals(
+                List.of(new SidecarCommand.SendWindow(FIRST_ENTRY, 14)),
+                scenario.last(SidecarCommand.SendWindow.class));
+    }
+
+    @Test
+    void windowRidesOnReport() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 1, 1));
+        scenario.on(new SidecarEvent.DemandReceived(SECOND_ENTRY, 100));
+        scenario.on(new SidecarEvent.EntryLost(SECOND_ENTRY));
+        scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, 0));
+        scenario.end(attempt(1, 1, 1));
+        assertTrue(scenario.last(SidecarCommand.SendWindow.class).isEmpty());
+        assertEquals(
+                2, scenario.last(SidecarCommand.SendReports.class).getFirst().window());
+    }
+
+    @Test
+    void idleEntryIsToldNothingWhenItsWindowChanges() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 1, 1));
+        assertEquals(List.of(), scenario.last(SidecarCommand.SendWindow.class));
+    }
+
+    private static Map<Object, Integer> windows(SidecarScenario scenario) {
+        return scenario.last(SidecarCommand.SendUpstream.class).stream()
+                .collect(Collectors.toMap(SidecarCommand.SendUpstream::entry, SidecarCommand.SendUpstream::window));
+    }
+
+    private static Arguments closing(NotStartedReason reason, Consumer<SidecarScenario> closing) {
+        return Arguments.of(reason, closing);
+    }
+}
