Tests of the claim writer and of the store's HTTP adapter

Cause: each fault of the store (refused, reply lost before or after the effect, conflict, silence) needs a proof.

--- /dev/null
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
@@ -0,0 +1,253 @@
+package io.caperturn.platform.claim;
+
+import static io.caperturn.platform.FakePlatformStore.Fault.LOST_AFTER;
+import static io.caperturn.platform.FakePlatformStore.Fault.LOST_BEFORE;
+import static io.caperturn.platform.FakePlatformStore.Fault.NONE;
+import static io.caperturn.platform.FakePlatformStore.Fault.REFUSED;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryEvent.ClaimSettled;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.platform.FakePlatformStore;
+import io.caperturn.platform.FakePlatformStore.Fault;
+import io.caperturn.platform.internal.ClaimRow;
+import io.caperturn.platform.internal.Json;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests of the claim writer over the faults of the store. */
+class ClaimWriterTest {
+    private static final ProcessId SELF = new ProcessId("entry-1", 7);
+    private static final ProcessId OTHER = new ProcessId("entry-2", 9);
+    private static final String DIGEST = "digest";
+    private static final int WAIT_SECONDS = 10;
+    private static final ClaimPolicy POLICY =
+            new ClaimPolicy(Duration.ZERO, Duration.ofMillis(500), 100, Duration.ofDays(1), 1_024);
+
+    private final FakePlatformStore store = new FakePlatformStore();
+    private final BlockingQueue<ClaimSettled> results = new LinkedBlockingQueue<>();
+    private final ClaimWriter writer = writer(SELF);
+
+    private ClaimWriter writer(ProcessId process) {
+        return new ClaimWriter(store, new ClaimOwner(process, "127.0.0.1:1"), POLICY, results::add);
+    }
+
+    @AfterEach
+    void stop() {
+        writer.stop();
+    }
+
+    static Stream<Arguments> faults() {
+        ClaimResult granted = new ClaimResult.Granted(1, false);
+        return Stream.of(
+                arguments(List.of(NONE), granted),
+                arguments(List.of(LOST_BEFORE), granted),
+                arguments(List.of(LOST_AFTER), granted),
+                arguments(List.of(LOST_BEFORE, LOST_AFTER), granted),
+                arguments(List.of(LOST_AFTER, REFUSED, REFUSED), granted),
+                arguments(List.of(LOST_BEFORE, REFUSED), granted),
+                arguments(List.of(REFUSED), new ClaimResult.Unavailable("refused")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faults")
+    void settlesEachFaultTruthfully(List<Fault> faults, ClaimResult expected) throws InterruptedException {
+        store.failNext(faults);
+        writer.start();
+
+        writer.request(submission("job", DIGEST));
+
+        assertEquals(expected, next().result());
+        boolean written = store.row(key("job")).version() > 0;
+        assertEquals(expected instanceof ClaimResult.Granted, written);
+    }
+
+    @Test
+    void givesUpAtTheTimeout() throws InterruptedException {
+        store.failAlways(LOST_BEFORE);
+        writer.start();
+
+        writer.request(submission("job", DIGEST));
+
+        assertInstanceOf(ClaimResult.Unavailable.class, next().result());
+    }
+
+    static Stream<Arguments> rowsInForce() {
+        ClaimResult held = new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST);
+        return Stream.of(
+                arguments(SELF, DIGEST, 1, new ClaimResult.Granted(4, true)),
+                arguments(SELF, "another", 1, new ClaimResult.HeldByOther(SELF, "127.0.0.1:2", 4, "another")),
+                arguments(OTHER, DIGEST, 1, held),
+                arguments(
+                        new ProcessId("entry-1", 6),
+                        DIGEST,
+                        1,
+                        new ClaimResult.HeldByOther(new ProcessId("entry-1", 6), "127.0.0.1:2", 4, DIGEST)),
+                arguments(OTHER, DIGEST, -1, new ClaimResult.Granted(5, false)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("rowsInForce")
+    void judgesTheRowInForce(ProcessId holder, String digest, int expiryHours, ClaimResult expected)
+            throws InterruptedException {
+        store.put(key("job"), row(holder, 4, digest, Duration.ofHours(expiryHours)));
+        writer.start();
+
+        writer.request(submission("job", DIGEST));
+
+        assertEquals(expected, next().result());
+    }
+
+    @Test
+    void gathersClaimsWhileOneTransactionIsInFlight() throws InterruptedException {
+        store.hold();
+        writer.start();
+        writer.request(submission("first", DIGEST));
+        await(() -> store.held() == 1);
+        for (int number = 0; number < 20; number++) {
+            writer.request(submission("job-" + number, DIGEST));
+        }
+
+        store.release();
+
+        for (int number = 0; number <= 20; number++) {
+            assertEquals(new ClaimResult.Granted(1, false), next().result());
+        }
+        assertEquals(2, store.writes().size());
+    }
+
+    @Test
+    void grantsTheRestOfABatchWithAConflict() throws InterruptedException {
+        store.put(key("held"), row(OTHER, 4, DIGEST, Duration.ofHours(1)));
+        for (String key : List.of("one", "held", "two")) {
+            writer.request(submission(key, DIGEST));
+        }
+
+        writer.start();
+
+        Map<String, Boolean> granted = new HashMap<>();
+        for (int number = 0; number < 3; number++) {
+            ClaimSettled settled = next();
+            granted.put(settled.submission().key(), settled.result() instanceof ClaimResult.Granted);
+        }
+        assertEquals(Map.of("one", true, "held", false, "two", true), granted);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"4, NONE, 5", "4, LOST_AFTER, 5", "4, LOST_BEFORE, 5", "3, NONE, 0"})
+    void adoptsOnlyTheClaimThatItKnows(long heldFence, Fault fault, long grantedFence) throws InterruptedException {
+        store.put(key("job"), row(OTHER, 4, DIGEST, Duration.ofHours(1)));
+        store.failNext(List.of(NONE, fault));
+        writer.start();
+
+        writer.adopt(submission("job", DIGEST), heldFence);
+
+        ClaimResult expected = grantedFence > 0
+                ? new ClaimResult.Granted(grantedFence, false)
+                : new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST);
+        assertEquals(expected, next().result());
+    }
+
+    @Test
+    void letsOneOfTwoAdoptersWin() throws InterruptedException {
+        store.put(key("job"), row(OTHER, 4, DIGEST, Duration.ofHours(1)));
+        ClaimWriter rival = writer(new ProcessId("entry-3", 11));
+        writer.start();
+        rival.start();
+
+        writer.adopt(submission("job", DIGEST), 4);
+        rival.adopt(submission("job", DIGEST), 4);
+
+        List<ClaimResult> both = List.of(next().result(), next().result());
+        rival.stop();
+        assertEquals(
+                1,
+                both.stream().filter(new ClaimResult.Granted(5, false)::equals).count());
+        assertEquals(
+                1,
+                both.stream().filter(ClaimResult.HeldByOther.class::isInstance).count());
+    }
+
+    @Test
+    void refusesAtOnceWhileTheStoreIsDownAndServesAgainAfterwards() throws InterruptedException {
+        store.setDown(true);
+        writer.start();
+        writer.request(submission("first", DIGEST));
+        assertInstanceOf(ClaimResult.Unavailable.class, next().result());
+
+        boolean taken = writer.request(submission("second", DIGEST));
+        store.setDown(false);
+        await(() -> writer.request(submission("third", DIGEST)));
+
+        assertTrue(!taken, "taken while down");
+        assertEquals(new ClaimResult.Granted(1, false), next().result());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"a/b, c, a, b/c", "a%2Fb, c, a/b, c"})
+    void keepsDistinctSubmissionsApart(String team, String key, String otherTeam, String otherKey) {
+        assertNotEquals(
+                ClaimRow.keyOf(new SubmissionId(team, key)), ClaimRow.keyOf(new SubmissionId(otherTeam, otherKey)));
+    }
+
+    private ClaimSettled next() throws InterruptedException {
+        ClaimSettled settled = results.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertNotNull(settled, "no result");
+        return settled;
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "condition not met");
+            Thread.sleep(1);
+        }
+    }
+
+    private static io.caperturn.platform.RowKey key(String key) {
+        return ClaimRow.keyOf(new SubmissionId("team", key));
+    }
+
+    private static String row(ProcessId holder, long fence, String digest, Duration expiresIn) {
+        long now = System.currentTimeMillis();
+        long expiry = now + expiresIn.toMillis();
+        return Json.write(
+                new ClaimRow(holder.name(), holder.incarnation(), "127.0.0.1:2", fence, digest, now, expiry, -1));
+    }
+
+    private static Submission submission(String key, String digest) {
+        return new Submission(
+                new SubmissionId("team", key),
+                "kind",
+                Optional.empty(),
+                Repeatability.AT_MOST_ONCE,
+                Instant.now().plusSeconds(60),
+                digest,
+                List.of(new TaskSpec("task", Optional.empty(), "{}")));
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/http/HttpPlatformStoreTest.java
@@ -0,0 +1,204 @@
+package io.caperturn.platform.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.caperturn.platform.Row;
+import io.caperturn.platform.RowKey;
+import io.caperturn.platform.StoreResult;
+import io.caperturn.platform.Transaction;
+import io.caperturn.platform.Write;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests of the store's HTTP adapter against replies and faults of a server. */
+class HttpPlatformStoreTest {
+    private static final RowKey KEY = new RowKey("claims", "team/job");
+    private static final String ROWS =
+            "{\"rows\":[{\"table\":\"claims\",\"key\":\"team/job\",\"version\":1,\"value\":\"v\"}]}";
+    private static final Transaction READ = new Transaction(List.of(KEY), List.of());
+    private static final Transaction WRITE =
+            new Transaction(List.of(KEY), List.of(new Write(KEY, 0, Optional.of("v"))));
+
+    private final ScriptedHandler handler = new ScriptedHandler();
+    private final Server server = new Server(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    private HttpPlatformStore store;
+
+    @BeforeEach
+    void start() throws Exception {
+        server.setHandler(handler);
+        server.start();
+        store = store(((ServerConnector) server.getConnectors()[0]).getLocalPort());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        store.close();
+        server.stop();
+    }
+
+    @Test
+    void returnsCommittedRows() {
+        handler.reply(200, ROWS);
+
+        assertEquals(new StoreResult.Committed(List.of(new Row(KEY, 1, Optional.of("v")))), store.transact(WRITE));
+    }
+
+    @Test
+    void writesTheProtocolsShape() {
+        handler.reply(200, ROWS);
+
+        store.transact(WRITE);
+
+        assertEquals(
+                "{\"reads\":[{\"table\":\"claims\",\"key\":\"team/job\"}],\"writes\":[{\"table\":\"claims\","
+                        + "\"key\":\"team/job\",\"expectedVersion\":0,\"value\":\"v\"}]}",
+                handler.bodies.poll());
+    }
+
+    @Test
+    void asksForAPageWithItsKeyEscaped() {
+        handler.reply(200, ROWS);
+
+        store.scan("claims", "a/b c", 10);
+
+        assertEquals("/v1/tables/claims?limit=10&after=a%2Fb%20c", handler.paths.poll());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "409 | {\"rows\":[]} | Conflict",
+                "409 | nonsense | Unknown",
+                "429 | | Unavailable",
+                "503 | | Unavailable",
+                "500 | | Unknown",
+                "302 | | Unknown",
+                "200 | nonsense | Unknown",
+                "200 | {} | Unknown",
+                "200 | {\"rows\":[]} | Unknown",
+                "200 | {\"rows\":[{\"table\":\"claims\",\"version\":1}]} | Unknown",
+            })
+    void tellsWhatAReplyProves(int status, String body, String expected) {
+        handler.reply(status, body == null ? "" : body);
+
+        assertEquals(expected, store.transact(WRITE).getClass().getSimpleName());
+    }
+
+    @Test
+    void knowsThatARefusedConnectionWroteNothing() throws IOException {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        try (HttpPlatformStore unreachable = store(port)) {
+            assertInstanceOf(StoreResult.Unavailable.class, unreachable.transact(WRITE));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void doubtsAWriteWhoseConnectionEnds(boolean reset) throws Exception {
+        try (ServerSocket socket = new ServerSocket(0);
+                HttpPlatformStore broken = store(socket.getLocalPort())) {
+            Thread closer = Thread.ofVirtual().start(() -> closeAfterFirstByte(socket, reset));
+
+            assertInstanceOf(StoreResult.Unknown.class, broken.transact(WRITE));
+            closer.join();
+        }
+    }
+
+    @Test
+    void doubtsAWriteWithoutReply() {
+        handler.keepSilent();
+
+        assertInstanceOf(StoreResult.Unknown.class, store.transact(WRITE));
+    }
+
+    @Test
+    void hasNoDoubtAboutAReadWithoutReply() {
+        handler.keepSilent();
+
+        assertInstanceOf(StoreResult.Unavailable.class, store.transact(READ));
+        assertInstanceOf(StoreResult.Unavailable.class, store.scan("claims", "", 1));
+    }
+
+    @Test
+    void usesNoConnectionThatWentSilent() {
+        handler.keepSilent();
+        store.transact(WRITE);
+        handler.reply(200, ROWS);
+
+        assertInstanceOf(StoreResult.Committed.class, store.transact(WRITE));
+
+        assertNotEquals(handler.ports.poll(), handler.ports.poll());
+    }
+
+    private static HttpPlatformStore store(int port) {
+        return new HttpPlatformStore("127.0.0.1:" + port, Duration.ofMillis(500));
+    }
+
+    private static void closeAfterFirstByte(ServerSocket server, boolean reset) {
+        try (Socket socket = server.accept()) {
+            socket.getInputStream().read();
+            if (reset) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** Handler that answers every request as told, or not at all. */
+    private static final class ScriptedHandler extends Handler.Abstract {
+        private final BlockingQueue<Integer> ports = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> paths = new LinkedBlockingQueue<>();
+        private volatile int status;
+        private volatile String body;
+
+        private void reply(int nextStatus, String nextBody) {
+            body = nextBody;
+            status = nextStatus;
+        }
+
+        private void keepSilent() {
+            status = 0;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            ports.add(Request.getRemotePort(request));
+            paths.add(request.getHttpURI().getPathQuery());
+            bodies.add(Content.Source.asString(request));
+            if (status != 0) {
+                response.setStatus(status);
+                Content.Sink.write(response, true, body, callback);
+            }
+            return true;
+        }
+    }
+}
