--- a/caperturn-platform/src/test/java/io/caperturn/platform/FakePlatformStore.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/FakePlatformStore.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Store in memory that fails as told. */
 public final class FakePlatformStore implements PlatformStore {
@@ -29,6 +30,7 @@
     private final Deque<Fault> faults = new ConcurrentLinkedDeque<>();
     private final List<Transaction> writes = new CopyOnWriteArrayList<>();
     private final Semaphore gate = new Semaphore(Integer.MAX_VALUE / 2);
+    private final AtomicInteger reads = new AtomicInteger();
     private volatile Fault lasting = Fault.NONE;
     private volatile boolean down;
 
@@ -67,6 +69,11 @@
         return writes;
     }
 
+    /** Returns how many calls without writes came so far, refused ones included. */
+    public int reads() {
+        return reads.get();
+    }
+
     /** Puts a row in place. */
     public synchronized void put(RowKey key, String value) {
         rows.put(key, new Row(key, row(key).version() + 1, Optional.of(value)));
@@ -79,6 +86,9 @@
 
     @Override
     public StoreResult transact(Transaction transaction) {
+        if (transaction.writes().isEmpty()) {
+            reads.incrementAndGet();
+        }
         if (down) {
             return new StoreResult.Unavailable("down");
         }
--- /dev/null
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/table/TableEditorTest.java
@@ -0,0 +1,181 @@
+package io.caperturn.platform.table;
+
+import static io.caperturn.platform.FakePlatformStore.Fault.LOST_AFTER;
+import static io.caperturn.platform.FakePlatformStore.Fault.LOST_BEFORE;
+import static io.caperturn.platform.FakePlatformStore.Fault.NONE;
+import static io.caperturn.platform.FakePlatformStore.Fault.REFUSED;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.TeamRow;
+import io.caperturn.core.model.Urgency;
+import io.caperturn.platform.FakePlatformStore;
+import io.caperturn.platform.FakePlatformStore.Fault;
+import io.caperturn.platform.Row;
+import io.caperturn.platform.RowKey;
+import io.caperturn.platform.internal.TableReader;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests of edits of the table over faults of the store and racing operators. */
+class TableEditorTest {
+    private static final int OPERATORS = 8;
+
+    private final FakePlatformStore store = new FakePlatformStore();
+    private final TableEditor editor = new TableEditor(store);
+
+    static Stream<Arguments> faults() {
+        return Stream.of(
+                arguments(List.of(NONE), EditResult.Accepted.class, 1),
+                arguments(List.of(LOST_AFTER), EditResult.Accepted.class, 1),
+                arguments(List.of(LOST_BEFORE), EditResult.Accepted.class, 1),
+                arguments(List.of(LOST_AFTER, REFUSED), EditResult.Accepted.class, 1),
+                arguments(List.of(REFUSED), EditResult.Unavailable.class, 0),
+                arguments(List.of(LOST_BEFORE, LOST_BEFORE, LOST_BEFORE, LOST_BEFORE), EditResult.Unknown.class, 0));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faults")
+    void settlesEachFault(List<Fault> faults, Class<? extends EditResult> expected, long version) {
+        store.failNext(faults);
+
+        EditResult result = editor.apply(change("change-1", put("kind", 0, 5)));
+
+        assertInstanceOf(expected, result);
+        assertEquals(version, new TableReader(store).version().orElseThrow());
+    }
+
+    @Test
+    void appliesAllEditsOfAChange() {
+        TeamRow team = new TeamRow("team", new Limits(3, Limits.UNLIMITED, 0), 0);
+
+        editor.apply(change("change-1", put("kind", 0, 5), new RowEdit.PutTeam(0, team)));
+
+        assertEquals(
+                new TeamRow("team", team.limits(), 1),
+                new TableReader(store).read().orElseThrow().teams().get("team"));
+        assertEquals(1, store.row(new RowKey("kinds", "kind")).version());
+    }
+
+    @Test
+    void appliesNothingIfOneRowConflicts() {
+        editor.apply(change("change-1", put("taken", 0, 5)));
+
+        EditResult result = editor.apply(change("change-2", put("free", 0, 1), put("taken", 0, 1)));
+
+        Row inForce = store.row(new RowKey("kinds", "taken"));
+        assertEquals(new EditResult.Conflict(List.of(inForce)), result);
+        assertEquals(0, store.row(new RowKey("kinds", "free")).version());
+    }
+
+    @Test
+    void acceptsARepeatOfTheSameChangeWithoutEffect() {
+        editor.apply(change("change-1", put("kind", 0, 5)));
+        editor.apply(change("change-2", put("kind", 1, 6)));
+
+        EditResult repeated = editor.apply(change("change-1", put("kind", 0, 5)));
+
+        assertEquals(new EditResult.Accepted(1), repeated);
+        assertEquals(2, store.row(new RowKey("kinds", "kind")).version());
+    }
+
+    @Test
+    void acceptsRacingChangesOfDifferentRows() throws Exception {
+        List<EditResult> results =
+                race(operator -> editor.apply(change("change-" + operator, put("kind-" + operator, 0, 1))));
+
+        assertEquals(
+                OPERATORS,
+                results.stream().filter(EditResult.Accepted.class::isInstance).count());
+        assertEquals(OPERATORS, new TableReader(store).read().orElseThrow().version());
+    }
+
+    @Test
+    void acceptsOneOfRacingChangesOfTheSameRow() throws Exception {
+        List<EditResult> results = race(operator -> editor.apply(change("change-" + operator, put("kind", 0, 1))));
+
+        assertEquals(
+                1,
+                results.stream().filter(EditResult.Accepted.class::isInstance).count());
+        assertEquals(
+                OPERATORS - 1,
+                results.stream().filter(EditResult.Conflict.class::isInstance).count());
+    }
+
+    static Stream<TableChange> invalid() {
+        return Stream.of(
+                change("empty"),
+                change("twice", put("kind", 0, 1), put("kind", 0, 2)),
+                change("nothing-to-delete", new RowEdit.DeleteKind(0, "kind")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("invalid")
+    void refusesWhatCannotBeCarriedOut(TableChange change) {
+        assertInstanceOf(EditResult.Invalid.class, editor.apply(change));
+        assertEquals(List.of(), store.writes());
+    }
+
+    @Test
+    void checksWithoutApplying() {
+        editor.apply(change("change-1", put("kind", 0, 5)));
+
+        assertEquals(new EditResult.Accepted(2), editor.check(change("change-2", put("kind", 1, 6))));
+        assertInstanceOf(EditResult.Conflict.class, editor.check(change("change-3", put("kind", 0, 6))));
+        assertEquals(1, store.row(new RowKey("kinds", "kind")).version());
+    }
+
+    @Test
+    void tellsTheNewestChangesFirst() {
+        for (int number = 1; number <= 5; number++) {
+            editor.apply(change("change-" + number, put("kind", number - 1, number)));
+        }
+
+        ChangeHistory.Changes history = assertInstanceOf(ChangeHistory.Changes.class, editor.history(2));
+
+        assertEquals(
+                List.of("change-5", "change-4"),
+                history.changes().stream().map(ChangeHistory.Change::changeId).toList());
+    }
+
+    private interface Operator {
+        EditResult edit(int number);
+    }
+
+    private static List<EditResult> race(Operator operator) throws Exception {
+        List<EditResult> results = new ArrayList<>();
+        try (ExecutorService threads = Executors.newFixedThreadPool(OPERATORS)) {
+            List<Callable<EditResult>> edits = new ArrayList<>();
+            for (int number = 0; number < OPERATORS; number++) {
+                int own = number;
+                edits.add(() -> operator.edit(own));
+            }
+            for (Future<EditResult> result : threads.invokeAll(edits)) {
+                results.add(result.get());
+            }
+        }
+        return results;
+    }
+
+    private static RowEdit put(String kind, long expectedVersion, int weight) {
+        return new RowEdit.PutKind(
+                expectedVersion, new KindRow(kind, weight, Urgency.NORMAL, Limits.NONE, Duration.ofSeconds(10), 0));
+    }
+
+    private static TableChange change(String id, RowEdit... edits) {
+        return new TableChange(id, "operator", List.of(edits));
+    }
+}
