--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/Endpoint.java
@@ -0,0 +1,65 @@
+package io.caperturn.testkit;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Objects;
+
+/**
+ * Host and port of one end of a connection.
+ *
+ * @param host an IP number
+ * @param port the port, 0 for any
+ */
+public record Endpoint(String host, int port) {
+    /** Any free port of the loopback interface. */
+    public static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
+
+    private static final int HIGHEST_PORT = 65_535;
+
+    /** Checks the range of the port. */
+    public Endpoint {
+        Objects.requireNonNull(host, "host");
+        if (port < 0 || port > HIGHEST_PORT) {
+            throw new IllegalArgumentException("port out of range: " + port);
+        }
+    }
+
+    /**
+     * Reads the form {@code host:port}.
+     *
+     * @param text the text
+     * @return the endpoint
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("expected host:port but got " + text);
+        }
+        return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /**
+     * Returns the address for sockets.
+     *
+     * @return the address
+     */
+    public InetSocketAddress socketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
+    /**
+     * Returns the URI of a path there.
+     *
+     * @param path the path, from its slash
+     * @return the URI
+     */
+    public URI uri(String path) {
+        return URI.create("http://" + this + path);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server that the stand-ins share. */
+package io.caperturn.testkit.http;
--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/relay/StandInRelay.java
@@ -0,0 +1,198 @@
+package io.caperturn.testkit.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.http.HttpExchange;
+import io.caperturn.testkit.http.HttpService;
+import io.caperturn.testkit.http.Json;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * TCP relay that cuts, mutes, refuses or delays connections on demand.
+ *
+ * <p>{@code POST /control {"mode","delayMilliseconds"}} on its control address acts on it; the answer comes once the
+ * change has taken effect.
+ */
+public final class StandInRelay implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
+    private static final int SHUTDOWN_TIMEOUT_MILLISECONDS = 500;
+
+    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Set<RelayedConnection> connections = ConcurrentHashMap.newKeySet();
+    private final Endpoint address;
+    private final HttpService control;
+    private volatile Endpoint target;
+    private volatile RelayMode mode = RelayMode.PASS;
+    private volatile long delayMilliseconds;
+
+    /**
+     * Starts a relay.
+     *
+     * @param listen where it accepts connections; port 0 for any
+     * @param target where it leads
+     * @param controlAddress where its control listens; port 0 for any
+     * @throws IOException if an address can't be bound
+     */
+    public StandInRelay(Endpoint listen, Endpoint target, Endpoint controlAddress) throws IOException {
+        this.target = target;
+        this.address = bind(listen);
+        this.control = new HttpService(controlAddress, this::handle);
+    }
+
+    /**
+     * Returns the address that accepts connections.
+     *
+     * @return the address
+     */
+    public Endpoint address() {
+        return address;
+    }
+
+    /**
+     * Returns the address of the control.
+     *
+     * @return the address
+     */
+    public Endpoint controlAddress() {
+        return control.address();
+    }
+
+    /**
+     * Changes the mode; returns once it has taken effect.
+     *
+     * @param changed what to do with connections
+     */
+    public void mode(RelayMode changed) {
+        network.submit(() -> apply(changed)).awaitUninterruptibly();
+    }
+
+    @Override
+    public void close() throws IOException {
+        network.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(2L * SHUTDOWN_TIMEOUT_MILLISECONDS);
+        control.close();
+    }
+
+    private void handle(HttpExchange exchange) {
+        if (exchange.method().equals("POST")) {
+            JsonNode changes = exchange.body();
+            delayMilliseconds = changes.path("delayMilliseconds").asLong(delayMilliseconds);
+            if (changes.has("target")) {
+                target = Endpoint.parse(changes.get("target").asText());
+            }
+            if (changes.has("mode")) {
+                mode(RelayMode.parse(changes.get("mode").asText()));
+            }
+        }
+        exchange.answer(
+                HttpStatus.OK_200,
+                Json.object()
+                        .put("mode", mode.toString())
+                        .put("target", target.toString())
+                        .put("delayMilliseconds", delayMilliseconds)
+                        .put("connections", connections.size())
+                        .put(
+                                "muted",
+                                connections.stream()
+                                        .filter(RelayedConnection::isMuted)
+                                        .count()));
+    }
+
+    private void apply(RelayMode changed) {
+        mode = changed;
+        switch (changed) {
+            case PASS, REFUSE -> {
+                // present connections stay as they are
+            }
+            case CUT -> connections.forEach(RelayedConnection::close);
+            case SILENT ->
+                connections.forEach(connection -> {
+                    connection.muteToTarget();
+                    connection.muteToClient();
+                });
+            case TO_TARGET_ONLY -> connections.forEach(RelayedConnection::muteToClient);
+            case TO_CLIENT_ONLY -> connections.forEach(RelayedConnection::muteToTarget);
+        }
+    }
+
+    private Endpoint bind(Endpoint listen) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(network)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel client) {
+                        accept(client);
+                    }
+                });
+        ChannelFuture bound = bootstrap.bind(listen.socketAddress()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't bind " + listen, bound.cause());
+        }
+        return new Endpoint(listen.host(), ((InetSocketAddress) bound.channel().localAddress()).getPort());
+    }
+
+    private void accept(Channel client) {
+        if (mode == RelayMode.REFUSE) {
+            client.close();
+            return;
+        }
+        new Bootstrap()
+                .group(network)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(target.socketAddress())
+                .addListener((ChannelFuture opened) -> {
+                    if (opened.isSuccess()) {
+                        join(client, opened.channel());
+                    } else {
+                        client.close();
+                    }
+                });
+    }
+
+    private void join(Channel client, Channel server) {
+        RelayedConnection connection = new RelayedConnection(client, server, () -> delayMilliseconds);
+        connections.add(connection);
+        client.closeFuture().addListener(ignored -> {
+            if (!server.isOpen()) {
+                connections.remove(connection);
+            }
+        });
+        server.closeFuture().addListener(ignored -> {
+            if (!client.isOpen()) {
+                connections.remove(connection);
+            }
+        });
+        if (mode == RelayMode.TO_TARGET_ONLY) {
+            connection.muteToClient();
+        } else if (mode == RelayMode.TO_CLIENT_ONLY) {
+            connection.muteToTarget();
+        }
+        client.config().setAutoRead(true);
+        server.config().setAutoRead(true);
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/relay/package-info.java
@@ -0,0 +1,2 @@
+/** TCP relay that fails on demand. */
+package io.caperturn.testkit.relay;
--- /dev/null
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for an upstream, with its own record of starts. */
+package io.caperturn.testkit.upstream;
