--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/relay/StandInRelay.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/relay/StandInRelay.java
@@ -74,6 +74,15 @@
         return control.address();
     }
 
+    /**
+     * Changes where new connections lead.
+     *
+     * @param changed the target from now on
+     */
+    public void target(Endpoint changed) {
+        target = changed;
+    }
+
     /**
      * Changes the mode; returns once it has taken effect.
      *
@@ -95,7 +104,7 @@
             JsonNode changes = exchange.body();
             delayMilliseconds = changes.path("delayMilliseconds").asLong(delayMilliseconds);
             if (changes.has("target")) {
-                target = Endpoint.parse(changes.get("target").asText());
+                target(Endpoint.parse(changes.get("target").asText()));
             }
             if (changes.has("mode")) {
                 mode(RelayMode.parse(changes.get("mode").asText()));
--- /dev/null
+++ b/caperturn-testkit/src/test/java/io/caperturn/testkit/platform/StandInPlatformTest.java
@@ -0,0 +1,161 @@
+package io.caperturn.testkit.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.http.Json;
+import io.caperturn.testkit.process.ClientAnswer;
+import io.caperturn.testkit.process.EntryClient;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StandInPlatformTest {
+    private final EntryClient client = new EntryClient();
+    private StandInPlatform platform;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = new StandInPlatform(Endpoint.ANY);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        client.close();
+        platform.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 200", "1, 409"})
+    void insertsOnlyUnderItsCondition(long expectedVersion, int status) {
+        assertEquals(status, write("a", expectedVersion, "one").status());
+    }
+
+    @Test
+    void conflictShowsThePresentRow() {
+        write("a", 0, "one");
+        JsonNode row = write("a", 0, "two").body().at("/rows/0");
+        assertEquals("one", row.get("value").asText());
+        assertEquals(1, row.get("version").asLong());
+    }
+
+    @Test
+    void readsSeeTheWritesOfTheirTransaction() {
+        ObjectNode transaction = transaction("a", 0, "one");
+        transaction.putArray("reads").addObject().put("table", "rows").put("key", "a");
+        assertEquals("one", transact(transaction).body().at("/rows/0/value").asText());
+    }
+
+    @Test
+    void versionOfADeletedKeyDoesNotRepeat() {
+        write("a", 0, "one");
+        write("a", 1, null);
+        write("a", 0, "two");
+        assertEquals(200, write("a", 2, "three").status());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'', 2, a b", "a, 2, b c", "c, 2, ''"})
+    void listsInTheOrderOfKeys(String after, int limit, String expected) {
+        List.of("b", "c", "a").forEach(key -> write(key, 0, "x"));
+        String path = "/v1/tables/rows?after=" + after + "&limit=" + limit;
+        JsonNode rows = client.exchange("GET", platform.address(), path, Map.of(), null)
+                .body()
+                .get("rows");
+        assertEquals(expected, String.join(" ", rows.findValuesAsText("key")));
+    }
+
+    @Test
+    void downRefusesAndWritesNothing() {
+        mode(Map.of("mode", "down"));
+        assertEquals(503, write("a", 0, "one").status());
+        mode(Map.of("mode", "normal"));
+        assertEquals(200, write("a", 0, "one").status());
+    }
+
+    @Test
+    void silentNeverAnswers() {
+        mode(Map.of("mode", "down-silent"));
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/v1/tables/rows"))
+                .timeout(Duration.ofMillis(300))
+                .build();
+        Assertions.assertThrows(
+                HttpTimeoutException.class,
+                () -> HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()));
+    }
+
+    @Test
+    void slowDelays() {
+        mode(Map.of("mode", "slow", "delayMilliseconds", 200));
+        assertTrue(write("a", 0, "one").took().toMillis() >= 200);
+    }
+
+    @Test
+    void lostReplyKeepsItsWrite() {
+        mode(Map.of("mode", "reply-lost"));
+        assertFalse(write("a", 0, "one").isAnswered());
+        mode(Map.of("mode", "normal"));
+        assertEquals(409, write("a", 0, "two").status());
+    }
+
+    @Test
+    void writesBeyondTheLimitAreRefused() {
+        mode(Map.of("writesPerSecond", 1));
+        write("a", 0, "one");
+        assertEquals(429, write("b", 0, "one").status());
+    }
+
+    @Test
+    void countsWhatItServed() {
+        write("a", 0, "one");
+        write("a", 0, "two");
+        JsonNode counts = client.exchange("GET", platform.address(), "/control", Map.of(), null)
+                .body();
+        assertEquals(
+                List.of(2, 1, 1),
+                List.of(
+                        counts.get("transactions").asInt(),
+                        counts.get("writes").asInt(),
+                        counts.get("conflicts").asInt()));
+    }
+
+    private void mode(Map<String, ?> changes) {
+        client.control(platform.address(), changes);
+    }
+
+    private ClientAnswer write(String key, long expectedVersion, String value) {
+        return transact(transaction(key, expectedVersion, value));
+    }
+
+    private ClientAnswer transact(JsonNode transaction) {
+        return client.exchange("POST", platform.address(), "/v1/transact", Map.of(), transaction);
+    }
+
+    private static ObjectNode transaction(String key, long expectedVersion, String value) {
+        ObjectNode transaction = Json.object();
+        transaction
+                .putArray("writes")
+                .addObject()
+                .put("table", "rows")
+                .put("key", key)
+                .put("expectedVersion", expectedVersion)
+                .put("value", value);
+        return transaction;
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/test/java/io/caperturn/testkit/process/ProcessHarnessTest.java
@@ -0,0 +1,90 @@
+package io.caperturn.testkit.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.testkit.Main;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("process")
+class ProcessHarnessTest {
+    private final EntryClient client = new EntryClient();
+    private ProcessHarness harness;
+
+    @BeforeEach
+    void start() throws IOException {
+        harness = new ProcessHarness(Path.of("target", "processes", "harness"));
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+        harness.close();
+    }
+
+    @Test
+    void parsesWhereAProgramListens() throws IOException {
+        RunningProcess platform = platform();
+        assertTrue(client.exchange("GET", platform.endpoint("http"), "/control", Map.of(), null)
+                .isComplete());
+    }
+
+    @Test
+    void terminatedProgramEnds() throws IOException {
+        RunningProcess platform = platform();
+        platform.terminate();
+        assertEquals(143, platform.awaitExit(Duration.ofSeconds(10)));
+    }
+
+    @Test
+    void pausedProgramAnswersOnceResumed() throws Exception {
+        RunningProcess platform = platform();
+        HttpClient http = HttpClient.newHttpClient();
+        URI uri = platform.endpoint("http").uri("/control");
+        platform.pause();
+        HttpRequest impatient =
+                HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(300)).build();
+        assertThrows(HttpTimeoutException.class, () -> http.send(impatient, HttpResponse.BodyHandlers.ofString()));
+        platform.resume();
+        HttpRequest patient = HttpRequest.newBuilder(uri).build();
+        assertEquals(
+                200, http.send(patient, HttpResponse.BodyHandlers.ofString()).statusCode());
+    }
+
+    @Test
+    void closingEndsWhatRuns() throws IOException {
+        RunningProcess platform = platform();
+        platform.pause();
+        harness.close();
+        assertFalse(platform.isAlive());
+        harness = new ProcessHarness(harness.directory());
+    }
+
+    @Test
+    void programThatEndsIsReportedWithItsOutput() {
+        AssertionError failure = assertThrows(
+                AssertionError.class,
+                () -> harness.start("wrong", Main.class.getName(), List.of("nonsense"), Set.of("http")));
+        assertTrue(failure.getMessage().contains("nonsense"), failure.getMessage());
+    }
+
+    private RunningProcess platform() throws IOException {
+        return harness.start("platform", Main.class.getName(), List.of("platform"), Set.of("http"));
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/test/java/io/caperturn/testkit/relay/StandInRelayTest.java
@@ -0,0 +1,147 @@
+package io.caperturn.testkit.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.process.Conditions;
+import io.caperturn.testkit.process.EntryClient;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class StandInRelayTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int SILENCE_MILLISECONDS = 1_000;
+    private static final int END_OF_STREAM = -1;
+
+    private final AtomicInteger received = new AtomicInteger();
+    private final EntryClient client = new EntryClient();
+    private ServerSocket echo;
+    private StandInRelay relay;
+
+    @BeforeEach
+    void start() throws IOException {
+        echo = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.ofPlatform().daemon().start(this::accept);
+        relay = new StandInRelay(Endpoint.ANY, new Endpoint("127.0.0.1", echo.getLocalPort()), Endpoint.ANY);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        client.close();
+        relay.close();
+        echo.close();
+    }
+
+    @Test
+    void passesBothWays() throws IOException {
+        try (Socket socket = connect()) {
+            assertEquals('x', exchange(socket));
+        }
+    }
+
+    @Test
+    void cutEndsPresentConnections() throws IOException {
+        try (Socket socket = connect()) {
+            exchange(socket);
+            relay.mode(RelayMode.CUT);
+            assertEquals(END_OF_STREAM, socket.getInputStream().read());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"SILENT", "TO_TARGET_ONLY", "TO_CLIENT_ONLY"})
+    void mutedConnectionStaysOpenWithoutAnswer(RelayMode mode) throws IOException {
+        try (Socket socket = connect()) {
+            exchange(socket);
+            relay.mode(mode);
+            assertThrows(SocketTimeoutException.class, () -> exchange(socket));
+        }
+    }
+
+    @Test
+    void silenceSparesNewConnections() throws IOException {
+        try (Socket silent = connect()) {
+            exchange(silent);
+            relay.mode(RelayMode.SILENT);
+            try (Socket fresh = connect()) {
+                assertEquals('x', exchange(fresh));
+            }
+        }
+    }
+
+    @Test
+    void toTargetOnlyStillDelivers() throws IOException {
+        relay.mode(RelayMode.TO_TARGET_ONLY);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write('x');
+            Conditions.await("the byte at the target", TIMEOUT, () -> received.get() == 1);
+        }
+    }
+
+    @Test
+    void refuseEndsNewConnections() throws IOException {
+        relay.mode(RelayMode.REFUSE);
+        try (Socket socket = connect()) {
+            assertEquals(END_OF_STREAM, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void delayHoldsBytesEachWay() throws IOException {
+        client.control(relay.controlAddress(), Map.of("delayMilliseconds", 50));
+        try (Socket socket = connect()) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            long begun = System.nanoTime();
+            exchange(socket);
+            assertTrue(Duration.ofNanos(System.nanoTime() - begun).toMillis() >= 100);
+        }
+    }
+
+    private int exchange(Socket socket) throws IOException {
+        socket.getOutputStream().write('x');
+        return socket.getInputStream().read();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(relay.address().host(), relay.address().port());
+        socket.setSoTimeout(SILENCE_MILLISECONDS);
+        return socket;
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = echo.accept();
+                Thread.ofPlatform().daemon().start(() -> echo(socket));
+            }
+        } catch (IOException e) {
+            // the test has closed the server
+        }
+    }
+
+    private void echo(Socket socket) {
+        try (socket) {
+            int octet = socket.getInputStream().read();
+            while (octet != END_OF_STREAM) {
+                received.incrementAndGet();
+                socket.getOutputStream().write(octet);
+                octet = socket.getInputStream().read();
+            }
+        } catch (IOException e) {
+            // the relay has closed the connection
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-testkit/src/test/java/io/caperturn/testkit/upstream/StandInUpstreamTest.java
@@ -0,0 +1,125 @@
+package io.caperturn.testkit.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.http.HttpService;
+import io.caperturn.testkit.http.Json;
+import io.caperturn.testkit.process.ClientAnswer;
+import io.caperturn.testkit.process.Conditions;
+import io.caperturn.testkit.process.EntryClient;
+import io.caperturn.testkit.process.UpstreamRecords;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StandInUpstreamTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final EntryClient client = new EntryClient();
+    private final BlockingQueue<JsonNode> announcements = new LinkedBlockingQueue<>();
+    private HttpService sidecar;
+    private StandInUpstream upstream;
+    private Path file;
+
+    @BeforeEach
+    void start(@TempDir Path directory) throws IOException {
+        file = directory.resolve("record.jsonl");
+        sidecar = new HttpService(Endpoint.ANY, exchange -> {
+            announcements.add(exchange.body());
+            exchange.answer(204);
+        });
+        UpstreamOptions options =
+                new UpstreamOptions("press", List.of("assay"), 1, 4, new UpstreamOptions.Place("w", "r", "z"), 2, file);
+        upstream = new StandInUpstream(Endpoint.ANY, options, sidecar.address(), null);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        client.close();
+        upstream.close();
+        sidecar.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"normal, 200, 1", "fail-all, 500, 1", "refuse, 503, 0", "reset, 0, 1"})
+    void modeGivesStatusAndStarts(String mode, int status, int starts) {
+        client.control(upstream.address(), Map.of("mode", mode));
+        assertEquals(status, run("t", 0).status());
+        assertEquals(starts, UpstreamRecords.read(file).starts().size());
+    }
+
+    @Test
+    void hangingTaskIsAbortedOnDemand() {
+        client.control(upstream.address(), Map.of("mode", "hang"));
+        CompletableFuture<ClientAnswer> hanging = CompletableFuture.supplyAsync(() -> run("t", 0));
+        Conditions.await("a start", TIMEOUT, () -> !upstream.record().isEmpty());
+        assertEquals(
+                204,
+                client.exchange("DELETE", upstream.address(), "/v1/tasks/1.1/lab/key/t", Map.of(), null)
+                        .status());
+        assertEquals(410, hanging.join().status());
+    }
+
+    @Test
+    void speedDividesTheRunTime() {
+        run("warm-up", 0);
+        long milliseconds = run("t", 400).took().toMillis();
+        assertTrue(milliseconds >= 200 && milliseconds < 400, () -> "took " + milliseconds);
+    }
+
+    @Test
+    void resultNamesTaskAttemptAndUpstream() {
+        JsonNode result = run("t", 0).body();
+        assertEquals(
+                List.of("t", "1.1", "press"),
+                List.of(
+                        result.get("task").asText(),
+                        result.get("attempt").asText(),
+                        result.get("upstream").asText()));
+    }
+
+    @Test
+    void taskBeyondTheSlotsIsAViolation() {
+        CompletableFuture<ClientAnswer> first = CompletableFuture.supplyAsync(() -> run("a", 2_000));
+        Conditions.await("a start", TIMEOUT, () -> !upstream.record().isEmpty());
+        run("b", 0);
+        assertEquals(1, UpstreamRecords.read(file).violations().size());
+        first.join();
+    }
+
+    @Test
+    void announcesItsState() {
+        client.control(upstream.address(), Map.of("state", "leaving"));
+        JsonNode leaving = Conditions.awaitValue(
+                "an announcement of leaving",
+                TIMEOUT,
+                () -> Optional.ofNullable(announcements.poll())
+                        .filter(node -> node.get("state").asText().equals("leaving")));
+        assertEquals(upstream.address().toString(), leaving.get("address").asText());
+    }
+
+    private ClientAnswer run(String task, int runMilliseconds) {
+        Map<String, String> headers = Map.of(
+                "Caperturn-Submission", "lab/key",
+                "Caperturn-Task", task,
+                "Caperturn-Attempt", "1.1",
+                "Caperturn-Kind", "assay");
+        JsonNode payload = Json.object().put("runMilliseconds", runMilliseconds);
+        return client.exchange("POST", upstream.address(), "/v1/tasks", headers, payload);
+    }
+}
