Demo script; upstreams announce their relay from the start

The fixture let an upstream announce its own address before the relay's, so a sidecar could keep the direct one; the relay now stands first.

--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/process/ClusterFixture.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/process/ClusterFixture.java
@@ -185,10 +185,10 @@
     public void restartUpstream(int index) throws IOException {
         SidecarNode old = sidecars.get(index);
         RunningProcess upstream = startUpstream(
-                index, old.upstream().endpoint("http"), old.process().endpoint("announce"));
-        client.control(
-                upstream.endpoint("http"),
-                Map.of("advertise", old.toUpstream().address().toString()));
+                index,
+                old.upstream().endpoint("http"),
+                old.process().endpoint("announce"),
+                old.toUpstream().address());
         sidecars.set(index, new SidecarNode(old.process(), upstream, old.toUpstream()));
     }
 
@@ -219,11 +219,10 @@
         }
         for (int index = 0; index < options.sidecars(); index++) {
             RunningProcess process = startSidecar(index, Endpoint.ANY);
-            RunningProcess upstream = startUpstream(index, Endpoint.ANY, process.endpoint("announce"));
-            StandInRelay toUpstream = relay(upstream.endpoint("http"));
-            client.control(
-                    upstream.endpoint("http"),
-                    Map.of("advertise", toUpstream.address().toString()));
+            StandInRelay toUpstream = relay(Endpoint.ANY);
+            RunningProcess upstream =
+                    startUpstream(index, Endpoint.ANY, process.endpoint("announce"), toUpstream.address());
+            toUpstream.target(upstream.endpoint("http"));
             sidecars.add(new SidecarNode(process, upstream, toUpstream));
         }
         entries.forEach(entry -> awaitReady(entry.http()));
@@ -264,7 +263,8 @@
         return harness.start(name, PRODUCT, daemon("sidecar", name, settings), Set.of("announce"));
     }
 
-    private RunningProcess startUpstream(int index, Endpoint listen, Endpoint announce) throws IOException {
+    private RunningProcess startUpstream(int index, Endpoint listen, Endpoint announce, Endpoint advertise)
+            throws IOException {
         String name = "upstream-" + index;
         List<String> arguments = new ArrayList<>(List.of(
                 "upstream",
@@ -274,6 +274,8 @@
                 listen.toString(),
                 "--sidecar",
                 announce.toString(),
+                "--advertise",
+                advertise.toString(),
                 "--slots",
                 String.valueOf(options.slots()),
                 "--record",
