Scheduler by urgency, fair share, limits and learned speeds

Cause: the first scheduler serves in the order of arrival and knows no weights, limits or speeds. Change: FairScheduler orders by urgency, then by start-time fair queueing of kinds and of their teams, charged with expected and then measured slot time; it places only on free slots, the fastest first, and keeps away from back ends that fail. Scheduler gains limitShareConfirmed, by which an entry learns its part of the limits.

--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -0,0 +1,177 @@
+package io.caperturn.core.schedule;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.UpstreamDescription;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the scheduler knows of one sidecar and its upstream. */
+final class Backend {
+    private final ProcessId sidecar;
+    private final int sequence;
+    private final List<KindPool.Seat> seats = new ArrayList<>();
+    private UpstreamDescription upstream;
+    private boolean linked;
+    private boolean serving;
+    private int window;
+    private int outstanding;
+    private int allowance;
+    private int consecutiveFailures;
+    private int ejections;
+    private long ejectedUntil = Long.MIN_VALUE;
+    private boolean ejected;
+    private boolean probing;
+    private SubmissionId lastFailed;
+    private double completions;
+    private double failures;
+
+    Backend(ProcessId sidecar, int sequence, UpstreamDescription upstream, int allowance) {
+        this.sidecar = sidecar;
+        this.sequence = sequence;
+        this.upstream = upstream;
+        this.allowance = allowance;
+    }
+
+    ProcessId sidecar() {
+        return sidecar;
+    }
+
+    int sequence() {
+        return sequence;
+    }
+
+    List<KindPool.Seat> seats() {
+        return seats;
+    }
+
+    UpstreamDescription upstream() {
+        return upstream;
+    }
+
+    boolean linked() {
+        return linked;
+    }
+
+    boolean serving() {
+        return serving;
+    }
+
+    int outstanding() {
+        return outstanding;
+    }
+
+    boolean probing() {
+        return probing;
+    }
+
+    boolean ejected() {
+        return ejected;
+    }
+
+    long ejectedUntil() {
+        return ejectedUntil;
+    }
+
+    /** Returns how many placements may be outstanding here. */
+    int capacity() {
+        if (!serving || ejected) {
+            return 0;
+        }
+        int usable = Math.min(window, Math.min(upstream.slots(), allowance));
+        return probing ? Math.min(1, usable) : usable;
+    }
+
+    boolean hasFreeSlot() {
+        return outstanding < capacity();
+    }
+
+    double load() {
+        return (double) outstanding / upstream.slots();
+    }
+
+    void change(UpstreamDescription newer, boolean nowServing, int newWindow) {
+        if (allowance >= upstream.slots()) {
+            allowance = newer.slots();
+        }
+        upstream = newer;
+        linked = true;
+        serving = nowServing;
+        window = newWindow;
+    }
+
+    void windowChanged(int newWindow) {
+        window = newWindow;
+    }
+
+    void unlinked() {
+        linked = false;
+        serving = false;
+        window = 0;
+    }
+
+    void placed() {
+        outstanding++;
+    }
+
+    void ended() {
+        outstanding--;
+    }
+
+    void succeeded() {
+        completions++;
+        consecutiveFailures = 0;
+        lastFailed = null;
+        if (probing) {
+            probing = false;
+            ejections = 0;
+            allowance = 1;
+        }
+        allowance = Math.min(upstream.slots(), allowance + 1);
+    }
+
+    /** Notes a failure and returns true unless the same submission failed here just before. */
+    boolean failed(SubmissionId submission) {
+        if (submission.equals(lastFailed)) {
+            return false;
+        }
+        lastFailed = submission;
+        failures++;
+        consecutiveFailures++;
+        allowance = Math.max(1, allowance / 2);
+        return true;
+    }
+
+    int consecutiveFailures() {
+        return consecutiveFailures;
+    }
+
+    /** Keeps all work away until a time, after which single tasks probe the back end. */
+    void eject(long now, SchedulerPolicy.Health policy) {
+        long first = policy.firstEjection().toNanos();
+        long length = Math.min(policy.longestEjection().toNanos(), first << Math.min(ejections, 20));
+        ejections++;
+        probing = true;
+        ejected = true;
+        ejectedUntil = now + length;
+    }
+
+    /** Ends the ejection; single tasks probe the back end from now on. */
+    void probe() {
+        ejected = false;
+    }
+
+    /** Lets outcomes of the past count half as much. */
+    void halveOutcomes() {
+        completions /= 2;
+        failures /= 2;
+    }
+
+    double completions() {
+        return completions;
+    }
+
+    double failures() {
+        return failures;
+    }
+}
--- /dev/null
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -0,0 +1,171 @@
+package io.caperturn.core.schedule;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.UpstreamDescription;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+/** Back ends known to this entry: their windows, their pools and which are kept away from work. */
+final class BackendRegistry {
+    private static final long FORGET_INTERVAL_NANOSECONDS = 5_000_000_000L;
+
+    private final SchedulerPolicy.Health policy;
+    private final Function<String, Optional<KindState>> kinds;
+    private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
+    private final PriorityQueue<Backend> ejected =
+            new PriorityQueue<>(Comparator.comparingLong(Backend::ejectedUntil).thenComparingInt(Backend::sequence));
+    private double completions;
+    private double failures;
+    private long forgetAt = Long.MIN_VALUE;
+    private int nextSequence;
+
+    BackendRegistry(SchedulerPolicy.Health policy, Function<String, Optional<KindState>> kinds) {
+        this.policy = policy;
+        this.kinds = kinds;
+    }
+
+    Optional<Backend> find(ProcessId sidecar) {
+        return Optional.ofNullable(backends.get(sidecar));
+    }
+
+    void changed(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window) {
+        Backend backend = backends.computeIfAbsent(
+                sidecar, id -> new Backend(id, nextSequence++, upstream, firstAllowance(upstream)));
+        boolean sameKinds = backend.upstream().kinds().equals(upstream.kinds());
+        backend.change(upstream, serving, window);
+        if (!sameKinds || backend.seats().isEmpty()) {
+            seat(backend);
+        }
+        refresh(backend);
+    }
+
+    /** Gives back ends their places in the pools of kinds that became known. */
+    void kindsChanged() {
+        backends.values().forEach(this::seat);
+    }
+
+    void windowChanged(ProcessId sidecar, int window) {
+        find(sidecar).ifPresent(backend -> {
+            backend.windowChanged(window);
+            refresh(backend);
+        });
+    }
+
+    void lost(ProcessId sidecar) {
+        find(sidecar).ifPresent(backend -> {
+            backend.unlinked();
+            refresh(backend);
+            forgetIfGone(backend);
+        });
+    }
+
+    void placed(Backend backend) {
+        backend.placed();
+        refresh(backend);
+    }
+
+    void ended(Backend backend, SubmissionId submission, PlacementEnd end, long now) {
+        backend.ended();
+        switch (end) {
+            case COMPLETED -> {
+                backend.succeeded();
+                completions++;
+            }
+            case FAILED -> failed(backend, submission, now);
+            case NOT_STARTED, UNKNOWN -> {}
+        }
+        refresh(backend);
+        forgetIfGone(backend);
+    }
+
+    /** Puts back ends on probation whose ejection is over. */
+    void release(long now) {
+        while (!ejected.isEmpty() && ejected.peek().ejectedUntil() <= now) {
+            Backend backend = ejected.poll();
+            backend.probe();
+            refresh(backend);
+        }
+    }
+
+    /** Lets outcomes of the past fade, at intervals. */
+    void fade(long now) {
+        if (now < forgetAt) {
+            return;
+        }
+        forgetAt = now + FORGET_INTERVAL_NANOSECONDS;
+        completions /= 2;
+        failures /= 2;
+        backends.values().forEach(Backend::halveOutcomes);
+    }
+
+    void refresh(Backend backend) {
+        backend.seats().forEach(KindPool.Seat::refresh);
+    }
+
+    private void failed(Backend backend, SubmissionId submission, long now) {
+        if (backend.failed(submission)) {
+            failures++;
+        }
+        boolean suspect = backend.probing() || backend.consecutiveFailures() >= policy.minimumFailures();
+        if (!backend.ejected() && suspect && !peersFailToo(backend) && mayEjectMore(backend)) {
+            backend.eject(now, policy);
+            ejected.add(backend);
+        }
+    }
+
+    private boolean peersFailToo(Backend backend) {
+        double peerFailures = failures - backend.failures();
+        double peerOutcomes = peerFailures + completions - backend.completions();
+        return peerOutcomes <= 0 || peerFailures / peerOutcomes > policy.peerFailureRatio();
+    }
+
+    private boolean mayEjectMore(Backend backend) {
+        long avoided = backends.values().stream()
+                .filter(other -> other != backend && other.serving() && other.probing())
+                .count();
+        long serving = backends.values().stream().filter(Backend::serving).count();
+        return avoided + 1 <= policy.ejectableFraction() * serving;
+    }
+
+    private int firstAllowance(UpstreamDescription upstream) {
+        boolean peersAreProven = upstream.kinds().stream()
+                .map(kinds)
+                .flatMap(Optional::stream)
+                .anyMatch(kind -> kind.pool().serving() > 0 && kind.speeds().samples() > upstream.slots());
+        return peersAreProven ? Math.min(upstream.slots(), policy.newcomerSlots()) : upstream.slots();
+    }
+
+    private void seat(Backend backend) {
+        backend.seats().removeIf(seat -> {
+            boolean served =
+                    backend.upstream().kinds().contains(seat.kind().row().kind());
+            if (!served) {
+                seat.leave();
+            }
+            return !served;
+        });
+        for (String name : new TreeSet<>(backend.upstream().kinds())) {
+            Optional<KindState> kind = kinds.apply(name);
+            boolean seated = backend.seats().stream().anyMatch(seat -> kind.isPresent() && seat.kind() == kind.get());
+            if (kind.isPresent() && !seated) {
+                KindPool.Seat seat = new KindPool.Seat(kind.get(), backend);
+                backend.seats().add(seat);
+                seat.refresh();
+            }
+        }
+    }
+
+    private void forgetIfGone(Backend backend) {
+        if (!backend.linked() && backend.outstanding() == 0) {
+            backend.seats().forEach(KindPool.Seat::leave);
+            backends.remove(backend.sidecar());
+            ejected.remove(backend);
+        }
+    }
+}
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Scheduler.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Scheduler.java
@@ -27,6 +27,16 @@
      */
     void tableChanged(Table table, Instant now);
 
+    /**
+     * Confirms this entry's part of the limits, at its start, on every change of membership and before its lease ends.
+     *
+     * @param share the part
+     * @param now the time when the membership that it follows from was read
+     */
+    default void limitShareConfirmed(LimitShare share, Instant now) {
+        // Schedulers without limits have nothing to share.
+    }
+
     /**
      * Decides whether a submission may enter the queues; admission reserves its place in them.
      *
