Settings are checked by schema and by value, every mistake at once

Cause: the daemons had records of settings but nothing that read them.

Change: a JSON schema (draft 2020-12) for each role with no unknown keys, and a second pass for addresses (IP numbers, never names), distinct seeds and relations between times. Both passes report into one list of mistakes, each with JSON pointer, value and what is allowed. Malformed JSON, a key given twice and text after the end are one mistake with line and column. Defaults are laid under the given values, also within a section, so that a section may be given in part. A test keeps schema and records in step: names, defaults, and what must be given.

Ruled out: defaults from the schema, as they would stand beside those of the records; resolving names, as processes talk by IP numbers.

--- /dev/null
+++ b/caperturn-settings/src/main/java/io/caperturn/settings/internal/SchemaCheck.java
@@ -0,0 +1,86 @@
+package io.caperturn.settings.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.Error;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import io.caperturn.settings.SettingsMistake;
+import io.caperturn.settings.SettingsRole;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** First pass: the JSON schema of a role. */
+public final class SchemaCheck {
+    private final Schema schema;
+
+    private SchemaCheck(Schema schema) {
+        this.schema = schema;
+    }
+
+    /**
+     * Loads the schema of a role from the resources.
+     *
+     * @param role the program
+     * @return the check
+     */
+    public static SchemaCheck of(SettingsRole role) {
+        String resource = "/schema/" + role.label() + ".schema.json";
+        try (InputStream stream = SchemaCheck.class.getResourceAsStream(resource)) {
+            SchemaRegistry registry = SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12);
+            return new SchemaCheck(registry.getSchema(stream));
+        } catch (IOException e) {
+            throw new UncheckedIOException("resource " + resource, e);
+        }
+    }
+
+    /**
+     * Checks a tree.
+     *
+     * @param node the file's tree
+     * @return every breach of the schema
+     */
+    public List<SettingsMistake> check(JsonNode node) {
+        return schema.validate(node).stream()
+                .map(error -> mistake(error, node))
+                .distinct()
+                .toList();
+    }
+
+    private SettingsMistake mistake(Error error, JsonNode root) {
+        String place = error.getInstanceLocation().toString();
+        JsonNode parent = root.at(place);
+        return switch (error.getKeyword()) {
+            case "additionalProperties" ->
+                new SettingsMistake(
+                        place + "/" + error.getProperty(),
+                        "unknown key",
+                        "one of " + String.join(", ", knownKeys(error)));
+            case "required" ->
+                new SettingsMistake(place + "/" + error.getProperty(), "absent", "a value, as it has no default");
+            case "type" -> new SettingsMistake(place, parent.toString(), "a value of type " + schemaText(error));
+            case "minimum" -> new SettingsMistake(place, parent.toString(), "at least " + schemaText(error));
+            case "maximum" -> new SettingsMistake(place, parent.toString(), "at most " + schemaText(error));
+            case "minItems" ->
+                new SettingsMistake(place, parent.toString(), "at least " + schemaText(error) + " items");
+            case "maxItems" -> new SettingsMistake(place, parent.toString(), "at most " + schemaText(error) + " items");
+            case "pattern" -> new SettingsMistake(place, parent.toString(), "text that matches " + schemaText(error));
+            default -> new SettingsMistake(place, parent.toString(), error.getMessage());
+        };
+    }
+
+    private static String schemaText(Error error) {
+        return error.getSchemaNode().asText();
+    }
+
+    private List<String> knownKeys(Error error) {
+        String place = error.getSchemaLocation().getFragment().toString();
+        String properties = place.substring(0, place.lastIndexOf('/')) + "/properties";
+        List<String> keys = new ArrayList<>();
+        schema.getSchemaNode().at(properties).fieldNames().forEachRemaining(keys::add);
+        return keys;
+    }
+}
--- /dev/null
+++ b/caperturn-settings/src/main/java/io/caperturn/settings/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parsing and the two passes of checks; no API. */
+package io.caperturn.settings.internal;
--- /dev/null
+++ b/caperturn-settings/src/test/java/io/caperturn/settings/SchemaAndRecordsTest.java
@@ -0,0 +1,82 @@
+package io.caperturn.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.settings.internal.SettingsJson;
+import java.io.IOException;
+import java.io.InputStream;
+import java.lang.reflect.RecordComponent;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class SchemaAndRecordsTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static JsonNode schema(SettingsRole role) throws IOException {
+        try (InputStream stream = SettingsRole.class.getResourceAsStream("/schema/" + role.label() + ".schema.json")) {
+            return MAPPER.readTree(stream);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(SettingsRole.class)
+    void schemaNamesExactlyTheRecordsComponents(SettingsRole role) throws IOException {
+        assertSameKeys(role.type(), schema(role), role.label());
+    }
+
+    @ParameterizedTest
+    @EnumSource(SettingsRole.class)
+    void schemaDefaultsAreTheRecordsDefaults(SettingsRole role) throws IOException {
+        assertEquals(
+                defaults(schema(role)),
+                MAPPER.readTree(SettingsJson.defaults(role).toString()));
+    }
+
+    @ParameterizedTest
+    @EnumSource(SettingsRole.class)
+    void requiredAreThoseWithoutDefault(SettingsRole role) throws IOException {
+        JsonNode schema = schema(role);
+        Set<String> expected = new HashSet<>();
+        schema.get("properties").fieldNames().forEachRemaining(expected::add);
+        SettingsJson.defaults(role).fieldNames().forEachRemaining(expected::remove);
+        Set<String> required = new HashSet<>();
+        schema.get("required").forEach(key -> required.add(key.asText()));
+        assertEquals(expected, required);
+    }
+
+    private static void assertSameKeys(Class<?> type, JsonNode schema, String place) {
+        Set<String> keys = new TreeSet<>();
+        schema.get("properties").fieldNames().forEachRemaining(keys::add);
+        Set<String> components = new TreeSet<>();
+        Arrays.stream(type.getRecordComponents()).map(RecordComponent::getName).forEach(components::add);
+        assertEquals(components, keys, place);
+        for (RecordComponent component : type.getRecordComponents()) {
+            if (component.getType().isRecord()) {
+                assertSameKeys(
+                        component.getType(),
+                        schema.get("properties").get(component.getName()),
+                        place + "/" + component.getName());
+            }
+        }
+    }
+
+    private static ObjectNode defaults(JsonNode schema) {
+        ObjectNode tree = MAPPER.createObjectNode();
+        schema.get("properties").properties().forEach(property -> {
+            JsonNode value = property.getValue();
+            if (value.has("default")) {
+                tree.set(property.getKey(), value.get("default"));
+            } else if (value.has("properties")) {
+                tree.set(property.getKey(), defaults(value));
+            }
+        });
+        return tree;
+    }
+}
--- /dev/null
+++ b/caperturn-settings/src/test/java/io/caperturn/settings/SettingsLoaderTest.java
@@ -0,0 +1,156 @@
+package io.caperturn.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SettingsLoaderTest {
+    private static final String REQUIRED = """
+            "name":"entry-a","availabilityZone":"zone-a","linkAddress":"127.0.0.1:0","platformAddress":"127.0.0.1:8090"
+            """;
+
+    private static List<SettingsMistake> mistakes(SettingsResult<?> result) {
+        SettingsResult.Invalid<?> invalid = assertInstanceOf(SettingsResult.Invalid.class, result);
+        return invalid.mistakes();
+    }
+
+    private static SettingsResult<EntrySettings> entry(String more) {
+        return SettingsLoader.parse(
+                "{" + REQUIRED + ",\"httpAddress\":\"127.0.0.1:0\"" + more + "}", EntrySettings.class);
+    }
+
+    @ParameterizedTest
+    @EnumSource(SettingsRole.class)
+    void shippedExampleIsValid(SettingsRole role) {
+        Path example = Path.of("..", "examples", role.label() + ".json");
+        assertInstanceOf(SettingsResult.Valid.class, SettingsLoader.load(example, role.type()));
+    }
+
+    @Test
+    void absentValuesTakeTheirDefaultsAlsoWithinSections() {
+        SettingsResult<EntrySettings> result = entry(",\"claims\":{\"timeoutMilliseconds\":1500}");
+        EntrySettings settings = (EntrySettings)
+                assertInstanceOf(SettingsResult.Valid.class, result).settings();
+        assertEquals(new EntrySettings.ClaimTimes(0, 1_500, 500, 86_400_000L), settings.claims());
+        assertEquals(LinkTimes.DEFAULT, settings.links());
+    }
+
+    @Test
+    void threeMistakesAreReportedAtOnce() {
+        String text = "{" + REQUIRED + """
+                ,"httpAddress":"localhost:80","colour":"red","requests":{"maximumTasks":0}}
+                """;
+        List<SettingsMistake> mistakes = mistakes(SettingsLoader.parse(text, EntrySettings.class));
+        assertEquals(
+                List.of("/colour", "/httpAddress", "/requests/maximumTasks"),
+                mistakes.stream().map(SettingsMistake::path).sorted().toList());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                ",\"claims\":{\"batch\":1} | /claims/batch | unknown key | maximumBatch",
+                ",\"requests\":{\"maximumTasks\":0} | /requests/maximumTasks | 0 | at least 1",
+                ",\"requests\":{\"maximumTasks\":\"many\"} | /requests/maximumTasks | \"many\" | integer",
+                ",\"links\":{\"silenceTimeoutMilliseconds\":900} | /links/silenceTimeoutMilliseconds | 900 | more than",
+                ",\"claims\":{\"expiryMilliseconds\":599999} | /claims/expiryMilliseconds | 599999 | at least",
+                ",\"drainTimeoutMilliseconds\":0 | /drainTimeoutMilliseconds | 0 | at least 1",
+                ",\"drainTimeoutMilliseconds\":9999999999 | /drainTimeoutMilliseconds | 9999999999 | at most"
+            })
+    void mistakeNamesPathValueAndWhatIsAllowed(String more, String path, String value, String allowed) {
+        SettingsMistake mistake = mistakes(entry(more)).getFirst();
+        assertEquals(path, mistake.path());
+        assertEquals(value, mistake.value());
+        assertTrue(mistake.allowed().contains(allowed), mistake.allowed());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "localhost:80",
+                "127.0.0.1",
+                "127.0.0.1:65536",
+                "127.0.0.256:80",
+                "127.0.1:80",
+                "127.0.0.1.:80",
+                "::1:80",
+                "[::1::]:80",
+                "127.0.0.1:-1",
+                ":80",
+                ""
+            })
+    void addressThatIsNoIpNumberWithPortIsRefused(String address) {
+        String text = "{" + REQUIRED + ",\"httpAddress\":\"" + address + "\"}";
+        assertEquals(
+                List.of("/httpAddress"),
+                mistakes(SettingsLoader.parse(text, EntrySettings.class)).stream()
+                        .map(SettingsMistake::path)
+                        .toList());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"0.0.0.0:8080", "[::]:0", "[2001:db8::1]:8080", "192.168.255.1:65535"})
+    void addressToListenOnIsAccepted(String address) {
+        String text = "{" + REQUIRED + ",\"httpAddress\":\"" + address + "\"}";
+        assertInstanceOf(SettingsResult.Valid.class, SettingsLoader.parse(text, EntrySettings.class));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"127.0.0.1:0, 127.0.0.1:1, 0", "0.0.0.0:1, 127.0.0.1:1, 0", "127.0.0.1:1, 127.0.0.1:1, 1"})
+    void seedsAreReachableAndDistinct(String first, String second, int wrong) {
+        String text = """
+                {"name":"sidecar-a","availabilityZone":"zone-a","announceAddress":"127.0.0.1:0",
+                "entrySeeds":["%s","%s"]}
+                """.formatted(first, second);
+        assertEquals(
+                List.of("/entrySeeds/" + wrong),
+                mistakes(SettingsLoader.parse(text, SidecarSettings.class)).stream()
+                        .map(SettingsMistake::path)
+                        .toList());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{\"name\":\\n  oops} | line 2, column 3",
+                "{} {} | line 1, column 4",
+                "{\"name\":1,\"name\":2} | line 1, column",
+                "'' | empty text"
+            })
+    void malformedTextIsOneMistakeWithItsPlace(String text, String place) {
+        List<SettingsMistake> mistakes = mistakes(SettingsLoader.parse(text.replace("\\n", "\n"), EntrySettings.class));
+        assertEquals(1, mistakes.size());
+        assertTrue(mistakes.getFirst().value().contains(place), mistakes.toString());
+    }
+
+    @Test
+    void textThatIsNoObjectIsAMistake() {
+        assertEquals(
+                1, mistakes(SettingsLoader.parse("[]", EntrySettings.class)).size());
+    }
+
+    @Test
+    void unreadableFileIsOneMistake() {
+        assertEquals(
+                1,
+                mistakes(SettingsLoader.load(Path.of("absent.json"), EntrySettings.class))
+                        .size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"httpAddress, ENTRY", "entrySeeds, SIDECAR", "name,"})
+    void roleIsDetectedByKeysOfItsOwn(String key, SettingsRole role) {
+        assertEquals(Optional.ofNullable(role), SettingsRole.detect("{\"" + key + "\":1}"));
+    }
+}
