Command line: check-settings, submit, and the frame to run daemons

Change: one class per command behind a sealed interface, exit codes as an enum, and a runner that drains and stops a daemon in a shutdown hook and then ends with code 0, so that a planned stop is told apart from a crash. The daemons themselves are wired when they are there; until then entry and sidecar check their settings and say that they are not built in.

--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
@@ -0,0 +1,66 @@
+package io.caperturn.cli;
+
+import io.caperturn.cli.check.SettingsReport;
+import io.caperturn.cli.command.CheckSettingsCommand;
+import io.caperturn.cli.command.Command;
+import io.caperturn.cli.command.CommandParser;
+import io.caperturn.cli.command.EntryCommand;
+import io.caperturn.cli.command.ParseResult;
+import io.caperturn.cli.command.SidecarCommand;
+import io.caperturn.cli.command.SubmitCommand;
+import io.caperturn.cli.daemon.DaemonRunner;
+import io.caperturn.cli.submit.SubmitAction;
+
+/** Entry point of the command line. */
+public final class Main {
+    private static final String LOG_LEVEL_PROPERTY = "io.caperturn.LEVEL";
+    private static final String CONSOLE_PROPERTY = "jdk.console";
+
+    private Main() {}
+
+    /**
+     * Runs one command and ends the process with its exit code.
+     *
+     * @param arguments the command with its options
+     */
+    public static void main(String[] arguments) {
+        // The console of this module is absent when the streams are redirected, on every version of the runtime.
+        System.setProperty(CONSOLE_PROPERTY, "java.base");
+        System.exit(run(arguments, Terminal.ofProcess()).code());
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments the command with its options
+     * @param terminal where it writes
+     * @return how it ended
+     */
+    public static ExitCode run(String[] arguments, Terminal terminal) {
+        return switch (CommandParser.parse(arguments)) {
+            case ParseResult.Help(String usage) -> {
+                terminal.output().print(usage);
+                yield ExitCode.DONE;
+            }
+            case ParseResult.Wrong(String message) -> {
+                terminal.messages().println(message);
+                yield ExitCode.WRONG_USAGE;
+            }
+            case ParseResult.Parsed(Command command) -> {
+                if (command.common().verbose()) {
+                    System.setProperty(LOG_LEVEL_PROPERTY, "DEBUG");
+                }
+                yield execute(command, terminal);
+            }
+        };
+    }
+
+    private static ExitCode execute(Command command, Terminal terminal) {
+        return switch (command) {
+            case EntryCommand entry -> DaemonRunner.runEntry(entry.settings(), terminal);
+            case SidecarCommand sidecar -> DaemonRunner.runSidecar(sidecar.settings(), terminal);
+            case CheckSettingsCommand check -> SettingsReport.check(check.file(), check.role(), terminal);
+            case SubmitCommand submit -> SubmitAction.run(submit, terminal);
+        };
+    }
+}
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checking settings files. */
+package io.caperturn.cli.check;
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/EntryAddresses.java
@@ -0,0 +1,37 @@
+package io.caperturn.cli.command;
+
+import com.beust.jcommander.Parameter;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Option that names the entries to talk to. */
+public final class EntryAddresses {
+    private static final Pattern ADDRESS = Pattern.compile("(?:[A-Za-z0-9._-]+|\\[[0-9A-Fa-f:.]+]):[0-9]{1,5}");
+
+    @Parameter(
+            names = "--entry",
+            description = "HOST:PORT of an entry; several by comma or by repeating, tried in turn",
+            required = true)
+    private List<String> addresses;
+
+    /**
+     * Returns the addresses in the order of trial.
+     *
+     * @return the addresses, {@code host:port}
+     */
+    public List<String> addresses() {
+        return List.copyOf(addresses);
+    }
+
+    /**
+     * Checks the addresses.
+     *
+     * @return one line for each mistake
+     */
+    public List<String> mistakes() {
+        return addresses.stream()
+                .filter(address -> !ADDRESS.matcher(address).matches())
+                .map(address -> "--entry is HOST:PORT, not " + address)
+                .toList();
+    }
+}
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/SidecarCommand.java
@@ -0,0 +1,36 @@
+package io.caperturn.cli.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs a sidecar until it is asked to stop. */
+@Parameters(commandDescription = "Run a sidecar until SIGTERM, then drain it")
+public final class SidecarCommand implements Command {
+    @ParametersDelegate
+    private final CommonOptions common = new CommonOptions();
+
+    @Parameter(names = "--settings", description = "Settings file, JSON", required = true)
+    private Path settings;
+
+    @Override
+    public CommonOptions common() {
+        return common;
+    }
+
+    @Override
+    public List<String> mistakes() {
+        return List.of();
+    }
+
+    /**
+     * Returns the settings file.
+     *
+     * @return the file
+     */
+    public Path settings() {
+        return settings;
+    }
+}
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/daemon/DaemonRunner.java
@@ -0,0 +1,102 @@
+package io.caperturn.cli.daemon;
+
+import io.caperturn.cli.ExitCode;
+import io.caperturn.cli.Terminal;
+import io.caperturn.cli.check.SettingsReport;
+import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.ServiceStartException;
+import io.caperturn.settings.EntrySettings;
+import io.caperturn.settings.Settings;
+import io.caperturn.settings.SettingsLoader;
+import io.caperturn.settings.SettingsMistake;
+import io.caperturn.settings.SettingsResult;
+import io.caperturn.settings.SettingsRole;
+import io.caperturn.settings.SidecarSettings;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * Runs a daemon: settings, start, wait, drain, stop.
+ *
+ * <p>SIGTERM and SIGINT drain the daemon in a shutdown hook and end the process with {@link ExitCode#DONE}, so that a
+ * planned stop is told apart from a crash.
+ */
+public final class DaemonRunner {
+    private static final System.Logger LOGGER = System.getLogger(DaemonRunner.class.getName());
+
+    private DaemonRunner() {}
+
+    /**
+     * Runs an entry until the process is asked to stop.
+     *
+     * @param file its settings
+     * @param terminal where mistakes are reported
+     * @return why it did not start or stay
+     */
+    public static ExitCode runEntry(Path file, Terminal terminal) {
+        return run(file, EntrySettings.class, DaemonRunner::startEntry, terminal);
+    }
+
+    /**
+     * Runs a sidecar until the process is asked to stop.
+     *
+     * @param file its settings
+     * @param terminal where mistakes are reported
+     * @return why it did not start or stay
+     */
+    public static ExitCode runSidecar(Path file, Terminal terminal) {
+        return run(file, SidecarSettings.class, DaemonRunner::startSidecar, terminal);
+    }
+
+    private static Daemon startEntry(EntrySettings settings) throws ServiceStartException {
+        throw new ServiceStartException("the entry is not built in");
+    }
+
+    private static Daemon startSidecar(SidecarSettings settings) throws ServiceStartException {
+        throw new ServiceStartException("the sidecar is not built in");
+    }
+
+    private static <T extends Settings> ExitCode run(
+            Path file, Class<T> type, Daemon.Starter<T> starter, Terminal terminal) {
+        return switch (SettingsLoader.load(file, type)) {
+            case SettingsResult.Invalid<T>(List<SettingsMistake> mistakes) -> {
+                SettingsReport.print(file, SettingsRole.of(type), mistakes, terminal);
+                yield ExitCode.WRONG_USAGE;
+            }
+            case SettingsResult.Valid<T>(T settings) -> runUntilStopped(settings, starter, terminal);
+        };
+    }
+
+    private static <T extends Settings> ExitCode runUntilStopped(
+            T settings, Daemon.Starter<T> starter, Terminal terminal) {
+        Daemon daemon;
+        try {
+            daemon = starter.start(settings);
+        } catch (ServiceStartException e) {
+            terminal.messages().println(settings.name() + " did not start: " + e.getMessage());
+            return ExitCode.FAILED;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(settings.name(), daemon), "shutdown"));
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return ExitCode.FAILED;
+    }
+
+    private static void end(String name, Daemon daemon) {
+        log("draining", name);
+        daemon.drain().run();
+        daemon.stop().run();
+        log("stopped", name);
+        Runtime.getRuntime().halt(ExitCode.DONE.code());
+    }
+
+    private static void log(String event, String name) {
+        LOGGER.log(
+                System.Logger.Level.INFO,
+                EventLine.of(event).with("process", name).toString());
+    }
+}
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Running a daemon from start to drained stop. */
+package io.caperturn.cli.daemon;
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/http/package-info.java
@@ -0,0 +1,2 @@
+/** Exchanges with an entry over HTTP. */
+package io.caperturn.cli.http;
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/package-info.java
@@ -0,0 +1,2 @@
+/** Submitting a job or a request and reporting its answer. */
+package io.caperturn.cli.submit;
