Daemons behind the command line; a fence of an adopter has its own reason

Cause: an owner has to tell 'this attempt was fenced by my own resolve' from 'another entry adopted the submission'; both came as FENCED.

Ruled out: comparing fence numbers in the entry (a report does not carry the fence in force).

Change: SUPERSEDED beside FENCED; the tests of the sidecar that named FENCED for the adopter's case now name SUPERSEDED, as strict as before. Claims keep the time of their first claim through an adoption. The command line starts the daemons.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/daemon/DaemonRunner.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/daemon/DaemonRunner.java
@@ -3,6 +3,7 @@
 import io.caperturn.cli.ExitCode;
 import io.caperturn.cli.Terminal;
 import io.caperturn.cli.check.SettingsReport;
+import io.caperturn.entry.EntryDaemon;
 import io.caperturn.kernel.EventLine;
 import io.caperturn.kernel.ServiceStartException;
 import io.caperturn.settings.EntrySettings;
@@ -12,6 +13,7 @@
 import io.caperturn.settings.SettingsResult;
 import io.caperturn.settings.SettingsRole;
 import io.caperturn.settings.SidecarSettings;
+import io.caperturn.sidecar.SidecarDaemon;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -50,11 +52,13 @@
     }
 
     private static Daemon startEntry(EntrySettings settings) throws ServiceStartException {
-        throw new ServiceStartException("the entry is not built in");
+        EntryDaemon daemon = EntryDaemon.start(settings);
+        return new Daemon(daemon::drain, daemon::stop);
     }
 
     private static Daemon startSidecar(SidecarSettings settings) throws ServiceStartException {
-        throw new ServiceStartException("the sidecar is not built in");
+        SidecarDaemon daemon = SidecarDaemon.start(settings);
+        return new Daemon(daemon::drain, daemon::stop);
     }
 
     private static <T extends Settings> ExitCode run(
--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -169,7 +169,7 @@
         }
         boolean fenced = attempt.fence() < ledger.fenceOf(attempt.key().submission()) && attempt.fence() > 0;
         if (fenced || (line != null && !line.isOlderThan(attempt))) {
-            report(entry, attempt, notStarted(NotStartedReason.FENCED));
+            report(entry, attempt, notStarted(fenced ? NotStartedReason.SUPERSEDED : NotStartedReason.FENCED));
             return;
         }
         Optional<NotStartedReason> refusal =
@@ -257,7 +257,7 @@
             boolean queued = line.state() instanceof AttemptState.Queued;
             if (queued && line.attempt().fence() < inForce) {
                 slots.remove(line);
-                end(line, notStarted(NotStartedReason.FENCED), now);
+                end(line, notStarted(NotStartedReason.SUPERSEDED), now);
             }
             line.ask(received.entry(), line.attempt());
         }
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/DoubtAndFenceTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/DoubtAndFenceTest.java
@@ -23,6 +23,7 @@
 class DoubtAndFenceTest {
     private static final AttemptId ATTEMPT = attempt(1, 1, 1);
     private static final AttemptState FENCED = notStarted(NotStartedReason.FENCED);
+    private static final AttemptState SUPERSEDED = notStarted(NotStartedReason.SUPERSEDED);
 
     @ParameterizedTest
     @ValueSource(longs = {0, 1})
@@ -91,7 +92,7 @@
         SidecarScenario scenario = SidecarScenario.serving(1);
         scenario.dispatchTasks(FIRST_ENTRY, 2);
         scenario.on(new SidecarEvent.FenceReceived(SECOND_ENTRY, JOB, 2));
-        assertEquals(List.of(new AttemptReport(attempt(2, 1, 1), FENCED)), scenario.reportsTo(FIRST_ENTRY));
+        assertEquals(List.of(new AttemptReport(attempt(2, 1, 1), SUPERSEDED)), scenario.reportsTo(FIRST_ENTRY));
         scenario.end(ATTEMPT);
         assertEquals(List.of(ATTEMPT), scenario.started());
     }
@@ -108,7 +109,7 @@
                         2,
                         List.of(
                                 new AttemptReport(ATTEMPT, new AttemptState.Running()),
-                                new AttemptReport(attempt(2, 1, 1), FENCED)))),
+                                new AttemptReport(attempt(2, 1, 1), SUPERSEDED)))),
                 scenario.last(SidecarCommand.SendFenced.class));
     }
 
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/LedgerRulesTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/LedgerRulesTest.java
@@ -70,7 +70,7 @@
                                 attempt(4, 1, 1),
                                 attempt(5, 1, 1),
                                 ATTEMPT)),
-                refusal(NotStartedReason.FENCED, scenario -> {
+                refusal(NotStartedReason.SUPERSEDED, scenario -> {
                     scenario.on(new SidecarEvent.FenceReceived(SECOND_ENTRY, SidecarScenario.JOB, 2));
                     scenario.dispatch(FIRST_ENTRY, ATTEMPT);
                 }));
--- a/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
@@ -44,6 +44,7 @@
 class ClaimWriterTest {
     private static final ProcessId SELF = new ProcessId("entry-1", 7);
     private static final ProcessId OTHER = new ProcessId("entry-2", 9);
+    private static final Instant CLAIMED_AT = Instant.parse("2026-01-01T00:00:00Z");
     private static final String DIGEST = "digest";
     private static final int WAIT_SECONDS = 10;
     private static final ClaimPolicy POLICY =
@@ -98,16 +99,17 @@
     }
 
     static Stream<Arguments> rowsInForce() {
-        ClaimResult held = new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST);
+        ClaimResult held = new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST, CLAIMED_AT);
         return Stream.of(
                 arguments(SELF, DIGEST, 1, new ClaimResult.Granted(4, true)),
-                arguments(SELF, "another", 1, new ClaimResult.HeldByOther(SELF, "127.0.0.1:2", 4, "another")),
+                arguments(
+                        SELF, "another", 1, new ClaimResult.HeldByOther(SELF, "127.0.0.1:2", 4, "another", CLAIMED_AT)),
                 arguments(OTHER, DIGEST, 1, held),
                 arguments(
                         new ProcessId("entry-1", 6),
                         DIGEST,
                         1,
-                        new ClaimResult.HeldByOther(new ProcessId("entry-1", 6), "127.0.0.1:2", 4, DIGEST)),
+                        new ClaimResult.HeldByOther(new ProcessId("entry-1", 6), "127.0.0.1:2", 4, DIGEST, CLAIMED_AT)),
                 arguments(OTHER, DIGEST, -1, new ClaimResult.Granted(5, false)));
     }
 
@@ -165,11 +167,11 @@
         store.failNext(List.of(NONE, fault));
         writer.start();
 
-        writer.adopt(submission("job", DIGEST), heldFence);
+        writer.adopt(submission("job", DIGEST), held(heldFence));
 
         ClaimResult expected = grantedFence > 0
                 ? new ClaimResult.Granted(grantedFence, false)
-                : new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST);
+                : new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST, CLAIMED_AT);
         assertEquals(expected, next().result());
     }
 
@@ -180,8 +182,8 @@
         writer.start();
         rival.start();
 
-        writer.adopt(submission("job", DIGEST), 4);
-        rival.adopt(submission("job", DIGEST), 4);
+        writer.adopt(submission("job", DIGEST), held(4));
+        rival.adopt(submission("job", DIGEST), held(4));
 
         List<ClaimResult> both = List.of(next().result(), next().result());
         rival.stop();
@@ -236,8 +238,19 @@
     private static String row(ProcessId holder, long fence, String digest, Duration expiresIn) {
         long now = System.currentTimeMillis();
         long expiry = now + expiresIn.toMillis();
-        return Json.write(
-                new ClaimRow(holder.name(), holder.incarnation(), "127.0.0.1:2", fence, digest, now, expiry, -1));
+        return Json.write(new ClaimRow(
+                holder.name(),
+                holder.incarnation(),
+                "127.0.0.1:2",
+                fence,
+                digest,
+                CLAIMED_AT.toEpochMilli(),
+                expiry,
+                -1));
+    }
+
+    private static ClaimResult.HeldByOther held(long fence) {
+        return new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", fence, DIGEST, CLAIMED_AT);
     }
 
     private static Submission submission(String key, String digest) {
