Tests of the sidecar's daemon and of the judgement on exchanges

Change: in-process stand-ins of upstream and entry; the upstream's own record counts starts; redirects, challenges and cut connections must not start a second run; a connection that timed out must not be used again.

--- /dev/null
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/SidecarDaemonTest.java
@@ -0,0 +1,310 @@
+package io.caperturn.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.settings.LinkTimes;
+import io.caperturn.settings.SidecarSettings;
+import io.caperturn.settings.SidecarSettings.UpstreamTreatment;
+import io.caperturn.wire.Link;
+import io.caperturn.wire.MessageCodec;
+import io.caperturn.wire.message.CancelBatch;
+import io.caperturn.wire.message.Execution;
+import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.KindValues;
+import io.caperturn.wire.message.Report;
+import io.caperturn.wire.message.Resolve;
+import io.caperturn.wire.message.TableRows;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(30)
+class SidecarDaemonTest {
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final HttpClient HTTP = HttpClient.newHttpClient();
+
+    private FakeUpstream upstream;
+    private FakeEntry entry;
+    private SidecarDaemon sidecar;
+
+    @BeforeEach
+    void start() throws Exception {
+        upstream = new FakeUpstream();
+        entry = new FakeEntry("entry-1");
+        sidecar = SidecarDaemon.start(new SidecarSettings(
+                "sidecar-1",
+                "zone-a",
+                "127.0.0.1:0",
+                List.of(entry.address()),
+                new UpstreamTreatment(20_000, Set.of(503), 1, 15_000),
+                null,
+                new LinkTimes(200, 1_000, 50),
+                10_000));
+        assertEquals(204, announce("serving", 2));
+        entry.awaitLink();
+        entry.await(frame -> frame.hasUpstream() && frame.getUpstream().getServing());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        sidecar.stop();
+        entry.close();
+        upstream.close();
+    }
+
+    @Test
+    void resultOfUpstreamIsReported() throws Exception {
+        entry.dispatch("a", 1, LONG);
+        Report report = entry.awaitReports(1).getFirst();
+        assertEquals(FakeEntry.attempt("a", 1), report.getAttempt());
+        assertEquals("{\"task\":\"a\"}", report.getState().getCompleted().getResult());
+        assertEquals(List.of("team/job a 1.1"), upstream.starts());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"REDIRECT", "CHALLENGE", "CLOSE"})
+    void answerThatProvesNothingStartsNoSecondRun(FakeUpstream.Answer answer) throws Exception {
+        upstream.answerWith(answer);
+        entry.dispatch("a", 1, LONG);
+        Report report = entry.awaitReports(1).getFirst();
+        assertEquals(
+                Execution.EXECUTION_MAY_HAVE_RUN, report.getState().getFailed().getExecution());
+        assertEquals(1, upstream.starts().size());
+    }
+
+    @Test
+    void listedStatusProvesNotStarted() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.BUSY);
+        entry.dispatch("a", 1, LONG);
+        assertEquals(
+                "REFUSED_BY_UPSTREAM",
+                entry.awaitReports(1).getFirst().getState().getNotStarted().getReason());
+    }
+
+    @Test
+    void refusedConnectionProvesNotStarted() throws Exception {
+        upstream.close();
+        entry.dispatch("a", 1, LONG);
+        assertEquals(
+                "REFUSED_BY_UPSTREAM",
+                entry.awaitReports(1).getFirst().getState().getNotStarted().getReason());
+    }
+
+    @Test
+    void connectionThatTimedOutIsNotUsedAgain() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        entry.dispatch("a", 1, Duration.ofMillis(200));
+        Report silent = entry.awaitReports(1).getFirst();
+        assertEquals(
+                Execution.EXECUTION_MAY_HAVE_RUN, silent.getState().getFailed().getExecution());
+        upstream.answerWith(FakeUpstream.Answer.RESULT);
+        entry.dispatch("b", 1, LONG);
+        assertTrue(entry.awaitReports(1).getFirst().getState().hasCompleted());
+        assertEquals(2, new HashSet<>(upstream.clientPorts()).size());
+    }
+
+    @Test
+    void idleConnectionIsUsedAgain() throws Exception {
+        for (String task : List.of("a", "b", "c")) {
+            entry.dispatch(task, 1, LONG);
+            entry.awaitReports(1);
+        }
+        assertEquals(1, new HashSet<>(upstream.clientPorts()).size());
+    }
+
+    @Test
+    void slotsBoundStartsAtUpstream() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        for (String task : List.of("a", "b", "c", "d")) {
+            entry.dispatch(task, 1, LONG);
+        }
+        entry.dispatch("e", 1, LONG);
+        assertEquals(
+                "FULL",
+                entry.awaitReports(1).getFirst().getState().getNotStarted().getReason());
+        assertTrue(upstream.starts().size() <= 2);
+        releaseUntil(() -> upstream.starts().size() == 4);
+        entry.awaitReports(2);
+    }
+
+    @Test
+    void cancelReachesUpstream() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        entry.dispatch("a", 1, LONG);
+        until(() -> upstream.starts().size() == 1);
+        entry.send(Frame.newBuilder().setCancelBatch(CancelBatch.newBuilder().addAttempts(FakeEntry.attempt("a", 1))));
+        until(() -> upstream.aborts().equals(List.of("/v1/tasks/1.1/team/job/a")));
+        upstream.release();
+        entry.awaitReports(1);
+    }
+
+    @Test
+    void resolveOverNewLinkFindsResult() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        entry.dispatch("a", 1, LONG);
+        until(() -> upstream.starts().size() == 1);
+        Link earlier = entry.awaitLinkAfterClosing();
+        upstream.release();
+        entry.send(Frame.newBuilder()
+                .setResolve(Resolve.newBuilder()
+                        .setAddressee(MessageCodec.toMessage(sidecar.self()))
+                        .setAttempt(FakeEntry.attempt("a", 1))));
+        Frame frame = entry.await(Frame::hasResolved);
+        assertFalse(earlier.send(Frame.newBuilder()));
+        if (frame.getResolved().getState().hasRunning()) {
+            assertTrue(entry.awaitReports(1).getFirst().getState().hasCompleted());
+        } else {
+            assertTrue(frame.getResolved().getState().hasCompleted());
+        }
+    }
+
+    @Test
+    void leavingIsToldToEntry() throws Exception {
+        announce("leaving", 2);
+        Frame told =
+                entry.await(frame -> frame.hasUpstream() && !frame.getUpstream().getServing());
+        assertEquals(0, told.getUpstream().getWindow());
+    }
+
+    @Test
+    void changedSlotsAreFollowed() throws Exception {
+        announce("serving", 5);
+        entry.await(frame -> frame.hasUpstream() && frame.getUpstream().getSlots() == 5);
+    }
+
+    @Test
+    void changedAddressIsFollowed() throws Exception {
+        try (FakeUpstream next = new FakeUpstream()) {
+            announce("serving", 2, next.address());
+            entry.dispatch("a", 1, LONG);
+            entry.awaitReports(1);
+            assertEquals(1, next.starts().size());
+        }
+    }
+
+    @Test
+    void drainFinishesWhatRuns() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        entry.dispatch("a", 1, LONG);
+        until(() -> upstream.starts().size() == 1);
+        CompletableFuture<Void> drained = CompletableFuture.runAsync(sidecar::drain);
+        entry.await(frame -> frame.hasUpstream() && !frame.getUpstream().getServing());
+        assertEquals(503, get("/readyz").statusCode());
+        assertFalse(drained.isDone());
+        upstream.release();
+        assertTrue(entry.awaitReports(1).getFirst().getState().hasCompleted());
+        drained.get();
+    }
+
+    @Test
+    void higherTableVersionIsFetchedForServedKinds() throws Exception {
+        entry.showTableVersion(9);
+        Frame request = entry.await(Frame::hasTableRequest);
+        assertEquals(List.of("assay"), request.getTableRequest().getKindsList());
+        sendTable(9);
+        until(() -> get("/metrics").body().contains("caperturn_table_version 9.0"));
+    }
+
+    @Test
+    void lowerTableVersionIsIgnored() throws Exception {
+        sendTable(9);
+        sendTable(8);
+        entry.dispatch("a", 1, LONG);
+        assertEquals(9, entry.await(Frame::hasReportBatch).getTableVersion());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[", "null", "{}", "{\"name\":1}"})
+    void bodyThatIsNoAnnouncementIsRefused(String body) throws Exception {
+        assertEquals(400, post(body));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'\"upstream-1\"', '\" \"'", "'[\"assay\"]', '[]'", "'\"slots\":2', '\"slots\":0'",
+        "'\"connections\":4', '\"connections\":-1'", "'127.0.0.1:', '127.0.0.1/'", "serving, gone"
+    })
+    void announcementWithMemberOutOfRangeIsRefused(String right, String wrong) throws Exception {
+        assertEquals(400, post(announcement("serving", 2, "127.0.0.1:1").replace(right, wrong)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/healthz, 200", "/readyz, 200", "/metrics, 200", "/other, 404", "/v1/announcements, 405"})
+    void operatorsRoutes(String path, int status) throws Exception {
+        until(() -> get(path).statusCode() == status);
+    }
+
+    private void sendTable(long version) {
+        entry.send(Frame.newBuilder()
+                .setTableRows(TableRows.newBuilder()
+                        .setVersion(version)
+                        .addKinds(KindValues.newBuilder()
+                                .setKind("assay")
+                                .setWeight(1)
+                                .setUrgency("NORMAL")
+                                .setTaskTimeoutMilliseconds(1_000))));
+    }
+
+    private int announce(String state, int slots) throws Exception {
+        return announce(state, slots, upstream.address());
+    }
+
+    private int announce(String state, int slots, String address) throws Exception {
+        return post(announcement(state, slots, address));
+    }
+
+    private static String announcement(String state, int slots, String address) {
+        return """
+                {"name":"upstream-1","kinds":["assay"],"slots":%d,"connections":4,"worker":"worker-1","rack":"rack-1",
+                "availabilityZone":"zone-a","address":"%s","state":"%s"}""".formatted(slots, address, state);
+    }
+
+    private int post(String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(uri("/v1/announcements"))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return HTTP.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    private HttpResponse<String> get(String path) {
+        try {
+            return HTTP.send(HttpRequest.newBuilder(uri(path)).build(), HttpResponse.BodyHandlers.ofString());
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private URI uri(String path) {
+        return URI.create("http://" + sidecar.announceAddress() + path);
+    }
+
+    private void releaseUntil(BooleanSupplier condition) throws InterruptedException {
+        until(() -> {
+            upstream.release();
+            return condition.getAsBoolean();
+        });
+    }
+
+    /** Waits for a condition; the test's own time limit ends a wait in vain. */
+    private static void until(BooleanSupplier condition) throws InterruptedException {
+        while (!condition.getAsBoolean()) {
+            Thread.sleep(5);
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/internal/ExchangeClassifierTest.java
@@ -0,0 +1,75 @@
+package io.caperturn.sidecar.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.TaskOutcome;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class ExchangeClassifierTest {
+    private static final Duration SERVICE_TIME = Duration.ofMillis(5);
+    private static final boolean BEGUN = true;
+
+    private final ExchangeClassifier classifier = new ExchangeClassifier(Set.of(429, 503));
+
+    @ParameterizedTest
+    @CsvSource({
+        "100, MAY_HAVE_RUN", "199, MAY_HAVE_RUN", "301, MAY_HAVE_RUN", "304, MAY_HAVE_RUN", "400, MAY_HAVE_RUN",
+        "401, MAY_HAVE_RUN", "404, MAY_HAVE_RUN", "408, MAY_HAVE_RUN", "429, NOT_RUN", "500, MAY_HAVE_RUN",
+        "502, MAY_HAVE_RUN", "503, NOT_RUN", "504, MAY_HAVE_RUN"
+    })
+    void statusOutsideSuccess(int status, Execution execution) {
+        TaskOutcome outcome = classifier.classify(new ExchangeEnd.Answered(status, ""), SERVICE_TIME);
+        assertEquals(execution, ((TaskOutcome.Failed) outcome).execution());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200", "201", "204", "299"})
+    void successCarriesBody(int status) {
+        assertEquals(
+                new TaskOutcome.Completed("{\"a\":1}", SERVICE_TIME),
+                classifier.classify(new ExchangeEnd.Answered(status, "{\"a\":1}"), SERVICE_TIME));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"429", "503", "500"})
+    void noStatusProvesAnythingUnlessListed(int status) {
+        TaskOutcome outcome =
+                new ExchangeClassifier(Set.of()).classify(new ExchangeEnd.Answered(status, ""), SERVICE_TIME);
+        assertEquals(Execution.MAY_HAVE_RUN, ((TaskOutcome.Failed) outcome).execution());
+    }
+
+    static Stream<Arguments> failures() {
+        return Stream.of(
+                Arguments.of(new ConnectException("refused"), !BEGUN, Execution.NOT_RUN),
+                Arguments.of(new ConnectException("refused"), BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new TimeoutException("total"), !BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new TimeoutException("total"), BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new SocketTimeoutException("connect"), !BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new SocketException("reset"), BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new EOFException("closed"), BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(new IOException("broken pipe"), !BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(
+                        new IllegalArgumentException("buffering capacity exceeded"), BEGUN, Execution.MAY_HAVE_RUN),
+                Arguments.of(null, BEGUN, Execution.MAY_HAVE_RUN));
+    }
+
+    @ParameterizedTest
+    @MethodSource("failures")
+    void failureProvesNotRunOnlyIfConnectionWasRefused(Throwable failure, boolean begun, Execution execution) {
+        TaskOutcome outcome = classifier.classify(HttpUpstreamClient.endOf(failure, begun), SERVICE_TIME);
+        assertEquals(execution, ((TaskOutcome.Failed) outcome).execution());
+    }
+}
