--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
@@ -14,11 +14,14 @@
  * Division of the sidecar's capacity among the linked entries.
  *
  * <p>Each entry has a window: the most attempts that it may have outstanding here. An idle entry keeps a small one, so
- * that a lone request needs no message before it; the rest is divided max-min fairly by what each entry has outstanding
- * and waiting. Confined to the thread of the {@link SidecarMachine}.
+ * that a lone request needs no message before it, and all idle entries together hold back no more than a part of the
+ * capacity. The rest is divided max-min fairly by what each entry has outstanding and waiting. Confined to the thread
+ * of the {@link SidecarMachine}.
  */
 final class WindowAllocator {
     private static final int IDLE_WINDOW = 2;
+    private static final int IDLE_WINDOW_DIVISOR = 8;
+    private static final int IDLE_PART_DIVISOR = 4;
     private static final Duration DEMAND_LIFETIME = Duration.ofSeconds(1);
     private static final int GROWTH_DIVISOR = 4;
 
@@ -50,21 +53,30 @@
 
     /** Divides the capacity anew; 0 closes all windows. */
     void allocate(int capacity, Map<ProcessId, Integer> outstanding, Instant now) {
+        int idleWindow = idleWindow(capacity);
         List<Share> active = new ArrayList<>();
-        int left = capacity - countWithoutLink(outstanding);
         for (Map.Entry<ProcessId, Share> entry : shares.entrySet()) {
             Share share = entry.getValue();
             share.forgetDemand(now);
             share.wanted = outstanding.getOrDefault(entry.getKey(), 0) + share.demand;
-            share.window = capacity == 0 ? 0 : IDLE_WINDOW;
-            left -= share.window;
+            share.window = 0;
             if (share.wanted > 0) {
                 active.add(share);
             }
         }
+        int idle = (shares.size() - active.size()) * idleWindow;
+        int reserved = Math.min(idle, capacity / IDLE_PART_DIVISOR);
         active.sort(Comparator.comparingInt(share -> share.wanted));
-        left = grantWanted(active, left);
+        int left = grantWanted(active, capacity - reserved - countWithoutLink(outstanding));
         grantRest(active, left);
+        shares.values().forEach(share -> share.window = Math.max(share.window, idleWindow));
+    }
+
+    private static int idleWindow(int capacity) {
+        if (capacity == 0) {
+            return 0;
+        }
+        return Math.clamp(capacity / IDLE_WINDOW_DIVISOR, 1, IDLE_WINDOW);
     }
 
     /** Returns the window last allocated and notes that the entry is told of it. */
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/SidecarScenario.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SidecarScenario.java
@@ -31,6 +31,7 @@
 
     private final SidecarMachine machine;
     private final List<SidecarCommand> all = new ArrayList<>();
+    private final StringBuilder transcript = new StringBuilder();
     private List<SidecarCommand> last = List.of();
     private Instant now = Instant.EPOCH;
 
@@ -74,9 +75,20 @@
     List<SidecarCommand> on(SidecarEvent event) {
         last = machine.on(event, now);
         all.addAll(last);
+        transcript
+                .append(Duration.between(Instant.EPOCH, now))
+                .append("  ")
+                .append(event)
+                .append('\n');
+        last.forEach(command -> transcript.append("    ").append(command).append('\n'));
         return last;
     }
 
+    /** Returns every event with its time and its commands. */
+    String transcript() {
+        return transcript.toString();
+    }
+
     void advance(Duration time) {
         now = now.plus(time);
     }
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
@@ -10,6 +10,7 @@
 
 import io.caperturn.core.model.AttemptReport;
 import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -140,6 +141,20 @@
         assertEquals(Map.of(FIRST_ENTRY, firstWindow, SECOND_ENTRY, secondWindow), windows(scenario));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 16", "2, 14", "3, 12", "10, 12"})
+    void idleEntriesLeaveThreeQuartersToDemand(int entries, int window) {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.on(new SidecarEvent.EntryLost(SECOND_ENTRY));
+        for (int entry = 2; entry <= entries; entry++) {
+            scenario.on(new SidecarEvent.EntryLinked(new ProcessId("entry-" + entry, 1)));
+        }
+        scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, 100));
+        assertEquals(
+                List.of(new SidecarCommand.SendWindow(FIRST_ENTRY, window)),
+                scenario.last(SidecarCommand.SendWindow.class));
+    }
+
     @Test
     void demandIsForgottenAfterOneSecond() {
         SidecarScenario scenario = SidecarScenario.serving(8);
