--- a/caperturn-kernel/src/main/java/io/caperturn/kernel/EventLine.java
+++ b/caperturn-kernel/src/main/java/io/caperturn/kernel/EventLine.java
@@ -43,7 +43,7 @@
     }
 
     private static String quote(String value) {
-        boolean plain = !value.isEmpty() && value.chars().allMatch(c -> c > ' ' && c != '"' && c != '=' && c != 127);
+        boolean plain = !value.isEmpty() && value.chars().noneMatch(EventLine::needsQuotes);
         if (plain) {
             return value;
         }
@@ -55,9 +55,21 @@
                 case '\n' -> quoted.append("\\n");
                 case '\r' -> quoted.append("\\r");
                 case '\t' -> quoted.append("\\t");
-                default -> quoted.append(c < ' ' ? '?' : c);
+                default -> quoted.append(breaksLine(c) ? '?' : c);
             }
         }
         return quoted.append('"').toString();
     }
+
+    private static boolean needsQuotes(int character) {
+        return character == ' ' || character == '"' || character == '=' || breaksLine(character);
+    }
+
+    /**
+     * Tells control characters and the separators of lines and paragraphs, which some readers take for a line's end.
+     */
+    private static boolean breaksLine(int character) {
+        int type = Character.getType(character);
+        return type == Character.CONTROL || type == Character.LINE_SEPARATOR || type == Character.PARAGRAPH_SEPARATOR;
+    }
 }
