--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -146,6 +146,17 @@
         return consecutiveFailures;
     }
 
+    /** Puts the back end on probation: single tasks probe it from the given time until one succeeds. */
+    void suspect(long firstProbe) {
+        probing = true;
+        ejectedUntil = firstProbe;
+    }
+
+    /** Ends a probation whose cause was not the back end. */
+    void clear() {
+        probing = ejected;
+    }
+
     /** Keeps all work away until a time, after which single tasks probe the back end. */
     void eject(long now, SchedulerPolicy.Health policy) {
         long first = policy.firstEjection().toNanos();
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -112,20 +112,22 @@
         if (backend.failed(submission)) {
             failures++;
         }
-        boolean suspect = backend.probing() || backend.consecutiveFailures() >= policy.minimumFailures();
-        if (!backend.ejected() && suspect && !peersFailToo(backend) && mayEjectMore(backend)) {
+        double peerFailures = failures - backend.failures();
+        double peerOutcomes = peerFailures + completions - backend.completions();
+        boolean peersFailToo = peerFailures > policy.peerFailureRatio() * peerOutcomes;
+        if (peersFailToo) {
+            backend.clear();
+        } else if (!backend.ejected() && (backend.probing() || mayAvoidMore(backend))) {
+            backend.suspect(now + policy.probePatience().toNanos());
+        }
+        boolean proven = peerOutcomes > 0 && backend.consecutiveFailures() >= policy.minimumFailures();
+        if (backend.probing() && !backend.ejected() && proven) {
             backend.eject(now, policy);
             ejected.add(backend);
         }
     }
 
-    private boolean peersFailToo(Backend backend) {
-        double peerFailures = failures - backend.failures();
-        double peerOutcomes = peerFailures + completions - backend.completions();
-        return peerOutcomes <= 0 || peerFailures / peerOutcomes > policy.peerFailureRatio();
-    }
-
-    private boolean mayEjectMore(Backend backend) {
+    private boolean mayAvoidMore(Backend backend) {
         long avoided = backends.values().stream()
                 .filter(other -> other != backend && other.serving() && other.probing())
                 .count();
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
@@ -95,7 +95,8 @@
     /** Returns a back end on probation that may take a task; after the patience any task will do. */
     Optional<Seat> findProbe(boolean idempotent, long patience, long now) {
         for (Seat seat : probes) {
-            if (idempotent || now - seat.backend.ejectedUntil() >= patience) {
+            long earliest = seat.backend.ejectedUntil() + (idempotent ? 0 : patience);
+            if (now >= earliest) {
                 return Optional.of(seat);
             }
         }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Lane.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Lane.java
@@ -43,7 +43,9 @@
     }
 
     TeamQueue team(String name, LimitUsage usage) {
-        return teams.computeIfAbsent(name, key -> new TeamQueue(key, usage, nextSequence++));
+        TeamQueue team = teams.computeIfAbsent(name, key -> new TeamQueue(key, usage, nextSequence++));
+        team.rebind(usage);
+        return team;
     }
 
     /** Returns since when the longest waiting submission has waited, in nanoseconds. */
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -94,7 +94,7 @@
      *
      * @param minimumFailures consecutive failures, of different submissions, before a back end is ejected
      * @param peerFailureRatio failure ratio of the other back ends above which the fault is not the back end's
-     * @param ejectableFraction largest part of the back ends that may be ejected at once
+     * @param ejectableFraction largest part of the back ends that may be ejected or on probation at once
      * @param firstEjection how long the first ejection lasts
      * @param longestEjection how long an ejection lasts at most, each being twice as long as the one before
      * @param probePatience how long a probe waits for an idempotent request before it takes any task
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/TeamQueue.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/TeamQueue.java
@@ -7,7 +7,7 @@
 /** Waiting submissions of one team in one lane, those due first before the others. */
 final class TeamQueue extends FairQueue.Member {
     private final String team;
-    private final LimitUsage usage;
+    private LimitUsage usage;
     private final NavigableSet<SubmissionQueue> submissions = new TreeSet<>(
             Comparator.comparingDouble(SubmissionQueue::dueBy).thenComparingInt(SubmissionQueue::sequence));
     private int placed;
@@ -26,6 +26,11 @@
         return usage;
     }
 
+    /** Counts against another account from now on; only while idle, after the earlier account was closed. */
+    void rebind(LimitUsage newer) {
+        usage = newer;
+    }
+
     NavigableSet<SubmissionQueue> submissions() {
         return submissions;
     }
