Replay of traces in virtual time through the real decision logic, with baselines

Cause: order and placement are to be measured against baselines on the same trace in the same run. Change: trace format, generators of the named traces, a simulation with the real EntryMachine and SidecarMachine, and a report as table, JSON and plot.

--- /dev/null
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/ReplayCommand.java
@@ -0,0 +1,110 @@
+package io.caperturn.replay;
+
+import io.caperturn.replay.policy.ReplayPolicy;
+import io.caperturn.replay.report.Plot;
+import io.caperturn.replay.report.Report;
+import io.caperturn.replay.trace.Trace;
+import io.caperturn.replay.trace.TraceFile;
+import io.caperturn.replay.trace.TraceFormatException;
+import io.caperturn.replay.trace.TraceGenerator;
+import io.caperturn.replay.trace.TraceName;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/** Entry point of the command line: replays a trace with all policies and writes table, JSON and plot. */
+public final class ReplayCommand {
+    /** Exit code of a replay that was made and reported. */
+    public static final int SUCCESS = 0;
+
+    /** Exit code where the trace, the deployment or an output can't be used. */
+    public static final int FAILURE = 1;
+
+    /** Seed where none is given. */
+    public static final long DEFAULT_SEED = 1;
+
+    /** Length of generated traces where none is given, in seconds. */
+    public static final double DEFAULT_LENGTH_SECONDS = 60;
+
+    private final long seed;
+    private final double lengthSeconds;
+
+    /**
+     * Creates the command.
+     *
+     * @param seed seed of generated traces and of the replay
+     * @param lengthSeconds length of generated traces
+     */
+    public ReplayCommand(long seed, double lengthSeconds) {
+        this.seed = seed;
+        this.lengthSeconds = lengthSeconds;
+    }
+
+    /** Creates the command with the default seed and length. */
+    public ReplayCommand() {
+        this(DEFAULT_SEED, DEFAULT_LENGTH_SECONDS);
+    }
+
+    /**
+     * Replays a trace.
+     *
+     * @param trace a trace file, or the name of a generated trace
+     * @param deployment the name of a deployment
+     * @param json where the report is written, or empty
+     * @param svg where the plot is written, or empty
+     * @param out where the table is printed, and what went wrong
+     * @return {@link #SUCCESS} or {@link #FAILURE}
+     */
+    public int run(String trace, String deployment, Optional<Path> json, Optional<Path> svg, PrintStream out) {
+        Optional<Deployment> found = Deployment.find(deployment);
+        if (found.isEmpty()) {
+            out.println("unknown deployment " + deployment + "; known are "
+                    + Deployment.known().stream().map(Deployment::name).collect(Collectors.joining(", ")));
+            return FAILURE;
+        }
+        try {
+            Report report = Replay.run(load(trace, found.get()), found.get(), ReplayPolicy.all(), seed);
+            report.print(out);
+            if (json.isPresent()) {
+                report.writeJson(json.get());
+            }
+            if (svg.isPresent()) {
+                Plot.writeSvg(report, svg.get());
+            }
+            return SUCCESS;
+        } catch (TraceFormatException malformed) {
+            out.println("malformed trace " + trace + ": " + malformed.getMessage());
+        } catch (IOException failure) {
+            out.println("can't read or write: " + failure + "; generated traces are "
+                    + Arrays.stream(TraceName.values()).map(TraceName::label).collect(Collectors.joining(", ")));
+        }
+        return FAILURE;
+    }
+
+    /**
+     * Replays a trace from the command line of a developer.
+     *
+     * @param arguments trace, then optionally deployment, JSON file and SVG file
+     */
+    public static void main(String[] arguments) {
+        if (arguments.length == 0) {
+            System.out.println("usage: TRACE [DEPLOYMENT [JSON [SVG]]]");
+            System.exit(FAILURE);
+        }
+        String deployment = arguments.length > 1 ? arguments[1] : Deployment.METALS_LAB.name();
+        Optional<Path> json = arguments.length > 2 ? Optional.of(Path.of(arguments[2])) : Optional.empty();
+        Optional<Path> svg = arguments.length > 3 ? Optional.of(Path.of(arguments[3])) : Optional.empty();
+        System.exit(new ReplayCommand().run(arguments[0], deployment, json, svg, System.out));
+    }
+
+    private Trace load(String trace, Deployment deployment) throws TraceFormatException, IOException {
+        Optional<TraceName> name = TraceName.find(trace);
+        if (name.isPresent()) {
+            return TraceGenerator.generate(name.get(), deployment.upstreams(), lengthSeconds, seed);
+        }
+        return TraceFile.read(Path.of(trace));
+    }
+}
--- /dev/null
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/policy/PushScheduler.java
@@ -0,0 +1,148 @@
+package io.caperturn.replay.policy;
+
+import io.caperturn.core.model.FailureReason;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TaskKey;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.schedule.Admission;
+import io.caperturn.core.schedule.Placement;
+import io.caperturn.core.schedule.PlacementEnd;
+import io.caperturn.core.schedule.Scheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Baseline that hands each task to a back end as soon as it arrives; it waits there in the order of arrival. */
+public final class PushScheduler implements Scheduler {
+    private final PlacementRule rule;
+    private final RandomGenerator random;
+    private final Deque<TaskKey> waiting = new ArrayDeque<>();
+    private final List<ProcessId> backends = new ArrayList<>();
+    private final Map<ProcessId, Integer> outstanding = new HashMap<>();
+    private Table table = Table.EMPTY;
+    private int next;
+
+    /**
+     * Creates the baseline.
+     *
+     * @param rule how it picks
+     * @param random its source of chance
+     */
+    public PushScheduler(PlacementRule rule, RandomGenerator random) {
+        this.rule = rule;
+        this.random = random;
+    }
+
+    @Override
+    public void tableChanged(Table newer, Instant now) {
+        table = newer;
+    }
+
+    @Override
+    public Admission admit(Submission submission, Instant now) {
+        Optional<KindRow> row = table.kind(submission.kind());
+        if (row.isEmpty()) {
+            return new Admission.Refused(FailureReason.UNKNOWN_KIND, "no such kind", Optional.empty());
+        }
+        return new Admission.Admitted(
+                submission.urgency().orElse(row.get().urgency()), row.get().taskTimeout());
+    }
+
+    @Override
+    public void withdraw(Submission submission) {
+        // Admission reserves nothing.
+    }
+
+    @Override
+    public void enqueue(Submission submission, List<TaskSpec> tasks, Instant now) {
+        tasks.forEach(task -> waiting.add(new TaskKey(submission.id(), task.id())));
+    }
+
+    @Override
+    public void remove(SubmissionId submission) {
+        waiting.removeIf(task -> task.submission().equals(submission));
+    }
+
+    @Override
+    public void sidecarChanged(
+            ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window, Instant now) {
+        backends.remove(sidecar);
+        if (serving) {
+            backends.add(sidecar);
+        }
+    }
+
+    @Override
+    public void windowChanged(ProcessId sidecar, int window) {
+        // Windows don't bind a baseline.
+    }
+
+    @Override
+    public void sidecarLost(ProcessId sidecar) {
+        backends.remove(sidecar);
+    }
+
+    @Override
+    public void ended(TaskKey task, ProcessId sidecar, PlacementEnd end, Duration serviceTime, Instant now) {
+        outstanding.merge(sidecar, -1, Integer::sum);
+    }
+
+    @Override
+    public List<Placement> place(Instant now) {
+        List<Placement> placements = new ArrayList<>();
+        while (!waiting.isEmpty() && !backends.isEmpty()) {
+            ProcessId target = pick();
+            outstanding.merge(target, 1, Integer::sum);
+            placements.add(new Placement(waiting.poll(), target));
+        }
+        return placements;
+    }
+
+    @Override
+    public int demandFor(ProcessId sidecar) {
+        return 0;
+    }
+
+    @Override
+    public List<SubmissionId> findUnservable(Instant now) {
+        return List.of();
+    }
+
+    private ProcessId pick() {
+        return switch (rule) {
+            case PlacementRule.RandomChoice() -> any();
+            case PlacementRule.RoundRobin() -> backends.get(next++ % backends.size());
+            case PlacementRule.LeastOutstanding() -> least();
+            case PlacementRule.TwoChoices() -> lesser(any(), any());
+        };
+    }
+
+    private ProcessId any() {
+        return backends.get(random.nextInt(backends.size()));
+    }
+
+    private ProcessId least() {
+        int start = random.nextInt(backends.size());
+        ProcessId best = backends.get(start);
+        for (int offset = 1; offset < backends.size(); offset++) {
+            best = lesser(best, backends.get((start + offset) % backends.size()));
+        }
+        return best;
+    }
+
+    private ProcessId lesser(ProcessId one, ProcessId other) {
+        return outstanding.getOrDefault(other, 0) < outstanding.getOrDefault(one, 0) ? other : one;
+    }
+}
