Table commands: show, set, import, export, history; deadline left on retry

Change: caperturn table reads and changes the table over the entry's HTTP protocol. A row that an operator writes, by options, CSV or JSON, is cells first; one check turns it into a row or names every mistake with row, column and, in a file, line. A plan holds only the rows that change, each under the version it was read at, and goes as one change or not at all. A conflict shows both values. A change whose end is doubtful goes on to the next entry under the same identity, which keeps it from taking effect twice.

submit asks for what is left of its deadline when it comes back, as the deadline is no part of a submission's identity.

Ruled out: a CSV library, as none is among the libraries at hand; the reader is of one class.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
@@ -8,8 +8,10 @@
 import io.caperturn.cli.command.ParseResult;
 import io.caperturn.cli.command.SidecarCommand;
 import io.caperturn.cli.command.SubmitCommand;
+import io.caperturn.cli.command.TableCommand;
 import io.caperturn.cli.daemon.DaemonRunner;
 import io.caperturn.cli.submit.SubmitAction;
+import io.caperturn.cli.table.TableAction;
 
 /** Entry point of the command line. */
 public final class Main {
@@ -61,6 +63,7 @@
             case SidecarCommand sidecar -> DaemonRunner.runSidecar(sidecar.settings(), terminal);
             case CheckSettingsCommand check -> SettingsReport.check(check.file(), check.role(), terminal);
             case SubmitCommand submit -> SubmitAction.run(submit, terminal);
+            case TableCommand table -> TableAction.run(table, terminal);
         };
     }
 }
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /** One command with its options, as the command line gave them. */
-public sealed interface Command permits CheckSettingsCommand, EntryCommand, SidecarCommand, SubmitCommand {
+public sealed interface Command
+        permits CheckSettingsCommand, EntryCommand, SidecarCommand, SubmitCommand, TableCommand {
     /**
      * Returns the options that every command has.
      *
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/TableCommand.java
@@ -0,0 +1,14 @@
+package io.caperturn.cli.command;
+
+import java.util.List;
+
+/** Command on the table of weights and limits. */
+public sealed interface TableCommand extends Command
+        permits TableExportCommand, TableHistoryCommand, TableImportCommand, TableSetCommand, TableShowCommand {
+    /**
+     * Returns the entries to try in turn.
+     *
+     * @return the addresses, {@code host:port}
+     */
+    List<String> entries();
+}
--- a/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmissionBuilder.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmissionBuilder.java
@@ -90,12 +90,13 @@
             return new SubmissionResult.Wrong("the file needs a team and a whole number as " + DEADLINE);
         }
         JsonNode tasks = body.path(TASKS);
+        Duration deadline = Duration.ofMillis(body.get(DEADLINE).asInt());
         return new SubmissionResult.Built(new Submission(
                 command.request() ? REQUESTS : JOBS,
                 body.get("team").asText(),
                 command.key().orElseGet(() -> UUID.randomUUID().toString()),
-                body.toString(),
+                body.without(DEADLINE),
                 command.request() ? 1 : tasks.size(),
-                Duration.ofMillis(body.get(DEADLINE).asInt())));
+                deadline));
     }
 }
--- a/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmitAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmitAction.java
@@ -49,8 +49,10 @@
         }
         long start = System.nanoTime();
         try (EntryClient client = EntryClient.open()) {
-            Submitter submitter =
-                    new Submitter(command.entries(), (entry, sent) -> send(client, entry, sent), Waiting.SYSTEM);
+            Submitter submitter = new Submitter(
+                    command.entries(),
+                    (entry, sent, remaining) -> send(client, entry, sent, remaining),
+                    Waiting.SYSTEM);
             SubmitOutcome outcome = Progress.during(() -> submitter.submit(submission), submission, terminal);
             return report(submission, outcome, Duration.ofNanos(System.nanoTime() - start));
         } catch (IOException e) {
@@ -59,13 +61,13 @@
         }
     }
 
-    private static Exchange send(EntryClient client, String entry, Submission submission) {
+    private static Exchange send(EntryClient client, String entry, Submission submission, Duration remaining) {
         return client.send(
                 HttpMethod.POST,
                 "http://" + entry + submission.path(),
-                submission.body(),
+                submission.bodyWithin(remaining),
                 Map.of(KEY_HEADER, submission.key()),
-                submission.deadline().plus(ANSWER_MARGIN));
+                remaining.plus(ANSWER_MARGIN));
     }
 
     private ExitCode report(Submission submission, SubmitOutcome outcome, Duration elapsed) {
--- a/caperturn-cli/src/main/java/io/caperturn/cli/submit/Submitter.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/Submitter.java
@@ -31,9 +31,10 @@
          *
          * @param entry the entry's address, {@code host:port}
          * @param submission the submission
+         * @param remaining the time that is left of its deadline
          * @return how the exchange ended
          */
-        Exchange send(String entry, Submission submission);
+        Exchange send(String entry, Submission submission, Duration remaining);
     }
 
     /**
@@ -58,7 +59,7 @@
     public SubmitOutcome submit(Submission submission) {
         Duration giveUp = waiting.now().plus(submission.deadline());
         while (true) {
-            SubmitOutcome outcome = tryEachEntry(submission);
+            SubmitOutcome outcome = tryEachEntry(submission, giveUp);
             Optional<Duration> pause = pauseAfter(outcome);
             if (pause.isEmpty() || waiting.now().plus(pause.get()).compareTo(giveUp) >= 0) {
                 return outcome;
@@ -72,10 +73,11 @@
         }
     }
 
-    private SubmitOutcome tryEachEntry(Submission submission) {
+    private SubmitOutcome tryEachEntry(Submission submission, Duration giveUp) {
         SubmitOutcome soonest = null;
         for (String entry : entries) {
-            SubmitOutcome outcome = outcome(entry, transport.send(entry, submission), submission);
+            Duration remaining = giveUp.minus(waiting.now());
+            SubmitOutcome outcome = outcome(entry, transport.send(entry, submission, remaining), submission);
             if (!provesNothingRan(outcome)) {
                 return outcome;
             }
--- a/caperturn-cli/src/test/java/io/caperturn/cli/submit/SubmitterTest.java
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/submit/SubmitterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.caperturn.cli.http.Exchange;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -15,13 +16,14 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SubmitterTest {
-    private static final Submission SUBMISSION =
-            new Submission("/v1/jobs", "demo", "key-1", "{}", 2, Duration.ofSeconds(10));
+    private static final Submission SUBMISSION = new Submission(
+            "/v1/jobs", "demo", "key-1", JsonNodeFactory.instance.objectNode(), 2, Duration.ofSeconds(10));
     private static final Exchange COMPLETE = replied(200, "{\"results\":[{},{}]}");
     private static final Exchange NOT_SENT = new Exchange.NotSent("refused");
 
     private final Deque<Exchange> script = new ArrayDeque<>();
     private final List<String> asked = new ArrayList<>();
+    private final List<String> bodies = new ArrayList<>();
     private final List<Duration> pauses = new ArrayList<>();
 
     private static Exchange replied(int status, String body) {
@@ -41,8 +43,9 @@
         return new Submitter(List.of("a:1", "b:2"), this::reply, new ScriptedWaiting()).submit(SUBMISSION);
     }
 
-    private Exchange reply(String entry, Submission submission) {
+    private Exchange reply(String entry, Submission submission, Duration remaining) {
         asked.add(entry + " " + submission.key());
+        bodies.add(submission.bodyWithin(remaining));
         return script.removeFirst();
     }
 
@@ -68,6 +71,12 @@
         assertEquals(List.of(Duration.ofMillis(300)), pauses);
     }
 
+    @Test
+    void laterAttemptAsksForAnAnswerWithinWhatIsLeftOfTheDeadline() {
+        submit(refusal(700), refusal(700), COMPLETE);
+        assertEquals("{\"deadlineMilliseconds\":9300}", bodies.getLast());
+    }
+
     @Test
     void retryBeyondTheDeadlineIsNotMade() {
         assertInstanceOf(SubmitOutcome.Refused.class, submit(refusal(6_000), refusal(6_000), refusal(6_000), NOT_SENT));
--- /dev/null
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/table/EditPlanTest.java
@@ -0,0 +1,102 @@
+package io.caperturn.cli.table;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class EditPlanTest {
+    private static final String HEADER =
+            "row,name,weight,urgency,running,queued,startsPerSecond,taskTimeoutMilliseconds,explicitZero,rowVersion\n";
+    private static final String ASSAY = "kind,assay,3,urgent,8,,,2000,,4\n";
+    private static final String LAB = "team,lab,,,,100,,,,2\n";
+    private static final TableRows IN_FORCE = TableRows.of(7, rows(ASSAY + LAB));
+
+    private static List<RowCells> cells(String lines) {
+        return assertInstanceOf(TableFile.Result.Read.class, TableFile.read(HEADER + lines))
+                .rows();
+    }
+
+    private static List<TableRow> rows(String lines) {
+        return cells(lines).stream()
+                .map(RowCheck::check)
+                .map(result -> ((RowCheck.Result.Valid) result).row())
+                .toList();
+    }
+
+    private static List<String> differences(EditPlan plan) {
+        return assertInstanceOf(EditPlan.Edits.class, plan).edits().stream()
+                .map(TableEdit::difference)
+                .toList();
+    }
+
+    @Test
+    void exportedTableImportsWithoutAnyEdit() {
+        List<RowCells> rows = assertInstanceOf(
+                        TableFile.Result.Read.class, TableFile.read(TableFile.writeCsv(IN_FORCE)))
+                .rows();
+        assertEquals(List.of(), differences(EditPlan.of(IN_FORCE, rows, false, true)));
+    }
+
+    @Test
+    void exportedJsonImportsWithoutAnyEdit() {
+        List<RowCells> rows = assertInstanceOf(
+                        TableFile.Result.Read.class, TableFile.read(TableFile.writeJson(IN_FORCE)))
+                .rows();
+        assertEquals(List.of(), differences(EditPlan.of(IN_FORCE, rows, false, true)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "kind,assay,5,urgent,,,,2000,,4 | ~ kinds/assay weight 3 -> 5 running 8 -> unlimited",
+                "kind,assay,3,urgent,8,,,2000,, | ",
+                "kind,cube,1,normal,,,50,900,, | + kinds/cube weight=1 urgency=normal startsPerSecond=50 "
+                        + "taskTimeoutMilliseconds=900",
+                "team,lab,,,0,100,,,true,2 | ~ teams/lab running unlimited -> 0"
+            })
+    void differenceNamesWhatChanges(String line, String difference) {
+        List<String> expected = difference == null ? List.of() : List.of(difference);
+        assertEquals(expected, differences(EditPlan.of(IN_FORCE, cells(line), true, false)));
+    }
+
+    @Test
+    void pruningDeletesRowsThatAreNotWanted() {
+        assertEquals(List.of("- teams/lab queued=100"), differences(EditPlan.of(IN_FORCE, cells(ASSAY), false, true)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "kind,assay,-1,urgent,8,,,2000,,4 | line 2, kinds/assay, column weight: -1; allowed: a whole number",
+                "kind,assay,,urgent,8,,,2000,,4 | column weight: empty",
+                "kind,assay,3,soon,8,,,2000,,4 | column urgency: soon; allowed: urgent, normal or background",
+                "kind,assay,3,urgent,0,,,2000,,4 | column running: 0; allowed: a limit of 0 stops",
+                "kind,assay,3,urgent,many,,,2000,,4 | column running: many",
+                "kind,assay,3,urgent,8,,,0,,4 | column taskTimeoutMilliseconds: 0",
+                "kind,assay,4,urgent,8,,,2000,,3 | column rowVersion: 3 is stale; in force is version 4",
+                "kind,asay,3,urgent,8,,,2000,, | column name: unknown kind; say --create",
+                "team,lab,2,,,100,,,,2 | column weight: 2; allowed: a team has no such value",
+                "team,,,,,1,,,, | column name: a name is needed"
+            })
+    void mistakeNamesRowAndColumn(String line, String expected) {
+        EditPlan plan = EditPlan.of(IN_FORCE, cells(line), false, false);
+        String mistake = assertInstanceOf(EditPlan.Wrong.class, plan)
+                .mistakes()
+                .getFirst()
+                .toString();
+        assertTrue(mistake.contains(expected), mistake);
+    }
+
+    @Test
+    void everyMistakeOfEveryRowIsReportedAtOnce() {
+        EditPlan plan = EditPlan.of(IN_FORCE, cells("kind,assay,-1,soon,,,,2000,,4\n" + LAB + LAB), false, false);
+        assertEquals(3, assertInstanceOf(EditPlan.Wrong.class, plan).mistakes().size());
+    }
+}
