Membership of entries under a version, limits as leased shares

Cause: each entry applied the whole limit, so n entries allowed n times as much; and one row that lived for ever could not tell an entry that is gone.

Ruled out: a hash of the members as version (a member that was removed and came back would find its old share valid while others use a larger one); rows written per heartbeat of the links (4,000 sidecars); comparing the clocks of entries.

Change: entries hold a lease in the store, renewed every 5 s; one whose number stays the same for 30 s by the observer's clock is removed. Joining and removal raise one version, by which shares of limits are taken. While nobody reaches the store, nobody can join, and the last share stays in force. The daemon uses the fair scheduler.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -8,6 +8,8 @@
 import io.caperturn.core.model.SubmissionId;
 import io.caperturn.core.model.Table;
 import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.schedule.LimitShare;
+import java.time.Instant;
 import java.util.List;
 
 /** What an {@link EntryMachine} reacts to. */
@@ -144,6 +146,14 @@
      */
     record TableChanged(Table table) implements EntryEvent {}
 
+    /**
+     * This entry's part of the limits was confirmed by the membership.
+     *
+     * @param share the part
+     * @param readAt when the membership was read
+     */
+    record LimitShareConfirmed(LimitShare share, Instant readAt) implements EntryEvent {}
+
     /** A planned stop began: new submissions are refused, accepted ones are finished. */
     record DrainRequested() implements EntryEvent {}
 
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -100,6 +100,8 @@
                 tableVersion = changed.table().version();
                 scheduler.tableChanged(changed.table(), now);
             }
+            case EntryEvent.LimitShareConfirmed confirmed ->
+                scheduler.limitShareConfirmed(confirmed.share(), confirmed.readAt());
             case EntryEvent.DrainRequested() -> draining = true;
             case EntryEvent.Tick() -> onTick(now);
         }
--- a/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
@@ -3,7 +3,9 @@
 import io.caperturn.core.entry.EntryMachine;
 import io.caperturn.core.entry.EntryPolicy;
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.core.schedule.FifoScheduler;
+import io.caperturn.core.schedule.FairScheduler;
+import io.caperturn.core.schedule.LimitShare;
+import io.caperturn.core.schedule.SchedulerPolicy;
 import io.caperturn.entry.claim.ClaimService;
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
@@ -61,12 +63,14 @@
         ProcessId self = new ProcessId(settings.name(), drawIncarnation(clock));
         PlatformStore store = new HttpPlatformStore(settings.platformAddress(), STORE_TIMEOUT);
         Kernel kernel = new Kernel();
-        EntryMachine machine = new EntryMachine(new FifoScheduler(), policy(settings));
+        SchedulerPolicy order =
+                SchedulerPolicy.DEFAULT.withUnservableGrace(Duration.ofMillis(settings.unservableGraceMilliseconds()));
+        EntryMachine machine = new EntryMachine(new FairScheduler(order, new LimitShare.None()), policy(settings));
         kernel.register(Waiters.NAME, new Waiters());
         kernel.register(Observer.NAME, new Observer(clock, new EntryMeters(), new SubmissionHistory()));
         kernel.register(TableService.NAME, new TableService(store, clock));
         kernel.register(LinkService.NAME, new LinkService(links(settings, self), settings.linkAddress(), clock));
-        kernel.register(RegistryService.NAME, new RegistryService(self, settings.availabilityZone(), store));
+        kernel.register(RegistryService.NAME, new RegistryService(self, settings.availabilityZone(), store, clock));
         kernel.register(ClaimService.NAME, new ClaimService(self, store, claims(settings)));
         kernel.register(Engine.NAME, new Engine(machine, clock));
         kernel.register(HttpService.NAME, new HttpService(settings, clock));
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -12,7 +12,7 @@
 import io.caperturn.kernel.Service;
 import io.caperturn.kernel.ServiceName;
 import io.caperturn.kernel.ServiceStartException;
-import io.caperturn.platform.registry.EntryRegistration;
+import io.caperturn.platform.registry.Member;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.LinkEndpoint;
 import io.caperturn.wire.LinkListener;
@@ -253,7 +253,7 @@
      *
      * @param entries the other entries
      */
-    public void onEntriesListed(List<EntryRegistration> entries) {
+    public void onEntriesListed(List<Member> entries) {
         EntryList.Builder builder = EntryList.newBuilder();
         entries.forEach(entry -> builder.addEntries(EntryAddress.newBuilder()
                 .setName(entry.process().name())
--- a/caperturn-entry/src/main/java/io/caperturn/entry/registry/RegistryService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/registry/RegistryService.java
@@ -4,9 +4,11 @@
 import io.caperturn.core.entry.EntryCommand;
 import io.caperturn.core.entry.EntryEvent;
 import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.schedule.LimitShare;
 import io.caperturn.entry.claim.ClaimService;
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.link.LinkService;
+import io.caperturn.entry.table.TableService;
 import io.caperturn.kernel.Duty;
 import io.caperturn.kernel.EventLine;
 import io.caperturn.kernel.Kernel;
@@ -15,21 +17,23 @@
 import io.caperturn.platform.PlatformStore;
 import io.caperturn.platform.registry.EnrolmentResult;
 import io.caperturn.platform.registry.EnrolmentStore;
-import io.caperturn.platform.registry.EntryRegistration;
-import io.caperturn.platform.registry.EntryRegistry;
-import io.caperturn.platform.registry.RegistryResult;
+import io.caperturn.platform.registry.MembershipStore;
+import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 /**
  * Duty that keeps this entry's rows in the platform's store, and prepares adoptions.
  *
  * <p>A sidecar gets work only after it was enrolled, so that an adopter knows where this entry could have started
- * something. Rows are written at the start and when a sidecar is first seen, never for heartbeats.
+ * something. That record is written when a sidecar is first seen; the lease of this entry's place among the entries is
+ * renewed at a slow pace.
  */
 public final class RegistryService implements Service {
     /** Name under which the service is found. */
@@ -37,21 +41,22 @@
 
     private static final System.Logger LOGGER = System.getLogger(RegistryService.class.getName());
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
-    private static final int INTERVALS_PER_LISTING = 40;
+    private static final Duration OUTAGE_NEWS_DELAY = Duration.ofSeconds(4);
     private static final int RING_CAPACITY = 1 << 14;
 
     private final ProcessId self;
-    private final String availabilityZone;
     private final EnrolmentStore enrolments;
-    private final EntryRegistry entries;
+    private final Membership membership;
+    private final Clock clock;
     private final Duty<Step> duty = new Duty<>("registry", RING_CAPACITY, RETRY_INTERVAL, new Work());
     private final Set<ProcessId> enrolled = new HashSet<>();
     private final Set<ProcessId> awaiting = new HashSet<>();
     private LinkService links;
     private ClaimService claims;
     private Engine engine;
-    private boolean registered;
-    private int intervals;
+    private Instant nextRefresh = Instant.MIN;
+    private Optional<LimitShare> lastShare = Optional.empty();
+    private TableService table;
     private volatile boolean closed;
 
     /**
@@ -60,12 +65,14 @@
      * @param self the identity of this entry
      * @param availabilityZone where it runs
      * @param store the platform's store
+     * @param clock source of time
      */
-    public RegistryService(ProcessId self, String availabilityZone, PlatformStore store) {
+    public RegistryService(ProcessId self, String availabilityZone, PlatformStore store, Clock clock) {
         this.self = Objects.requireNonNull(self, "self");
-        this.availabilityZone = Objects.requireNonNull(availabilityZone, "availabilityZone");
+        this.clock = Objects.requireNonNull(clock, "clock");
         this.enrolments = new EnrolmentStore(store);
-        this.entries = new EntryRegistry(store);
+        this.membership = new Membership(
+                new MembershipStore(store), self, Objects.requireNonNull(availabilityZone, "availabilityZone"));
     }
 
     @Override
@@ -73,12 +80,14 @@
         links = kernel.find(LinkService.NAME);
         claims = kernel.find(ClaimService.NAME);
         engine = kernel.find(Engine.NAME);
+        table = kernel.find(TableService.NAME);
         duty.start();
     }
 
     @Override
     public void stop() {
         duty.stop();
+        membership.leave();
     }
 
     /**
@@ -134,27 +143,38 @@
 
         @Override
         public void onInterval() {
-            if (!registered) {
-                register();
-            }
             enrolAwaiting();
-            if (intervals++ % INTERVALS_PER_LISTING == 0) {
-                listEntries();
-            }
+            refreshMembership();
         }
     }
 
-    private void register() {
-        EntryRegistration registration =
-                new EntryRegistration(self, links.address(), availabilityZone, Set.of(), false);
-        registered = entries.register(registration) instanceof RegistryResult.Entries;
+    private void refreshMembership() {
+        Instant now = clock.instant();
+        if (now.isBefore(nextRefresh)) {
+            return;
+        }
+        Optional<LimitShare> share = membership.refresh(links.address(), now);
+        if (share.isEmpty()) {
+            keepShareThroughOutage(now);
+            return;
+        }
+        lastShare = share;
+        nextRefresh = now.plus(Membership.INTERVAL);
+        engine.put(new EntryEvent.LimitShareConfirmed(share.get(), now));
+        links.onEntriesListed(membership.others());
     }
 
-    private void listEntries() {
-        if (entries.list() instanceof RegistryResult.Entries(List<EntryRegistration> listed)) {
-            links.onEntriesListed(listed.stream()
-                    .filter(entry -> !entry.process().name().equals(self.name()))
-                    .toList());
+    /**
+     * Confirms the last part of the limits while nobody that this entry hears of reaches the store.
+     *
+     * <p>No entry can join then, so no part can have changed. The confirmation is dated back by the time that news of
+     * the store's return may need to get here.
+     */
+    private void keepShareThroughOutage(Instant now) {
+        long age = table.confirmationAgeMilliseconds();
+        boolean outage = age >= OUTAGE_NEWS_DELAY.toMillis();
+        if (outage && lastShare.isPresent()) {
+            engine.put(new EntryEvent.LimitShareConfirmed(lastShare.get(), now.minus(OUTAGE_NEWS_DELAY)));
         }
     }
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/EnrolmentRow.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/internal/EnrolmentRow.java
@@ -13,7 +13,7 @@
  * @param sidecars every sidecar incarnation that the entry incarnation may have sent claimed work to
  * @param closed true once another entry began to adopt its claims; the row then never changes again
  */
-public record EnrolmentRow(List<EntryRow.ProcessValue> sidecars, boolean closed) {
+public record EnrolmentRow(List<ProcessValue> sidecars, boolean closed) {
     private static final String TABLE = "enrolments";
 
     /** Copies the sidecars. */
@@ -29,9 +29,9 @@
      * @return the value, with the sidecars in a fixed order
      */
     public static EnrolmentRow of(Set<ProcessId> sidecars, boolean closed) {
-        List<EntryRow.ProcessValue> values = sidecars.stream()
+        List<ProcessValue> values = sidecars.stream()
                 .sorted(Comparator.comparing(ProcessId::name).thenComparingLong(ProcessId::incarnation))
-                .map(EntryRow.ProcessValue::of)
+                .map(ProcessValue::of)
                 .toList();
         return new EnrolmentRow(values, closed);
     }
@@ -52,6 +52,6 @@
      * @return the identities
      */
     public Set<ProcessId> processes() {
-        return sidecars.stream().map(EntryRow.ProcessValue::toProcess).collect(Collectors.toUnmodifiableSet());
+        return sidecars.stream().map(ProcessValue::toProcess).collect(Collectors.toUnmodifiableSet());
     }
 }
--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipResult.java
@@ -0,0 +1,38 @@
+package io.caperturn.platform.registry;
+
+import java.util.List;
+import java.util.Objects;
+
+/** What a call to the {@link MembershipStore} gave. */
+public sealed interface MembershipResult {
+    /** The call took effect. */
+    record Done() implements MembershipResult {}
+
+    /**
+     * The members at one version of the membership.
+     *
+     * @param version the version, raised whenever an entry joins or is removed
+     * @param members the members in the order of their names
+     */
+    record Members(long version, List<Member> members) implements MembershipResult {
+        /** Copies the members. */
+        public Members {
+            members = List.copyOf(members);
+        }
+    }
+
+    /** The entry is not a member, or no longer; it has to join anew. */
+    record NotMember() implements MembershipResult {}
+
+    /**
+     * The store did not settle the call; it may or may not have taken effect.
+     *
+     * @param detail one line for people
+     */
+    record Failed(String detail) implements MembershipResult {
+        /** Checks that the detail is present. */
+        public Failed {
+            Objects.requireNonNull(detail, "detail");
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipStore.java
@@ -0,0 +1,176 @@
+package io.caperturn.platform.registry;
+
+import io.caperturn.platform.PlatformStore;
+import io.caperturn.platform.Row;
+import io.caperturn.platform.RowKey;
+import io.caperturn.platform.StoreResult;
+import io.caperturn.platform.Transaction;
+import io.caperturn.platform.Write;
+import io.caperturn.platform.internal.Json;
+import io.caperturn.platform.internal.MemberRow;
+import io.caperturn.platform.internal.ProcessValue;
+import io.caperturn.platform.internal.TableReader;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Membership of entries in the store, one row for each name, under one version.
+ *
+ * <p>The version changes whenever an entry joins or is removed, and stays when one renews its lease; so two readers
+ * that see one version see the same members. Calls block and may come from any thread.
+ */
+public final class MembershipStore {
+    private static final int MAXIMUM_TRIES = 5;
+
+    private final PlatformStore store;
+
+    /**
+     * Creates the access to the membership.
+     *
+     * @param store the store
+     */
+    public MembershipStore(PlatformStore store) {
+        this.store = Objects.requireNonNull(store, "store");
+    }
+
+    /**
+     * Makes an entry a member, in place of any other incarnation of its name.
+     *
+     * @param member the entry
+     * @return {@link MembershipResult.Done}, or the failure
+     */
+    public MembershipResult join(Member member) {
+        String value = Json.write(row(member));
+        return change(key(member), row -> row.value().equals(Optional.of(value)) ? Step.NOTHING : Step.WRITE, value);
+    }
+
+    /**
+     * Renews the lease of a member.
+     *
+     * @param member the entry with its next renewal number
+     * @return {@link MembershipResult.Done}, {@link MembershipResult.NotMember} if it was removed, or the failure
+     */
+    public MembershipResult renew(Member member) {
+        StoreResult read = store.transact(new Transaction(List.of(key(member)), List.of()));
+        if (!(read instanceof StoreResult.Committed(List<Row> rows))) {
+            return new MembershipResult.Failed("the store does not answer");
+        }
+        Optional<Member> held = parse(rows.getFirst());
+        if (held.filter(found -> found.process().equals(member.process())).isEmpty()) {
+            return new MembershipResult.NotMember();
+        }
+        Write write = new Write(key(member), rows.getFirst().version(), Optional.of(Json.write(row(member))));
+        return switch (store.transact(new Transaction(List.of(), List.of(write)))) {
+            case StoreResult.Committed ignored -> new MembershipResult.Done();
+            case StoreResult.Conflict ignored -> new MembershipResult.NotMember();
+            case StoreResult.Unavailable(String detail) -> new MembershipResult.Failed(detail);
+            case StoreResult.Unknown(String detail) -> new MembershipResult.Failed(detail);
+        };
+    }
+
+    /**
+     * Removes a member, unless it has renewed its lease or was replaced meanwhile.
+     *
+     * @param seen the member as it was last seen
+     * @return {@link MembershipResult.Done}, or the failure
+     */
+    public MembershipResult remove(Member seen) {
+        return change(key(seen), row -> parse(row).filter(seen::equals).isPresent() ? Step.WRITE : Step.NOTHING, null);
+    }
+
+    /**
+     * Lists the members; rows that can't be read are left out.
+     *
+     * @return {@link MembershipResult.Members}, or the failure
+     */
+    public MembershipResult list() {
+        for (int tries = 0; tries < MAXIMUM_TRIES; tries++) {
+            OptionalLong before = version();
+            Optional<List<Row>> rows = TableReader.scan(store, MemberRow.TABLE);
+            OptionalLong after = version();
+            if (before.isEmpty() || rows.isEmpty() || after.isEmpty()) {
+                return new MembershipResult.Failed("the store does not answer");
+            }
+            if (before.equals(after)) {
+                List<Member> members =
+                        rows.get().stream().flatMap(row -> parse(row).stream()).toList();
+                return new MembershipResult.Members(after.getAsLong(), members);
+            }
+        }
+        return new MembershipResult.Failed("the membership kept changing");
+    }
+
+    /** What a change finds to do. */
+    private enum Step {
+        WRITE,
+        NOTHING
+    }
+
+    /** Decides by a row's present state. */
+    private interface Decision {
+        Step on(Row row);
+    }
+
+    private MembershipResult change(RowKey key, Decision decision, String value) {
+        String detail = "the membership kept changing";
+        for (int tries = 0; tries < MAXIMUM_TRIES; tries++) {
+            StoreResult read = store.transact(new Transaction(List.of(key, MemberRow.VERSION_KEY), List.of()));
+            if (!(read instanceof StoreResult.Committed(List<Row> rows))) {
+                return new MembershipResult.Failed("the store does not answer");
+            }
+            if (decision.on(rows.getFirst()) == Step.NOTHING) {
+                return new MembershipResult.Done();
+            }
+            long next = versionOf(rows.getLast()) + 1;
+            List<Write> writes = List.of(
+                    new Write(key, rows.getFirst().version(), Optional.ofNullable(value)),
+                    new Write(
+                            MemberRow.VERSION_KEY,
+                            rows.getLast().version(),
+                            Optional.of(Json.write(new MemberRow.VersionValue(next)))));
+            switch (store.transact(new Transaction(List.of(), writes))) {
+                case StoreResult.Committed ignored -> {
+                    return new MembershipResult.Done();
+                }
+                case StoreResult.Conflict ignored -> detail = "the membership kept changing";
+                case StoreResult.Unavailable(String reason) -> {
+                    return new MembershipResult.Failed(reason);
+                }
+                case StoreResult.Unknown(String reason) -> detail = reason;
+            }
+        }
+        return new MembershipResult.Failed(detail);
+    }
+
+    private OptionalLong version() {
+        StoreResult read = store.transact(new Transaction(List.of(MemberRow.VERSION_KEY), List.of()));
+        return read instanceof StoreResult.Committed(List<Row> rows)
+                ? OptionalLong.of(versionOf(rows.getFirst()))
+                : OptionalLong.empty();
+    }
+
+    private static long versionOf(Row row) {
+        return row.value()
+                .flatMap(text -> Json.read(text, MemberRow.VersionValue.class))
+                .map(MemberRow.VersionValue::version)
+                .orElse(0L);
+    }
+
+    private static RowKey key(Member member) {
+        return new RowKey(MemberRow.TABLE, member.process().name());
+    }
+
+    private static MemberRow row(Member member) {
+        return new MemberRow(
+                ProcessValue.of(member.process()), member.linkAddress(), member.availabilityZone(), member.renewal());
+    }
+
+    private static Optional<Member> parse(Row row) {
+        return row.value()
+                .flatMap(text -> Json.read(text, MemberRow.class))
+                .map(value -> new Member(
+                        value.process().toProcess(), value.linkAddress(), value.availabilityZone(), value.renewal()));
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/registry/EnrolmentStoreTest.java
@@ -0,0 +1,50 @@
+package io.caperturn.platform.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.platform.FakePlatformStore;
+import io.caperturn.platform.FakePlatformStore.Fault;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class EnrolmentStoreTest {
+    private static final ProcessId ENTRY = new ProcessId("entry", 1);
+    private static final ProcessId FIRST = new ProcessId("sidecar-1", 1);
+    private static final ProcessId SECOND = new ProcessId("sidecar-2", 2);
+
+    private final FakePlatformStore store = new FakePlatformStore();
+    private final EnrolmentStore enrolments = new EnrolmentStore(store);
+
+    @ParameterizedTest
+    @EnumSource(names = "REFUSED", mode = EnumSource.Mode.EXCLUDE)
+    void adopterLearnsEverySidecarOnRecordUnderEachFault(Fault fault) {
+        enrolments.enrol(ENTRY, Set.of(FIRST));
+        enrolments.enrol(ENTRY, Set.of(FIRST, SECOND));
+        store.failNext(List.of(Fault.NONE, fault));
+        assertEquals(new EnrolmentResult.Closed(Set.of(FIRST, SECOND)), enrolments.close(ENTRY));
+    }
+
+    @Test
+    void nothingIsEnrolledAfterTheRecordClosed() {
+        enrolments.enrol(ENTRY, Set.of(FIRST));
+        enrolments.close(ENTRY);
+        assertEquals(new EnrolmentResult.Closed(Set.of(FIRST)), enrolments.enrol(ENTRY, Set.of(FIRST, SECOND)));
+    }
+
+    @Test
+    void recordOfAnEntryThatEnrolledNothingIsClosedToo() {
+        assertEquals(new EnrolmentResult.Closed(Set.of()), enrolments.close(ENTRY));
+        assertEquals(new EnrolmentResult.Closed(Set.of()), enrolments.enrol(ENTRY, Set.of(FIRST)));
+    }
+
+    @Test
+    void laterIncarnationHasARecordOfItsOwn() {
+        enrolments.close(ENTRY);
+        assertInstanceOf(EnrolmentResult.Enrolled.class, enrolments.enrol(new ProcessId("entry", 2), Set.of(FIRST)));
+    }
+}
--- /dev/null
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/registry/MembershipStoreTest.java
@@ -0,0 +1,83 @@
+package io.caperturn.platform.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.platform.FakePlatformStore;
+import io.caperturn.platform.FakePlatformStore.Fault;
+import io.caperturn.platform.RowKey;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class MembershipStoreTest {
+    private final FakePlatformStore store = new FakePlatformStore();
+    private final MembershipStore membership = new MembershipStore(store);
+
+    @ParameterizedTest
+    @EnumSource(names = "REFUSED", mode = EnumSource.Mode.EXCLUDE)
+    void listsWhoJoinedUnderEachFault(Fault fault) {
+        store.failNext(List.of(Fault.NONE, fault));
+        assertEquals(new MembershipResult.Done(), membership.join(member("entry", 1, 0)));
+        assertEquals(List.of(member("entry", 1, 0)), members().members());
+    }
+
+    @Test
+    void laterIncarnationTakesThePlaceOfTheEarlier() {
+        membership.join(member("entry", 1, 0));
+        membership.join(member("entry", 2, 0));
+        assertEquals(List.of(member("entry", 2, 0)), members().members());
+        assertInstanceOf(MembershipResult.NotMember.class, membership.renew(member("entry", 1, 1)));
+    }
+
+    @Test
+    void renewalKeepsTheVersion() {
+        membership.join(member("entry", 1, 0));
+        long version = members().version();
+        assertEquals(new MembershipResult.Done(), membership.renew(member("entry", 1, 1)));
+        assertEquals(new MembershipResult.Members(version, List.of(member("entry", 1, 1))), members());
+    }
+
+    @Test
+    void memberThatRenewedIsNotRemoved() {
+        membership.join(member("entry", 1, 0));
+        membership.renew(member("entry", 1, 1));
+        membership.remove(member("entry", 1, 0));
+        assertEquals(1, members().members().size());
+    }
+
+    @Test
+    void removedMemberHasToJoinAnewUnderANewVersion() {
+        membership.join(member("entry", 1, 0));
+        long version = members().version();
+        membership.remove(member("entry", 1, 0));
+        assertInstanceOf(MembershipResult.NotMember.class, membership.renew(member("entry", 1, 1)));
+        membership.join(member("entry", 1, 0));
+        assertEquals(version + 2, members().version());
+    }
+
+    @Test
+    void saysThatTheStoreIsDown() {
+        store.setDown(true);
+        assertInstanceOf(MembershipResult.Failed.class, membership.join(member("entry", 1, 0)));
+        assertInstanceOf(MembershipResult.Failed.class, membership.renew(member("entry", 1, 1)));
+        assertInstanceOf(MembershipResult.Failed.class, membership.list());
+    }
+
+    @Test
+    void leavesOutAnUnreadableRow() {
+        store.put(new RowKey("entries", "bad"), "{\"process\":{\"name\":\"\"}}");
+        membership.join(member("entry", 1, 0));
+        assertEquals(List.of(member("entry", 1, 0)), members().members());
+    }
+
+    private MembershipResult.Members members() {
+        return assertInstanceOf(MembershipResult.Members.class, membership.list());
+    }
+
+    private static Member member(String name, long incarnation, long renewal) {
+        return new Member(new ProcessId(name, incarnation), "127.0.0.1:1", "zone-a", renewal);
+    }
+}
