Silent connections, result text, kinds served anew and listed entries at the sidecar

Cause and change, each with its test: - A time-out at the upstream closed its own connection only; idle ones from before could be silent as well and were used again. They are left now. Without the change idleConnectionsFromBeforeTimeOutAreNotUsedAgain fails. - A success whose body is no JSON would have been put into the job's answer as it is; it ran and failed now. An empty body is the result null. - A list of entries that spelt a linked entry's address otherwise opened a second link, which the entry closed in favour of the newer in an endless exchange; listedEntryGetsLink failed before. Listed addresses that nobody lists or answers are given up. - Kinds that the upstream serves anew fetch their rows although the version is known. - Identities that a header can't carry are percent-encoded. - Frames of reports are split at 4 MB, below the frame bound. - The machine's thread no longer waits for its own ring when a run ends while it is being started.

--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/Announcement.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/Announcement.java
@@ -64,7 +64,9 @@
             }
             return announcement;
         } catch (JsonProcessingException e) {
-            throw new MalformedAnnouncementException(e.getOriginalMessage(), e);
+            boolean outOfRange = e.getCause() instanceof IllegalArgumentException;
+            throw new MalformedAnnouncementException(
+                    outOfRange ? e.getCause().getMessage() : e.getOriginalMessage(), e);
         } catch (IOException e) {
             throw new MalformedAnnouncementException(e.getMessage(), e);
         }
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/AnnouncementService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/AnnouncementService.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** HTTP for the upstream's announcements and for operators: health, readiness and metrics. */
@@ -136,25 +137,33 @@
         }
 
         private void readAnnouncement(Request request, Response response, Callback callback) {
-            Content.Source.asByteArrayAsync(request, MAXIMUM_BODY_BYTES).whenComplete((body, failure) -> {
-                if (failure != null) {
-                    respond(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body not read\n");
-                    return;
+            Content.Source.asByteArrayAsync(request, MAXIMUM_BODY_BYTES, new Promise.Invocable<>() {
+                @Override
+                public void succeeded(byte[] body) {
+                    takeAnnouncement(body, response, callback);
                 }
-                try {
-                    announce(Announcement.parse(body));
-                    response.setStatus(HttpStatus.NO_CONTENT_204);
-                    callback.succeeded();
-                } catch (MalformedAnnouncementException e) {
-                    LOGGER.log(
-                            System.Logger.Level.WARNING,
-                            EventLine.of("announcement-malformed")
-                                    .with("reason", e.getMessage())
-                                    .toString());
-                    respond(response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage() + "\n");
+
+                @Override
+                public void failed(Throwable failure) {
+                    respond(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body not read\n");
                 }
             });
         }
+
+        private void takeAnnouncement(byte[] body, Response response, Callback callback) {
+            try {
+                announce(Announcement.parse(body));
+                response.setStatus(HttpStatus.NO_CONTENT_204);
+                callback.succeeded();
+            } catch (MalformedAnnouncementException e) {
+                LOGGER.log(
+                        System.Logger.Level.WARNING,
+                        EventLine.of("announcement-malformed")
+                                .with("reason", e.getMessage())
+                                .toString());
+                respond(response, callback, HttpStatus.BAD_REQUEST_400, e.getMessage() + "\n");
+            }
+        }
     }
 
     private static void respond(Response response, Callback callback, int status, String text) {
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/CommandExecutor.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/CommandExecutor.java
@@ -11,6 +11,7 @@
 import io.caperturn.wire.MessageCodec;
 import io.caperturn.wire.message.Fenced;
 import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.Report;
 import io.caperturn.wire.message.ReportBatch;
 import io.caperturn.wire.message.Resolved;
 import io.caperturn.wire.message.Window;
@@ -29,6 +30,8 @@
 final class CommandExecutor {
     private static final System.Logger LOGGER = System.getLogger(CommandExecutor.class.getName());
 
+    private static final int FRAME_TARGET_BYTES = 4 * 1024 * 1024;
+
     private final LinkService links;
     private final UpstreamClient upstream;
     private final SidecarMeters meters;
@@ -108,12 +111,18 @@
     }
 
     private void sendReports(ProcessId entry, Pending gathered) {
-        transmit(
-                entry,
-                Frame.newBuilder()
-                        .setReportBatch(ReportBatch.newBuilder()
-                                .addAllReports(MessageCodec.toMessages(gathered.reports))
-                                .setWindow(gathered.window)));
+        ReportBatch.Builder batch = ReportBatch.newBuilder().setWindow(gathered.window);
+        long bytes = 0;
+        for (Report report : MessageCodec.toMessages(gathered.reports)) {
+            if (bytes + report.getSerializedSize() > FRAME_TARGET_BYTES && bytes > 0) {
+                transmit(entry, Frame.newBuilder().setReportBatch(batch));
+                batch = ReportBatch.newBuilder().setWindow(gathered.window);
+                bytes = 0;
+            }
+            batch.addReports(report);
+            bytes += report.getSerializedSize();
+        }
+        transmit(entry, Frame.newBuilder().setReportBatch(batch));
     }
 
     /** Sends a frame after the reports that were gathered for the same entry. */
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/ExchangeClassifier.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/ExchangeClassifier.java
@@ -1,12 +1,17 @@
 package io.caperturn.sidecar.internal;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import io.caperturn.core.model.Execution;
 import io.caperturn.core.model.TaskOutcome;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
 
 /** Judgement on what an exchange with the upstream proves about the task. */
 public final class ExchangeClassifier {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final String EMPTY_RESULT = "null";
     private static final int SUCCESS_FROM = 200;
     private static final int SUCCESS_BELOW = 300;
 
@@ -23,7 +28,9 @@
 
     /**
      * Classifies an exchange. Only a refused connection, a request that was never sent and a listed status prove that
-     * the task did not start; only a success proves its result; anything else may have run.
+     * the task did not start; only a success proves that it ran; anything else may have run.
+     *
+     * <p>A success without a body has the result {@code null}; one whose body is no JSON text ran and failed.
      *
      * @param end how the exchange ended
      * @param serviceTime the time between the start and the end
@@ -43,7 +50,7 @@
 
     private TaskOutcome classify(int status, String body, Duration serviceTime) {
         if (status >= SUCCESS_FROM && status < SUCCESS_BELOW) {
-            return new TaskOutcome.Completed(body, serviceTime);
+            return complete(body, serviceTime);
         }
         String reason = "upstream answered with status " + status;
         if (notStartedStatuses.contains(status)) {
@@ -52,6 +59,26 @@
         return new TaskOutcome.Failed(Execution.MAY_HAVE_RUN, reason, serviceTime);
     }
 
+    private static TaskOutcome complete(String body, Duration serviceTime) {
+        if (body.isBlank()) {
+            return new TaskOutcome.Completed(EMPTY_RESULT, serviceTime);
+        }
+        if (!isJson(body)) {
+            return new TaskOutcome.Failed(Execution.RAN, "the upstream's result is not JSON", serviceTime);
+        }
+        return new TaskOutcome.Completed(body, serviceTime);
+    }
+
+    private static boolean isJson(String body) {
+        try (JsonParser parser = JSON.createParser(body)) {
+            parser.nextToken();
+            parser.skipChildren();
+            return parser.currentToken() != null && parser.nextToken() == null;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private static TaskOutcome notRun(String reason) {
         return new TaskOutcome.Failed(Execution.NOT_RUN, reason, Duration.ZERO);
     }
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.HttpClient;
@@ -30,7 +31,8 @@
  * Runs tasks by HTTP.
  *
  * <p>An exchange is sent once: redirects, authentication and other answers that a client may follow by sending again
- * are taken as they come. An exchange that times out closes its connection, so that the connection is not used again.
+ * are taken as they come. An exchange that times out closes its connection, and no idle connection from before the
+ * time-out is used again.
  */
 public final class HttpUpstreamClient implements UpstreamClient {
     private static final System.Logger LOGGER = System.getLogger(HttpUpstreamClient.class.getName());
@@ -39,10 +41,13 @@
     private static final int MAXIMUM_RESULT_BYTES = 1024 * 1024;
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final long CANCEL_TIMEOUT_MILLISECONDS = 2_000;
+    private static final int DELETE_CHARACTER = 127;
+    private static final long DESTINATION_IDLE_MILLISECONDS = 60_000;
     private static final long IDLE_MARGIN_MILLISECONDS = 1_000;
 
     private final ExchangeClassifier classifier;
     private final HttpClient client;
+    private final AtomicInteger generation = new AtomicInteger();
     private volatile Target target;
 
     /**
@@ -62,6 +67,7 @@
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS);
         client.setIdleTimeout(treatment.connectionIdleMilliseconds());
+        client.setDestinationIdleTimeout(DESTINATION_IDLE_MILLISECONDS);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
@@ -91,9 +97,9 @@
     }
 
     @Override
-    public void follow(String address, int connections) {
+    public synchronized void follow(String address, int connections) {
         client.setMaxConnectionsPerDestination(connections);
-        target = new Target(address, connections);
+        target = new Target(address, connections, generation.get());
     }
 
     @Override
@@ -111,10 +117,10 @@
                 .idleTimeout(timeout + IDLE_MARGIN_MILLISECONDS, TimeUnit.MILLISECONDS)
                 .headers(headers -> headers.put(
                                 "Caperturn-Submission",
-                                run.attempt().key().submission().toString())
-                        .put("Caperturn-Task", run.attempt().key().task())
+                                headerOf(run.attempt().key().submission().toString()))
+                        .put("Caperturn-Task", headerOf(run.attempt().key().task()))
                         .put("Caperturn-Attempt", numberOf(run.attempt()))
-                        .put("Caperturn-Kind", run.kind()))
+                        .put("Caperturn-Kind", headerOf(run.kind())))
                 .body(new StringRequestContent("application/json", run.payload(), StandardCharsets.UTF_8));
         AtomicBoolean begun = new AtomicBoolean();
         long startedAt = System.nanoTime();
@@ -125,6 +131,9 @@
                         ? endOf(result.getFailure(), begun.get())
                         : new ExchangeEnd.Answered(
                                 result.getResponse().getStatus(), getContentAsString(StandardCharsets.UTF_8));
+                if (end instanceof ExchangeEnd.TimedOut) {
+                    distrust(current);
+                }
                 whenEnded.accept(classifier.classify(end, Duration.ofNanos(System.nanoTime() - startedAt)));
             }
         });
@@ -149,6 +158,21 @@
                 .send(ignored -> {});
     }
 
+    /** Leaves all connections that are older than a time-out: what made one silent may have made them all so. */
+    private synchronized void distrust(Target timedOut) {
+        if (!generation.compareAndSet(timedOut.generation(), timedOut.generation() + 1)) {
+            return;
+        }
+        Target current = target;
+        target = new Target(current.address(), current.connections(), generation.get());
+        LOGGER.log(
+                System.Logger.Level.WARNING,
+                EventLine.of("upstream-connections-left")
+                        .with("address", timedOut.address())
+                        .with("reason", "time-out")
+                        .toString());
+    }
+
     /** Tells how a failed exchange ended; a connection counts as refused only if no byte was written. */
     static ExchangeEnd endOf(Throwable failure, boolean begun) {
         return switch (failure) {
@@ -163,6 +187,12 @@
         return attempt.fence() + "." + attempt.attempt();
     }
 
+    /** Returns a value that a header can carry: percent-encoded wherever a character is not visible ASCII. */
+    static String headerOf(String value) {
+        boolean plain = value.chars().allMatch(c -> c > ' ' && c < DELETE_CHARACTER && c != '%');
+        return plain ? value : encode(value).replace("%2F", "/");
+    }
+
     private static String encode(String segment) {
         return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
     }
@@ -172,6 +202,7 @@
      *
      * @param address the address as {@code host:port}
      * @param connections the most connections
+     * @param generation how many time-outs went before
      */
-    private record Target(String address, int connections) {}
+    private record Target(String address, int connections, int generation) {}
 }
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -17,21 +17,29 @@
 import io.caperturn.wire.message.Dispatch;
 import io.caperturn.wire.message.DispatchBatch;
 import io.caperturn.wire.message.EntryAddress;
+import io.caperturn.wire.message.EntryList;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.Role;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /** Links to entries: turns frames into events and commands into frames. */
 public final class LinkService implements Service, LinkListener {
     private static final System.Logger LOGGER = System.getLogger(LinkService.class.getName());
-    private static final int MAXIMUM_FRAME_BYTES = 32 * 1024 * 1024;
+    private static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
+    private static final Pattern ADDRESS = Pattern.compile("[^:]+:[0-9]{1,5}");
 
-    private final SidecarSettings settings;
     private final TableKeeper table;
     private final LinkEndpoint endpoint;
     private final Map<ProcessId, Link> links = new ConcurrentHashMap<>();
+    private final Set<String> seeds;
+    private final Map<String, String> learnt = new HashMap<>();
     private MachineService machine;
 
     /**
@@ -42,8 +50,8 @@
      * @param table the table in force here
      */
     public LinkService(ProcessId self, SidecarSettings settings, TableKeeper table) {
-        this.settings = settings;
         this.table = table;
+        this.seeds = Set.copyOf(settings.entrySeeds());
         LinkTimes times = settings.links();
         LinkSettings linkSettings = new LinkSettings(
                 new Peer(self, Role.ROLE_SIDECAR, settings.availabilityZone(), ""),
@@ -58,7 +66,7 @@
     public void start(Kernel kernel) {
         machine = kernel.find(SidecarServices.MACHINE);
         kernel.find(SidecarServices.METERS).gauge("caperturn.links.open", "Links to entries", links::size);
-        settings.entrySeeds().forEach(endpoint::connect);
+        seeds.forEach(endpoint::connect);
     }
 
     @Override
@@ -126,11 +134,7 @@
                     machine.post(new SidecarEvent.TableChanged(table.table()));
                 }
             }
-            case ENTRY_LIST ->
-                frame.getEntryList().getEntriesList().stream()
-                        .map(EntryAddress::getLinkAddress)
-                        .filter(address -> !address.isEmpty())
-                        .forEach(endpoint::connect);
+            case ENTRY_LIST -> follow(frame.getEntryList());
             default ->
                 LOGGER.log(
                         System.Logger.Level.DEBUG,
@@ -141,6 +145,30 @@
         }
     }
 
+    /** Opens links to entries that have none, and gives up listed addresses that nobody lists or answers any more. */
+    private void follow(EntryList list) {
+        Set<String> linkedNames = links.keySet().stream().map(ProcessId::name).collect(Collectors.toSet());
+        Set<String> listed = new HashSet<>();
+        for (EntryAddress entry : list.getEntriesList()) {
+            listed.add(entry.getLinkAddress());
+            boolean wanted = ADDRESS.matcher(entry.getLinkAddress()).matches()
+                    && !linkedNames.contains(entry.getName())
+                    && !seeds.contains(entry.getLinkAddress())
+                    && !learnt.containsKey(entry.getLinkAddress());
+            if (wanted) {
+                learnt.put(entry.getLinkAddress(), entry.getName());
+                endpoint.connect(entry.getLinkAddress());
+            }
+        }
+        learnt.entrySet().removeIf(known -> {
+            boolean gone = !listed.contains(known.getKey()) && !linkedNames.contains(known.getValue());
+            if (gone) {
+                endpoint.disconnect(known.getKey());
+            }
+            return gone;
+        });
+    }
+
     private static SidecarEvent dispatches(ProcessId entry, DispatchBatch batch) {
         return new SidecarEvent.DispatchReceived(
                 entry,
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/MachineService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/MachineService.java
@@ -10,7 +10,9 @@
 import io.caperturn.kernel.Service;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -24,7 +26,9 @@
     private final SidecarMachine machine;
     private final Duty<SidecarEvent> duty;
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final Queue<SidecarEvent> followUps = new ArrayDeque<>();
     private volatile boolean running;
+    private volatile Thread machineThread;
     private CommandExecutor executor;
     private SidecarMeters meters;
 
@@ -57,9 +61,16 @@
     /**
      * Hands an event to the machine; waits for space while the ring is full, which holds back the sender's connection.
      *
+     * <p>The machine's own thread never waits for itself: what a command brings about at once follows in the same
+     * batch.
+     *
      * @param event the event
      */
     public void post(SidecarEvent event) {
+        if (Thread.currentThread() == machineThread) {
+            followUps.add(event);
+            return;
+        }
         while (running && !duty.offer(event)) {
             LockSupport.parkNanos(FULL_RING_PAUSE_NANOSECONDS);
         }
@@ -88,16 +99,24 @@
     private final class Work implements Duty.Work<SidecarEvent> {
         @Override
         public void onBatch(List<SidecarEvent> batch) {
+            machineThread = Thread.currentThread();
             Instant now = Instant.now();
             for (SidecarEvent event : batch) {
-                for (SidecarCommand command : machine.on(event, now)) {
-                    executor.execute(command);
-                }
+                handle(event, now);
+            }
+            while (!followUps.isEmpty()) {
+                handle(followUps.remove(), now);
             }
             executor.flush();
             meters.update(machine.load());
         }
 
+        private void handle(SidecarEvent event, Instant now) {
+            for (SidecarCommand command : machine.on(event, now)) {
+                executor.execute(command);
+            }
+        }
+
         @Override
         public void onInterval() {
             onBatch(List.of(new SidecarEvent.Tick()));
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/TableKeeper.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/TableKeeper.java
@@ -15,7 +15,8 @@
  * The table in force here and how fresh the system knows it to be.
  *
  * <p>A sidecar has no way to the store of its own: both come with the frames of others. A frame that shows a higher
- * version makes this process ask for the rows of its upstream's kinds. The version never goes down.
+ * version makes this process ask for the rows of its upstream's kinds, and so do kinds that the upstream serves anew.
+ * The version never goes down.
  */
 public final class TableKeeper implements FrameStamp {
     private static final System.Logger LOGGER = System.getLogger(TableKeeper.class.getName());
@@ -28,6 +29,7 @@
     private boolean confirmed;
     private long requestedAtNanoseconds;
     private boolean requested;
+    private volatile boolean rowsMissing;
 
     /**
      * Returns the table in force.
@@ -43,7 +45,8 @@
      *
      * @param served the kinds that the upstream serves
      */
-    public void serve(Set<String> served) {
+    public synchronized void serve(Set<String> served) {
+        rowsMissing |= !kinds.containsAll(served) && table.version() > 0;
         kinds = Set.copyOf(served);
     }
 
@@ -60,6 +63,7 @@
         }
         boolean raised = rows.getVersion() > table.version();
         table = TableCodec.fromMessage(rows);
+        rowsMissing = false;
         if (raised) {
             LOGGER.log(
                     System.Logger.Level.INFO,
@@ -89,12 +93,12 @@
         boolean ask;
         synchronized (this) {
             noteConfirmation(confirmationAgeMilliseconds);
-            ask = tableVersion > table.version() && mayRequest();
+            ask = (tableVersion > table.version() || (rowsMissing && tableVersion == table.version())) && mayRequest();
         }
         if (ask) {
             link.send(Frame.newBuilder()
                     .setTableRequest(TableRequest.newBuilder()
-                            .setKnownVersion(table.version())
+                            .setKnownVersion(rowsMissing ? 0 : table.version())
                             .addAllKinds(kinds)));
         }
     }
--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/SidecarDaemonTest.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/SidecarDaemonTest.java
@@ -10,6 +10,8 @@
 import io.caperturn.wire.Link;
 import io.caperturn.wire.MessageCodec;
 import io.caperturn.wire.message.CancelBatch;
+import io.caperturn.wire.message.EntryAddress;
+import io.caperturn.wire.message.EntryList;
 import io.caperturn.wire.message.Execution;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.KindValues;
@@ -119,6 +121,23 @@
         assertEquals(2, new HashSet<>(upstream.clientPorts()).size());
     }
 
+    @Test
+    void idleConnectionsFromBeforeTimeOutAreNotUsedAgain() throws Exception {
+        upstream.answerWith(FakeUpstream.Answer.HOLD);
+        entry.dispatch("a", 1, LONG);
+        entry.dispatch("b", 1, LONG);
+        until(() -> upstream.starts().size() == 2);
+        upstream.release();
+        entry.awaitReports(2);
+        entry.dispatch("c", 1, Duration.ofMillis(200));
+        entry.awaitReports(1);
+        upstream.answerWith(FakeUpstream.Answer.RESULT);
+        entry.dispatch("d", 1, LONG);
+        entry.awaitReports(1);
+        List<Integer> ports = upstream.clientPorts();
+        assertFalse(ports.subList(0, 3).contains(ports.get(3)));
+    }
+
     @Test
     void idleConnectionIsUsedAgain() throws Exception {
         for (String task : List.of("a", "b", "c")) {
@@ -221,6 +240,35 @@
         until(() -> get("/metrics").body().contains("caperturn_table_version 9.0"));
     }
 
+    @Test
+    void kindsServedAnewFetchTheirRows() throws Exception {
+        entry.showTableVersion(9);
+        sendTable(9);
+        until(() -> get("/metrics").body().contains("caperturn_table_version 9.0"));
+        assertEquals(204, post(announcement("serving", 2, upstream.address()).replace("\"assay\"", "\"fineness\"")));
+        Frame request =
+                entry.await(frame -> frame.getTableRequest().getKindsList().contains("fineness"));
+        assertEquals(0, request.getTableRequest().getKnownVersion());
+    }
+
+    @Test
+    void listedEntryGetsLink() throws Exception {
+        try (FakeEntry second = new FakeEntry("entry-2")) {
+            entry.send(Frame.newBuilder()
+                    .setEntryList(EntryList.newBuilder()
+                            .addEntries(EntryAddress.newBuilder()
+                                    .setName("entry-1")
+                                    .setLinkAddress(
+                                            "localhost" + entry.address().substring(9)))
+                            .addEntries(
+                                    EntryAddress.newBuilder().setName("entry-2").setLinkAddress(second.address()))));
+            second.awaitLink();
+            second.await(frame -> frame.hasUpstream() && frame.getUpstream().getServing());
+            entry.dispatch("a", 1, LONG);
+            entry.awaitReports(1);
+        }
+    }
+
     @Test
     void lowerTableVersionIsIgnored() throws Exception {
         sendTable(9);
@@ -244,6 +292,11 @@
         assertEquals(400, post(announcement("serving", 2, "127.0.0.1:1").replace(right, wrong)));
     }
 
+    @Test
+    void oversizedAnnouncementIsRefused() throws Exception {
+        assertEquals(413, post(announcement("serving", 2, "127.0.0.1:1") + " ".repeat(64 * 1024)));
+    }
+
     @ParameterizedTest
     @CsvSource({"/healthz, 200", "/readyz, 200", "/metrics, 200", "/other, 404", "/v1/announcements, 405"})
     void operatorsRoutes(String path, int status) throws Exception {
--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/internal/ExchangeClassifierTest.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/internal/ExchangeClassifierTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ExchangeClassifierTest {
     private static final Duration SERVICE_TIME = Duration.ofMillis(5);
@@ -43,6 +44,27 @@
                 classifier.classify(new ExchangeEnd.Answered(status, "{\"a\":1}"), SERVICE_TIME));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'', null", "' ', null", "1, 1", "'[1,{}]', '[1,{}]'", "'\"a\"', '\"a\"'", "' null', ' null'"})
+    void resultIsJsonText(String body, String result) {
+        assertEquals(
+                new TaskOutcome.Completed(result, SERVICE_TIME),
+                classifier.classify(new ExchangeEnd.Answered(200, body), SERVICE_TIME));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{", "{} {}", "{}]", "a", "\"a", "{\"a\":}", "<html>"})
+    void successWithoutJsonRanAndFailed(String body) {
+        TaskOutcome outcome = classifier.classify(new ExchangeEnd.Answered(200, body), SERVICE_TIME);
+        assertEquals(Execution.RAN, ((TaskOutcome.Failed) outcome).execution());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"team/job-1_a, team/job-1_a", "a b, a%20b", "grün/%, gr%C3%BCn/%25", "'a\\r\\nb', a%0D%0Ab"})
+    void headerCarriesAnyIdentity(String identity, String header) {
+        assertEquals(header, HttpUpstreamClient.headerOf(identity.translateEscapes()));
+    }
+
     @ParameterizedTest
     @CsvSource({"429", "503", "500"})
     void noStatusProvesAnythingUnlessListed(int status) {
