Links end once and in order; tests of links and codecs

Cause: (1) the listener heard of a replaced link's end after the new link had opened, since the network reports a close later; a receiver that keeps links by process would then drop the new one. (2) Frames behind garbage in the same read were still handled, each with a log line of its own. (3) Service times beyond 2^31 microseconds were cut, though the field holds 2^32. (4) A connect right after a disconnect could leave two links, as the closing of the first opened another. Ruled out: delaying the opening until the network reports the close. Change: a link tells its end itself, once; nothing is handled after the first reason to close; a wish to keep a link has an identity of its own. (4) is reasoned, no run showed it.

--- a/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
@@ -34,8 +34,7 @@
     private final LinkSettings settings;
     private final LinkPipeline pipeline;
     private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final Map<String, Channel> outbound = new ConcurrentHashMap<>();
-    private final Map<String, Boolean> wanted = new ConcurrentHashMap<>();
+    private final Map<String, Wish> wanted = new ConcurrentHashMap<>();
     private volatile boolean closed;
 
     /**
@@ -84,8 +83,9 @@
      * @param address the address as {@code host:port}
      */
     public void connect(String address) {
-        if (wanted.putIfAbsent(address, Boolean.TRUE) == null) {
-            open(address);
+        Wish wish = new Wish(address);
+        if (wanted.putIfAbsent(address, wish) == null) {
+            open(wish);
         }
     }
 
@@ -95,10 +95,9 @@
      * @param address the address as {@code host:port}
      */
     public void disconnect(String address) {
-        wanted.remove(address);
-        Channel channel = outbound.remove(address);
-        if (channel != null) {
-            channel.close();
+        Wish wish = wanted.remove(address);
+        if (wish != null && wish.channel != null) {
+            wish.channel.close();
         }
     }
 
@@ -111,13 +110,13 @@
                 .awaitUninterruptibly(2L * SHUTDOWN_TIMEOUT_MILLISECONDS);
     }
 
-    private void open(String address) {
-        if (closed || !wanted.containsKey(address)) {
+    private void open(Wish wish) {
+        if (!isWanted(wish)) {
             return;
         }
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress target =
-                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        int colon = wish.address.lastIndexOf(':');
+        InetSocketAddress target = new InetSocketAddress(
+                wish.address.substring(0, colon), Integer.parseInt(wish.address.substring(colon + 1)));
         new Bootstrap()
                 .group(network)
                 .channel(NioSocketChannel.class)
@@ -130,34 +129,35 @@
                         LOGGER.log(
                                 System.Logger.Level.DEBUG,
                                 () -> EventLine.of("link-not-opened")
-                                        .with("address", address)
+                                        .with("address", wish.address)
                                         .with("reason", opened.cause())
                                         .toString());
-                        openLater(address);
+                        openLater(wish);
                         return;
                     }
-                    keep(address, opened.channel());
+                    keep(wish, opened.channel());
                 });
     }
 
-    private void keep(String address, Channel channel) {
-        outbound.put(address, channel);
-        channel.closeFuture().addListener(ignored -> {
-            outbound.remove(address, channel);
-            openLater(address);
-        });
-        if (!wanted.containsKey(address)) {
+    private void keep(Wish wish, Channel channel) {
+        wish.channel = channel;
+        channel.closeFuture().addListener(ignored -> openLater(wish));
+        if (!isWanted(wish)) {
             channel.close();
         }
     }
 
-    private void openLater(String address) {
-        if (closed || !wanted.containsKey(address)) {
+    private void openLater(Wish wish) {
+        if (!isWanted(wish)) {
             return;
         }
         long delay = settings.reconnectDelay().toMillis();
         long jittered = delay / 2 + ThreadLocalRandom.current().nextLong(delay + 1);
-        network.schedule(() -> open(address), jittered, TimeUnit.MILLISECONDS);
+        network.schedule(() -> open(wish), jittered, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isWanted(Wish wish) {
+        return !closed && wanted.get(wish.address) == wish;
     }
 
     /**
@@ -168,4 +168,14 @@
     public int openLinks() {
         return LinkHandler.countOpen(pipeline);
     }
+
+    /** One call of {@link #connect}, until {@link #disconnect}; a later one for the same address is another. */
+    private static final class Wish {
+        private final String address;
+        private volatile Channel channel;
+
+        private Wish(String address) {
+            this.address = address;
+        }
+    }
 }
--- a/caperturn-wire/src/main/java/io/caperturn/wire/MessageCodec.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/MessageCodec.java
@@ -28,6 +28,7 @@
  */
 public final class MessageCodec {
     private static final long NANOSECONDS_PER_MICROSECOND = 1_000;
+    private static final long MAXIMUM_UNSIGNED = 0xFFFF_FFFFL;
 
     private MessageCodec() {}
 
@@ -250,7 +251,7 @@
     }
 
     private static int toMicroseconds(Duration duration) {
-        return (int) Math.min(Integer.MAX_VALUE, duration.toNanos() / NANOSECONDS_PER_MICROSECOND);
+        return (int) Math.min(MAXIMUM_UNSIGNED, duration.toNanos() / NANOSECONDS_PER_MICROSECOND);
     }
 
     private static Duration fromMicroseconds(int microseconds) {
--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
@@ -31,7 +31,8 @@
     private final boolean accepting;
     private volatile Channel channel;
     private volatile Peer peer;
-    private String closeReason = "closed by peer";
+    private volatile String closeReason;
+    private boolean ended;
 
     LinkHandler(LinkPipeline pipeline, boolean accepting) {
         this.pipeline = pipeline;
@@ -92,6 +93,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) throws InvalidProtocolBufferException {
+        if (closeReason != null) {
+            return;
+        }
         Frame frame = Frame.parseFrom(bytes.nioBuffer());
         if (frame.getProtocolVersion() != PROTOCOL_VERSION) {
             throw new CorruptedFrameException("protocol version " + frame.getProtocolVersion());
@@ -119,18 +123,27 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (peer == null) {
+        end();
+    }
+
+    /** Tells the listener once that the link is over, which may be before the network says so. */
+    private void end() {
+        if (peer == null || ended) {
             return;
         }
+        ended = true;
         pipeline.open().decrementAndGet();
         if (accepting) {
             pipeline.accepted().remove(peer.process().name(), this);
         }
-        pipeline.listener().onClosed(this, closeReason);
+        pipeline.listener().onClosed(this, closeReason == null ? "closed by peer" : closeReason);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (closeReason != null) {
+            return;
+        }
         boolean garbage = cause instanceof CorruptedFrameException
                 || cause instanceof TooLongFrameException
                 || cause instanceof InvalidProtocolBufferException
@@ -142,8 +155,7 @@
                         .with("peer", peer == null ? "unknown" : peer.process())
                         .with("reason", cause)
                         .toString());
-        closeReason = garbage ? "garbage" : "broken";
-        context.close();
+        closeBecause(garbage ? "garbage" : "broken");
     }
 
     private void greet(Frame frame) {
@@ -167,11 +179,14 @@
         LinkHandler earlier = pipeline.accepted().put(peer.process().name(), this);
         if (earlier != null) {
             earlier.closeBecause("replaced");
+            earlier.end();
         }
     }
 
     private void closeBecause(String reason) {
-        closeReason = reason;
+        if (closeReason == null) {
+            closeReason = reason;
+        }
         Channel current = channel;
         if (current != null) {
             current.close();
