Table over HTTP: rows, imports, history

Cause: operators read and edit the table through an entry; racing edits must show the other's value. Change: TableEndpoint for /v1/table, /v1/table/history and rows below it; every mistake named by row and column; a dry run checks against the rows in force; the editor returns the rows as its change left them, so a reply shows what was written and not what somebody wrote since. Ruled out: editing against the table in force at the entry, which may be older than the store's.

--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/RowMistake.java
@@ -0,0 +1,19 @@
+package io.caperturn.entry.table;
+
+import java.util.Objects;
+
+/**
+ * Mistake in a row that an operator sent.
+ *
+ * @param row the row's name, {@code kinds/name} or {@code teams/name}, or its place among the edits
+ * @param column the column, empty for the whole row
+ * @param message what was given and what is allowed
+ */
+record RowMistake(String row, String column, String message) {
+    /** Checks that all parts are present. */
+    RowMistake {
+        Objects.requireNonNull(row, "row");
+        Objects.requireNonNull(column, "column");
+        Objects.requireNonNull(message, "message");
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/TableEndpoint.java
@@ -0,0 +1,298 @@
+package io.caperturn.entry.table;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.Table;
+import io.caperturn.entry.http.BodyReader;
+import io.caperturn.entry.http.Endpoint;
+import io.caperturn.entry.http.Problem;
+import io.caperturn.entry.http.Replies;
+import io.caperturn.platform.Row;
+import io.caperturn.platform.table.ChangeHistory;
+import io.caperturn.platform.table.EditResult;
+import io.caperturn.platform.table.TableEditor;
+import io.caperturn.platform.table.TableReading;
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/**
+ * Endpoint of {@code /v1/table}: the table as a whole, its history and its rows.
+ *
+ * <p>Reads and edits go to the store, not to the table in force here. An edit names the version of each row that it
+ * replaces, and a change identity by which a repeat of it has no second effect.
+ */
+public final class TableEndpoint implements Endpoint {
+    /** Path of the table; the history and the rows are below it. */
+    public static final String PATH = "/v1/table";
+
+    private static final String HISTORY_PATH = PATH + "/history";
+    private static final String CHANGE_ID = "Caperturn-Change-Id";
+    private static final String AUTHOR = "Caperturn-Author";
+    private static final String UNNAMED_AUTHOR = "unknown";
+    private static final int DEFAULT_HISTORY_CHANGES = 50;
+    private static final int MAXIMUM_HISTORY_CHANGES = 500;
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final TableEditor editor;
+    private final Runnable edited;
+    private final int maximumBodyBytes;
+    private final ChangeReader reader = new ChangeReader();
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param editor access to the table in the store
+     * @param edited called after each accepted edit
+     * @param maximumBodyBytes the largest body accepted
+     */
+    public TableEndpoint(TableEditor editor, Runnable edited, int maximumBodyBytes) {
+        this.editor = Objects.requireNonNull(editor, "editor");
+        this.edited = Objects.requireNonNull(edited, "edited");
+        this.maximumBodyBytes = maximumBodyBytes;
+    }
+
+    @Override
+    public void handle(Request request, Response response, Callback callback) throws IOException {
+        Exchange exchange = new Exchange(request, response, callback);
+        String path = request.getHttpURI().getPath();
+        if (path.equals(PATH)) {
+            handleTable(exchange);
+        } else if (path.equals(HISTORY_PATH)) {
+            handleHistory(exchange);
+        } else {
+            Optional<RowTarget> target = target(path);
+            if (target.isEmpty()) {
+                exchange.refuse(HttpStatus.NOT_FOUND_404, "rows are at " + PATH + "/kinds/{kind} and /teams/{team}");
+                return;
+            }
+            handleRow(exchange, target.get());
+        }
+    }
+
+    private void handleTable(Exchange exchange) throws IOException {
+        switch (exchange.method()) {
+            case "GET" -> {
+                switch (editor.read()) {
+                    case TableReading.Read(Table table) -> exchange.json(HttpStatus.OK_200, TableJson.of(table));
+                    case TableReading.Unavailable(String detail) -> exchange.unavailable(detail);
+                }
+            }
+            case "PUT" -> {
+                Optional<byte[]> body = exchange.body(maximumBodyBytes);
+                if (body.isPresent()) {
+                    handleChange(exchange, reader.readChange(body.get()), false);
+                }
+            }
+            default -> exchange.refuseMethod("GET, PUT");
+        }
+    }
+
+    private void handleHistory(Exchange exchange) {
+        if (!exchange.method().equals("GET")) {
+            exchange.refuseMethod("GET");
+            return;
+        }
+        OptionalLong limit = exchange.historyLimit();
+        if (limit.isEmpty()) {
+            exchange.refuse(HttpStatus.BAD_REQUEST_400, "limit: a whole number from 1 to " + MAXIMUM_HISTORY_CHANGES);
+            return;
+        }
+        switch (editor.history((int) limit.getAsLong())) {
+            case ChangeHistory.Changes changes -> exchange.json(HttpStatus.OK_200, TableJson.of(changes));
+            case ChangeHistory.Unavailable(String detail) -> exchange.unavailable(detail);
+        }
+    }
+
+    private void handleRow(Exchange exchange, RowTarget target) throws IOException {
+        switch (exchange.method()) {
+            case "GET" -> replyWithRow(exchange, target);
+            case "PUT", "DELETE" -> editRow(exchange, target);
+            default -> exchange.refuseMethod("GET, PUT, DELETE");
+        }
+    }
+
+    private void editRow(Exchange exchange, RowTarget target) throws IOException {
+        String condition = exchange.header(HttpHeader.IF_MATCH.asString()).orElse("");
+        if (condition.isBlank()) {
+            exchange.refuse(
+                    HttpStatus.PRECONDITION_REQUIRED_428, "If-Match with the row's ETag, or \"0\" if it is new");
+            return;
+        }
+        OptionalLong version = version(condition);
+        Optional<String> changeId = exchange.header(CHANGE_ID);
+        if (version.isEmpty() || changeId.isEmpty()) {
+            exchange.refuse(
+                    HttpStatus.BAD_REQUEST_400, "If-Match takes one ETag, and " + CHANGE_ID + " names the change");
+            return;
+        }
+        RowTarget expected = target.at(version.getAsLong());
+        String author = exchange.header(AUTHOR).orElse(UNNAMED_AUTHOR);
+        if (exchange.method().equals("DELETE")) {
+            handleChange(exchange, reader.delete(expected, changeId.get(), author), false);
+            return;
+        }
+        Optional<byte[]> body = exchange.body(maximumBodyBytes);
+        if (body.isPresent()) {
+            ChangeReading change = reader.readRow(expected, changeId.get(), author, body.get());
+            handleChange(exchange, change, true);
+        }
+    }
+
+    /** Applies or checks a change; the reply shows the row that it wrote, where that is asked for. */
+    private void handleChange(Exchange exchange, ChangeReading reading, boolean showRow) {
+        switch (reading) {
+            case ChangeReading.Malformed(String detail) -> exchange.refuse(HttpStatus.BAD_REQUEST_400, detail);
+            case ChangeReading.Wrong(List<RowMistake> mistakes) ->
+                exchange.json(HttpStatus.UNPROCESSABLE_ENTITY_422, TableJson.mistakes(mistakes));
+            case ChangeReading.Valid(var change, boolean dryRun) -> {
+                EditResult result = dryRun ? editor.check(change) : editor.apply(change);
+                if (result instanceof EditResult.Accepted && !dryRun) {
+                    edited.run();
+                }
+                reply(exchange, result, showRow);
+            }
+        }
+    }
+
+    private static void reply(Exchange exchange, EditResult result, boolean showRow) {
+        switch (result) {
+            case EditResult.Accepted(long version, List<Row> rows) -> {
+                if (showRow && !rows.isEmpty()) {
+                    exchange.row(TableJson.of(rows.getFirst()));
+                } else {
+                    exchange.json(HttpStatus.OK_200, TableJson.version(version));
+                }
+            }
+            case EditResult.Conflict(List<Row> rows) ->
+                exchange.json(HttpStatus.PRECONDITION_FAILED_412, TableJson.conflict(rows));
+            case EditResult.Invalid(String detail) ->
+                exchange.json(
+                        HttpStatus.UNPROCESSABLE_ENTITY_422,
+                        TableJson.mistakes(List.of(new RowMistake("", "", detail))));
+            case EditResult.Unavailable(String detail) -> exchange.unavailable(detail);
+            case EditResult.Unknown(String detail) ->
+                exchange.problem(HttpStatus.GATEWAY_TIMEOUT_504, detail, Execution.MAY_HAVE_RUN);
+        }
+    }
+
+    private void replyWithRow(Exchange exchange, RowTarget target) {
+        switch (editor.read()) {
+            case TableReading.Read(Table table) ->
+                TableJson.find(table, target)
+                        .ifPresentOrElse(
+                                exchange::row,
+                                () -> exchange.refuse(
+                                        HttpStatus.NOT_FOUND_404,
+                                        "no row " + target.type().collection() + "/" + target.name()));
+            case TableReading.Unavailable(String detail) -> exchange.unavailable(detail);
+        }
+    }
+
+    private static OptionalLong version(String entityTag) {
+        String text = entityTag.strip();
+        return text.matches("\"[0-9]{1,18}\"")
+                ? OptionalLong.of(Long.parseLong(text.substring(1, text.length() - 1)))
+                : OptionalLong.empty();
+    }
+
+    private static Optional<RowTarget> target(String path) {
+        String[] parts = path.substring(PATH.length() + 1).split("/", -1);
+        if (parts.length != 2 || parts[1].isEmpty()) {
+            return Optional.empty();
+        }
+        String name = URLDecoder.decode(parts[1].replace("+", "%2B"), StandardCharsets.UTF_8);
+        return name.isBlank()
+                ? Optional.empty()
+                : RowTarget.Type.find(parts[0]).map(type -> new RowTarget(type, name, 0));
+    }
+
+    /**
+     * A request with the means to reply to it.
+     *
+     * @param request the request
+     * @param response the response
+     * @param callback completed when the reply is written
+     */
+    private record Exchange(Request request, Response response, Callback callback) {
+        String method() {
+            return request.getMethod();
+        }
+
+        Optional<String> header(String name) {
+            return Optional.ofNullable(request.getHeaders().getField(name))
+                    .map(HttpField::getValue)
+                    .filter(value -> !value.isBlank());
+        }
+
+        OptionalLong historyLimit() {
+            Fields query = Request.extractQueryParameters(request);
+            String text = query.getValue("limit");
+            if (text == null) {
+                return OptionalLong.of(DEFAULT_HISTORY_CHANGES);
+            }
+            if (!text.matches("[0-9]{1,9}")) {
+                return OptionalLong.empty();
+            }
+            long limit = Long.parseLong(text);
+            return limit >= 1 && limit <= MAXIMUM_HISTORY_CHANGES ? OptionalLong.of(limit) : OptionalLong.empty();
+        }
+
+        /** Reads the body; replies and returns nothing if it is too large. */
+        Optional<byte[]> body(int maximumBytes) throws IOException {
+            Optional<byte[]> body = BodyReader.read(request, maximumBytes);
+            if (body.isEmpty()) {
+                refuse(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body exceeds " + maximumBytes + " bytes");
+            }
+            return body;
+        }
+
+        void json(int status, ObjectNode json) {
+            Replies.json(response, callback, status, json);
+        }
+
+        void row(ObjectNode row) {
+            response.getHeaders()
+                    .put(HttpHeader.ETAG, "\"" + row.path("rowVersion").asLong() + "\"");
+            json(HttpStatus.OK_200, row);
+        }
+
+        void refuse(int status, String detail) {
+            Replies.problem(response, callback, Problem.badRequest(status, detail));
+        }
+
+        void refuseMethod(String allowed) {
+            response.getHeaders().put(HttpHeader.ALLOW, allowed);
+            refuse(HttpStatus.METHOD_NOT_ALLOWED_405, allowed + " are allowed here");
+        }
+
+        void unavailable(String detail) {
+            problem(HttpStatus.SERVICE_UNAVAILABLE_503, detail, Execution.NOT_RUN);
+        }
+
+        void problem(int status, String detail, Execution execution) {
+            Replies.problem(
+                    response,
+                    callback,
+                    new Problem(
+                            status,
+                            "store-unavailable",
+                            detail,
+                            execution,
+                            Optional.empty(),
+                            Optional.of(RETRY_AFTER)));
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/TableJson.java
@@ -0,0 +1,137 @@
+package io.caperturn.entry.table;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TeamRow;
+import io.caperturn.platform.Row;
+import io.caperturn.platform.table.ChangeHistory;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Shapes of the table in the HTTP protocol. */
+final class TableJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private TableJson() {}
+
+    static ObjectNode of(Table table) {
+        ObjectNode json = object().put("version", table.version());
+        ArrayNode kinds = json.putArray("kinds");
+        table.kinds().values().stream()
+                .sorted(Comparator.comparing(KindRow::kind))
+                .forEach(row -> kinds.add(of(row)));
+        ArrayNode teams = json.putArray("teams");
+        table.teams().values().stream()
+                .sorted(Comparator.comparing(TeamRow::team))
+                .forEach(row -> teams.add(of(row)));
+        return json;
+    }
+
+    static ObjectNode of(KindRow row) {
+        ObjectNode json = object().put("kind", row.kind())
+                .put("weight", row.weight())
+                .put("urgency", row.urgency().name());
+        json.set("limits", of(row.limits()));
+        return json.put("taskTimeoutMilliseconds", row.taskTimeout().toMillis()).put("rowVersion", row.rowVersion());
+    }
+
+    static ObjectNode of(TeamRow row) {
+        ObjectNode json = object().put("team", row.team());
+        json.set("limits", of(row.limits()));
+        return json.put("rowVersion", row.rowVersion());
+    }
+
+    /** Shows a row as the store has it. */
+    static ObjectNode of(Row row) {
+        ObjectNode json = row.value().map(TableJson::stored).orElseGet(TableJson::object) instanceof ObjectNode stored
+                ? stored
+                : object();
+        json.remove("changeId");
+        return json.put("rowVersion", row.version());
+    }
+
+    /** Finds one row of a table. */
+    static Optional<ObjectNode> find(Table table, RowTarget target) {
+        return switch (target.type()) {
+            case KIND -> table.kind(target.name()).map(TableJson::of);
+            case TEAM -> Optional.ofNullable(table.teams().get(target.name())).map(TableJson::of);
+        };
+    }
+
+    /** Writes the rows in force of a conflict. */
+    static ObjectNode conflict(List<Row> rowsInForce) {
+        ObjectNode json = object();
+        ArrayNode rows = json.putArray("rows");
+        for (Row row : rowsInForce) {
+            ObjectNode shown = rows.addObject()
+                    .put("table", row.key().table())
+                    .put("key", row.key().key())
+                    .put("rowVersion", row.version());
+            shown.set("row", row.value().map(TableJson::stored).orElseGet(JsonNodeFactory.instance::nullNode));
+        }
+        return json;
+    }
+
+    static ObjectNode mistakes(List<RowMistake> found) {
+        ObjectNode json = object();
+        ArrayNode mistakes = json.putArray("mistakes");
+        found.forEach(mistake -> mistakes.addObject()
+                .put("row", mistake.row())
+                .put("column", mistake.column())
+                .put("message", mistake.message()));
+        return json;
+    }
+
+    static ObjectNode of(ChangeHistory.Changes history) {
+        ObjectNode json = object();
+        ArrayNode changes = json.putArray("changes");
+        for (ChangeHistory.Change change : history.changes()) {
+            ArrayNode rows = changes.addObject()
+                    .put("version", change.tableVersion())
+                    .put("changeId", change.changeId())
+                    .put("author", change.author())
+                    .put("at", change.at().toString())
+                    .putArray("rows");
+            change.rows().forEach(row -> rows.add(row.table() + "/" + row.key()));
+        }
+        return json;
+    }
+
+    static ObjectNode version(long version) {
+        return object().put("version", version);
+    }
+
+    private static ObjectNode of(Limits limits) {
+        ObjectNode json = object();
+        put(json, "running", limits.running());
+        put(json, "queued", limits.queued());
+        put(json, "startsPerSecond", limits.startsPerSecond());
+        return json;
+    }
+
+    private static void put(ObjectNode json, String name, int limit) {
+        if (limit != Limits.UNLIMITED) {
+            json.put(name, limit);
+        }
+    }
+
+    private static JsonNode stored(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            return JsonNodeFactory.instance.nullNode();
+        }
+    }
+
+    private static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+}
--- a/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
@@ -8,6 +8,7 @@
 import io.caperturn.kernel.Service;
 import io.caperturn.kernel.ServiceName;
 import io.caperturn.platform.PlatformStore;
+import io.caperturn.platform.table.TableEditor;
 import io.caperturn.platform.table.TableListener;
 import io.caperturn.platform.table.TableWatcher;
 import io.caperturn.wire.FrameStamp;
@@ -72,6 +73,15 @@
         return table.get();
     }
 
+    /**
+     * Returns access to the table in the store, for edits.
+     *
+     * @return the editor
+     */
+    public TableEditor editor() {
+        return new TableEditor(store);
+    }
+
     /** Asks the store for the table soon, after an edit that this entry accepted. */
     public void refresh() {
         watcher.pollSoon();
--- /dev/null
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/table/TableEndpointTest.java
@@ -0,0 +1,234 @@
+package io.caperturn.entry.table;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.caperturn.platform.http.HttpPlatformStore;
+import io.caperturn.platform.table.TableEditor;
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.platform.PlatformControl;
+import io.caperturn.testkit.platform.PlatformMode;
+import io.caperturn.testkit.platform.StandInPlatform;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of the table over HTTP, against the stand-in of the platform's store. */
+class TableEndpointTest {
+    private static final String ASSAY =
+            "{\"weight\":3,\"urgency\":\"URGENT\",\"limits\":{\"running\":8}," + "\"taskTimeoutMilliseconds\":2000}";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Server server = new Server(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    private final HttpClient client = new HttpClient();
+    private final AtomicInteger edits = new AtomicInteger();
+    private StandInPlatform platform;
+    private HttpPlatformStore store;
+
+    @BeforeEach
+    void start() throws Exception {
+        platform = new StandInPlatform(Endpoint.ANY);
+        store = new HttpPlatformStore(platform.address().toString(), Duration.ofMillis(500));
+        TableEndpoint endpoint = new TableEndpoint(new TableEditor(store), edits::incrementAndGet, 1 << 20);
+        server.setHandler(new Handler.Abstract() {
+            @Override
+            public boolean handle(org.eclipse.jetty.server.Request request, Response response, Callback callback)
+                    throws Exception {
+                endpoint.handle(request, response, callback);
+                return true;
+            }
+        });
+        server.start();
+        client.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.stop();
+        server.stop();
+        store.close();
+        platform.close();
+    }
+
+    @Test
+    void showsTheRowThatWasPut() throws Exception {
+        ContentResponse put = put("kinds/assay", "\"0\"", "c1", ASSAY);
+        ContentResponse got = send("GET", "kinds/assay", Map.of(), "");
+
+        assertEquals(200, put.getStatus());
+        assertEquals(json(got), json(put));
+        assertEquals("\"1\"", got.getHeaders().get("ETag"));
+        assertEquals(8, json(got).path("limits").path("running").asInt());
+        assertEquals(1, edits.get());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "PUT, '', c1, 428",
+        "DELETE, '', c1, 428",
+        "PUT, '\"0\"', '', 400",
+        "PUT, *, c1, 400",
+        "PUT, '\"7\"', c1, 412",
+        "DELETE, '\"7\"', c1, 412",
+        "DELETE, '\"0\"', c1, 422",
+        "POST, '\"0\"', c1, 405",
+    })
+    void needsTheVersionAndTheChangeIdentity(String method, String version, String changeId, int status)
+            throws Exception {
+        Map<String, String> headers = Map.of("If-Match", version, "Caperturn-Change-Id", changeId);
+
+        assertEquals(status, send(method, "kinds/assay", headers, ASSAY).getStatus());
+        assertEquals(0, edits.get());
+    }
+
+    @Test
+    void showsTheRowInForceToTheSlowerOperator() throws Exception {
+        put("kinds/assay", "\"0\"", "c1", ASSAY);
+
+        ContentResponse refused = put("kinds/assay", "\"0\"", "c2", ASSAY.replace("3", "9"));
+
+        JsonNode row = json(refused).path("rows").path(0);
+        assertEquals(412, refused.getStatus());
+        assertEquals("assay", row.path("key").asText());
+        assertEquals(1, row.path("rowVersion").asInt());
+        assertEquals(3, row.path("row").path("weight").asInt());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"weight\":3 | \"weight\":-1 | weight",
+                "\"weight\":3 | \"weight\":\"3\" | weight",
+                "\"weight\":3 | \"wieght\":3 | wieght",
+                "URGENT | SOON | urgency",
+                "\"running\":8 | \"running\":0 | running",
+                "\"running\":8 | \"running\":-8 | running",
+                "\"running\":8 | \"runing\":8 | runing",
+                "2000 | 0 | taskTimeoutMilliseconds",
+            })
+    void namesRowAndColumnOfAMistake(String good, String bad, String column) throws Exception {
+        ContentResponse refused = put("kinds/assay", "\"0\"", "c1", ASSAY.replace(good, bad));
+
+        assertEquals(422, refused.getStatus());
+        JsonNode mistakes = json(refused).path("mistakes");
+        assertTrue(
+                mistakes.findValuesAsText("column").contains(column)
+                        && mistakes.findValuesAsText("row").contains("kinds/assay"),
+                mistakes.toString());
+        assertEquals(0, edits.get());
+    }
+
+    @Test
+    void takesALimitOfZeroThatIsMeant() throws Exception {
+        String stopped = ASSAY.replace("\"running\":8", "\"running\":0")
+                .replace("{\"weight\"", "{\"explicitZero\":true,\"weight\"");
+
+        assertEquals(200, put("kinds/assay", "\"0\"", "c1", stopped).getStatus());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 0", "false, 3"})
+    void importsAllRowsOrOnlyChecks(boolean dryRun, int rows) throws Exception {
+        ContentResponse imported = change("c1", dryRun, 0);
+
+        assertEquals(200, imported.getStatus());
+        assertEquals(1, json(imported).path("version").asInt());
+        JsonNode table = json(send("GET", "", Map.of(), ""));
+        assertEquals(rows, table.path("kinds").size() + table.path("teams").size());
+    }
+
+    @Test
+    void importsNothingIfOneRowIsStale() throws Exception {
+        put("kinds/assay", "\"0\"", "c1", ASSAY);
+
+        ContentResponse refused = change("c2", false, 0);
+
+        assertEquals(412, refused.getStatus());
+        assertEquals(1, json(refused).path("rows").size());
+        assertEquals(0, json(send("GET", "", Map.of(), "")).path("teams").size());
+    }
+
+    @Test
+    void acceptsARepeatWithoutEffectAndTellsTheHistory() throws Exception {
+        change("c1", false, 0);
+        put("kinds/assay", "\"1\"", "c2", ASSAY);
+
+        ContentResponse repeated = change("c1", false, 0);
+
+        assertEquals(1, json(repeated).path("version").asInt());
+        JsonNode changes = json(send("GET", "history?limit=10", Map.of(), "")).path("changes");
+        assertEquals("[c2, c1]", changes.findValuesAsText("changeId").toString());
+        assertEquals(3, changes.path(1).path("rows").size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"DOWN, 503, not-run", "DOWN_SILENT, 503, not-run"})
+    void saysThatNothingChangedWhileTheStoreIsDown(PlatformMode mode, int status, String execution) throws Exception {
+        platform.control(new PlatformControl(mode, 0, 500, 0));
+
+        ContentResponse refused = put("kinds/assay", "\"0\"", "c1", ASSAY);
+
+        assertEquals(status, refused.getStatus());
+        assertEquals(execution, json(refused).path("execution").asText());
+        assertEquals("1", refused.getHeaders().get("Retry-After"));
+    }
+
+    @Test
+    void acceptsAnEditWhoseReplyWasLost() throws Exception {
+        platform.control(new PlatformControl(PlatformMode.REPLY_LOST, 0, 500, 0));
+
+        ContentResponse accepted = put("kinds/assay", "\"0\"", "c1", ASSAY);
+
+        assertEquals(200, accepted.getStatus());
+        assertEquals(1, json(accepted).path("version").asInt());
+    }
+
+    private ContentResponse change(String changeId, boolean dryRun, long assayVersion) throws Exception {
+        String body = """
+                {"changeId":"%s","author":"kim","dryRun":%s,"edits":[
+                 {"kind":{"kind":"assay","weight":3,"urgency":"urgent","limits":{},"taskTimeoutMilliseconds":9},
+                  "expectedVersion":%d},
+                 {"kind":{"kind":"stamp","weight":1,"urgency":"NORMAL","taskTimeoutMilliseconds":9},
+                  "expectedVersion":0},
+                 {"team":{"team":"lab","limits":{"queued":5}},"expectedVersion":0}]}
+                """.formatted(changeId, dryRun, assayVersion);
+        return send("PUT", "", Map.of(), body);
+    }
+
+    private ContentResponse put(String row, String version, String changeId, String body) throws Exception {
+        return send("PUT", row, Map.of("If-Match", version, "Caperturn-Change-Id", changeId), body);
+    }
+
+    private ContentResponse send(String method, String row, Map<String, String> headers, String body) throws Exception {
+        String path = TableEndpoint.PATH + (row.isEmpty() ? "" : "/" + row);
+        Request request =
+                client.newRequest(server.getURI().resolve(path).toString()).method(method);
+        request.headers(fields -> headers.forEach(fields::put));
+        if (!body.isEmpty()) {
+            request.body(new StringRequestContent("application/json", body));
+        }
+        return request.send();
+    }
+
+    private static JsonNode json(ContentResponse response) throws Exception {
+        return MAPPER.readTree(response.getContentAsString());
+    }
+}
--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
@@ -59,7 +59,7 @@
         client.setConnectTimeout(timeout.toMillis());
         client.setIdleTimeout(Math.max(CONNECTION_IDLE_MILLISECONDS, 2 * timeout.toMillis()));
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS);
-        client.getTransport().setConnectionPoolFactory(destination -> {
+        client.getHttpClientTransport().setConnectionPoolFactory(destination -> {
             DuplexConnectionPool pool = new DuplexConnectionPool(destination, MAXIMUM_CONNECTIONS);
             pool.setMaxDuration(CONNECTION_MAXIMUM_AGE_MILLISECONDS);
             return pool;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/EditResult.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/table/EditResult.java
@@ -10,8 +10,14 @@
      * The change is committed in the store.
      *
      * @param tableVersion the version of the whole table that it made
+     * @param rows the rows as the change left them; empty for a repeat of an earlier change and for a mere check
      */
-    record Accepted(long tableVersion) implements EditResult {}
+    record Accepted(long tableVersion, List<Row> rows) implements EditResult {
+        /** Copies the rows. */
+        public Accepted {
+            rows = List.copyOf(rows);
+        }
+    }
 
     /**
      * A row's version was not the expected one; nothing was changed.
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableEditor.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/table/TableEditor.java
@@ -8,6 +8,7 @@
 import io.caperturn.platform.Write;
 import io.caperturn.platform.internal.ChangeRow;
 import io.caperturn.platform.internal.Json;
+import io.caperturn.platform.internal.TableReader;
 import io.caperturn.platform.internal.TableRow;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -98,10 +99,22 @@
         }
         List<Row> conflicts = conflicts(change, rows);
         return conflicts.isEmpty()
-                ? new EditResult.Accepted(versionOf(rows.getFirst()) + 1)
+                ? new EditResult.Accepted(versionOf(rows.getFirst()) + 1, List.of())
                 : new EditResult.Conflict(conflicts);
     }
 
+    /**
+     * Reads the table as it is in the store.
+     *
+     * @return the table at one version, or that the store does not answer
+     */
+    public TableReading read() {
+        return new TableReader(store)
+                .read()
+                .<TableReading>map(TableReading.Read::new)
+                .orElseGet(() -> new TableReading.Unavailable("the store does not answer"));
+    }
+
     /**
      * Reads the newest changes.
      *
@@ -128,8 +141,9 @@
             return new Step.Done(new EditResult.Unavailable("the store does not answer"));
         }
         long next = versionOf(current.get()) + 1;
-        return switch (store.transact(new Transaction(List.of(), writes(change, current.get(), next)))) {
-            case StoreResult.Committed ignored -> new Step.Done(new EditResult.Accepted(next));
+        List<RowKey> edited = change.edits().stream().map(RowEdit::key).toList();
+        return switch (store.transact(new Transaction(edited, writes(change, current.get(), next)))) {
+            case StoreResult.Committed(List<Row> rows) -> new Step.Done(new EditResult.Accepted(next, rows));
             case StoreResult.Conflict(List<Row> rows) -> {
                 List<Row> conflicts = conflicts(change, rows);
                 yield conflicts.isEmpty() ? new Step.Moved() : settle(change, conflicts);
@@ -150,7 +164,7 @@
         return changes.get().stream()
                 .filter(row -> row.changeId().equals(change.changeId()))
                 .findFirst()
-                .<Step>map(row -> new Step.Done(new EditResult.Accepted(row.version())))
+                .<Step>map(row -> new Step.Done(new EditResult.Accepted(row.version(), List.of())))
                 .orElseGet(() -> new Step.Done(new EditResult.Conflict(conflicts)));
     }
 
--- a/caperturn-platform/src/test/java/io/caperturn/platform/table/TableEditorTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/table/TableEditorTest.java
@@ -88,7 +88,7 @@
 
         EditResult repeated = editor.apply(change("change-1", put("kind", 0, 5)));
 
-        assertEquals(new EditResult.Accepted(1), repeated);
+        assertEquals(new EditResult.Accepted(1, List.of()), repeated);
         assertEquals(2, store.row(new RowKey("kinds", "kind")).version());
     }
 
@@ -133,7 +133,7 @@
     void checksWithoutApplying() {
         editor.apply(change("change-1", put("kind", 0, 5)));
 
-        assertEquals(new EditResult.Accepted(2), editor.check(change("change-2", put("kind", 1, 6))));
+        assertEquals(new EditResult.Accepted(2, List.of()), editor.check(change("change-2", put("kind", 1, 6))));
         assertInstanceOf(EditResult.Conflict.class, editor.check(change("change-3", put("kind", 0, 6))));
         assertEquals(1, store.row(new RowKey("kinds", "kind")).version());
     }
