--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -3,6 +3,7 @@
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
 import io.caperturn.entry.observe.Observer;
+import io.caperturn.entry.table.TableEndpoint;
 import io.caperturn.entry.table.TableService;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.Service;
@@ -97,6 +98,8 @@
         Engine engine = kernel.find(Engine.NAME);
         Waiters waiters = kernel.find(Waiters.NAME);
         Observer observer = kernel.find(Observer.NAME);
+        TableEndpoint tableEndpoint = new TableEndpoint(
+                table.editor(), table::refresh, settings.requests().maximumBodyBytes());
         HealthEndpoint health = new HealthEndpoint(this::unreadiness, observer.meters());
         return List.of(
                 new Router.Route(
@@ -106,6 +109,8 @@
                         "/v1/requests",
                         new WorkEndpoint(WorkEndpoint.Resource.REQUESTS, engine, waiters, settings.requests(), clock)),
                 new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
+                new Router.Route(TableEndpoint.PATH, tableEndpoint),
+                new Router.Route(TableEndpoint.PATH + "/", tableEndpoint),
                 new Router.Route("/healthz", health),
                 new Router.Route("/readyz", health),
                 new Router.Route("/metrics", health));
