--- a/caperturn-replay/src/main/java/io/caperturn/replay/ReplayCommand.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/ReplayCommand.java
@@ -31,21 +31,24 @@
 
     private final long seed;
     private final double lengthSeconds;
+    private final int entries;
 
     /**
      * Creates the command.
      *
      * @param seed seed of generated traces and of the replay
      * @param lengthSeconds length of generated traces
+     * @param entries how many entries there are, 0 for the deployment's number
      */
-    public ReplayCommand(long seed, double lengthSeconds) {
+    public ReplayCommand(long seed, double lengthSeconds, int entries) {
         this.seed = seed;
         this.lengthSeconds = lengthSeconds;
+        this.entries = entries;
     }
 
     /** Creates the command with the default seed and length. */
     public ReplayCommand() {
-        this(DEFAULT_SEED, DEFAULT_LENGTH_SECONDS);
+        this(DEFAULT_SEED, DEFAULT_LENGTH_SECONDS, 0);
     }
 
     /**
@@ -59,7 +62,7 @@
      * @return {@link #SUCCESS} or {@link #FAILURE}
      */
     public int run(String trace, String deployment, Optional<Path> json, Optional<Path> svg, PrintStream out) {
-        Optional<Deployment> found = Deployment.find(deployment);
+        Optional<Deployment> found = Deployment.find(deployment).map(this::withEntries);
         if (found.isEmpty()) {
             out.println("unknown deployment " + deployment + "; known are "
                     + Deployment.known().stream().map(Deployment::name).collect(Collectors.joining(", ")));
@@ -87,17 +90,24 @@
     /**
      * Replays a trace from the command line of a developer.
      *
-     * @param arguments trace, then optionally deployment, JSON file and SVG file
+     * @param arguments trace, then optionally deployment, JSON file, SVG file, number of entries and seed
      */
     public static void main(String[] arguments) {
         if (arguments.length == 0) {
-            System.out.println("usage: TRACE [DEPLOYMENT [JSON [SVG]]]");
+            System.out.println("usage: TRACE [DEPLOYMENT [JSON [SVG [ENTRIES [SEED]]]]]");
             System.exit(FAILURE);
         }
         String deployment = arguments.length > 1 ? arguments[1] : Deployment.METALS_LAB.name();
         Optional<Path> json = arguments.length > 2 ? Optional.of(Path.of(arguments[2])) : Optional.empty();
         Optional<Path> svg = arguments.length > 3 ? Optional.of(Path.of(arguments[3])) : Optional.empty();
-        System.exit(new ReplayCommand().run(arguments[0], deployment, json, svg, System.out));
+        int entries = arguments.length > 4 ? Integer.parseInt(arguments[4]) : 0;
+        long seed = arguments.length > 5 ? Long.parseLong(arguments[5]) : DEFAULT_SEED;
+        ReplayCommand command = new ReplayCommand(seed, DEFAULT_LENGTH_SECONDS, entries);
+        System.exit(command.run(arguments[0], deployment, json, svg, System.out));
+    }
+
+    private Deployment withEntries(Deployment deployment) {
+        return entries == 0 ? deployment : deployment.withEntries(entries);
     }
 
     private Trace load(String trace, Deployment deployment) throws TraceFormatException, IOException {
--- a/caperturn-replay/src/main/java/io/caperturn/replay/report/Measures.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/report/Measures.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import io.caperturn.core.model.FailureReason;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -98,8 +100,14 @@
      * @param starts task starts at upstreams
      * @param messages messages, a frame holding one or more
      * @param frames frames
+     * @param messagesByType messages by the event that they cause at their receiver
      */
-    public record Traffic(long starts, long messages, long frames) {
+    public record Traffic(long starts, long messages, long frames, Map<String, Long> messagesByType) {
+        /** Copies the numbers. */
+        public Traffic {
+            messagesByType = Collections.unmodifiableMap(new TreeMap<>(messagesByType));
+        }
+
         /**
          * Returns messages for each task.
          *
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Recorder.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Recorder.java
@@ -14,6 +14,7 @@
     private final Map<String, Integer> waiting = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
     private final Map<String, Integer> runningByTeam = new HashMap<>();
+    private final Map<String, Long> messagesByType = new TreeMap<>();
     private final FairnessMeter fairness;
     private int totalWaiting;
     private int idleSlots;
@@ -33,9 +34,10 @@
         this.fairness = new FairnessMeter(new TreeMap<>(table.kinds()));
     }
 
-    void sent(int messagesInFrame) {
+    void sent(String type, int messagesInFrame) {
         frames++;
         messages += messagesInFrame;
+        messagesByType.merge(type, (long) messagesInFrame, Long::sum);
     }
 
     void waits(String kind, int tasks, double now) {
@@ -92,6 +94,10 @@
         return messages;
     }
 
+    Map<String, Long> messagesByType() {
+        return messagesByType;
+    }
+
     long limitBreaches() {
         return limitBreaches;
     }
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
@@ -89,7 +89,8 @@
                 Measures.Distribution.of(responses.urgent()),
                 Measures.Distribution.of(responses.other()),
                 new Measures.Failures(Map.copyOf(responses.failures()), responses.cancellations()),
-                new Measures.Traffic(recorder.starts(), recorder.messages(), recorder.frames()),
+                new Measures.Traffic(
+                        recorder.starts(), recorder.messages(), recorder.frames(), recorder.messagesByType()),
                 recorder.lostSlotShare(),
                 recorder.worstFairnessDeviation(),
                 recorder.limitBreaches());
@@ -292,13 +293,13 @@
     }
 
     private void send(EntryNode from, ProcessId to, int messages, SidecarEvent event) {
-        recorder.sent(messages);
+        recorder.sent(event.getClass().getSimpleName(), messages);
         SidecarNode sidecar = sidecarsById.get(to);
         loop.after(deployment.delayMilliseconds(from.number(), sidecar.number()), () -> sidecar.on(event));
     }
 
     private void send(SidecarNode from, ProcessId to, int messages, EntryEvent event) {
-        recorder.sent(messages);
+        recorder.sent(event.getClass().getSimpleName(), messages);
         EntryNode entry = entriesById.get(to);
         loop.after(deployment.delayMilliseconds(entry.number(), from.number()), () -> entry.on(event));
     }
