Windows of a sidecar divide its slots, not its queue

Cause: with three entries the windows added up to slots and queue, and entries went on using windows told to them before others grew. Refusals of full queues failed jobs at the attempt limit, and urgent work queued at sidecars. Ruled out: halving windows in the entry, since an entry alone would then leave slots idle. Change: the slots are divided; the queue takes up idle windows and what is sent before a smaller window is known.

--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -321,7 +321,7 @@
     }
 
     private void allocate(Instant now) {
-        windows.allocate(serving ? slots.capacity() : 0, outstanding, now);
+        windows.allocate(slots.limit(), serving ? slots.capacity() : 0, outstanding, now);
     }
 
     private static AttemptState notStarted(NotStartedReason reason) {
--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SlotPool.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SlotPool.java
@@ -27,6 +27,11 @@
         limit = Math.min(upstream.slots(), upstream.connections());
     }
 
+    /** Returns how many attempts may run at once. */
+    int limit() {
+        return limit;
+    }
+
     /** Returns how many attempts may run or wait at once. */
     int capacity() {
         return limit * (1 + queuedPerSlot);
--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
@@ -11,11 +11,12 @@
 import java.util.Set;
 
 /**
- * Division of the sidecar's capacity among the linked entries.
+ * Division of the sidecar's slots among the linked entries.
  *
  * <p>Each entry has a window: the most attempts that it may have outstanding here. An idle entry keeps a small one, so
  * that a lone request needs no message before it, and all idle entries together hold back no more than a part of the
- * capacity. The rest is divided max-min fairly by what each entry has outstanding and waiting. Confined to the thread
+ * capacity. The slots are divided max-min fairly by what each entry has outstanding and waiting; the places for waiting
+ * attempts take up the small windows, and what entries send before they learn of a smaller one. Confined to the thread
  * of the {@link SidecarMachine}.
  */
 final class WindowAllocator {
@@ -51,8 +52,13 @@
         }
     }
 
-    /** Divides the capacity anew; 0 closes all windows. */
-    void allocate(int capacity, Map<ProcessId, Integer> outstanding, Instant now) {
+    /**
+     * Divides the slots anew; a capacity of 0 closes all windows.
+     *
+     * @param slots how many attempts may run at once
+     * @param capacity how many may run or wait at once
+     */
+    void allocate(int slots, int capacity, Map<ProcessId, Integer> outstanding, Instant now) {
         int idleWindow = idleWindow(capacity);
         List<Share> active = new ArrayList<>();
         for (Map.Entry<ProcessId, Share> entry : shares.entrySet()) {
@@ -67,7 +73,7 @@
         int idle = (shares.size() - active.size()) * idleWindow;
         int reserved = Math.min(idle, capacity / IDLE_PART_DIVISOR);
         active.sort(Comparator.comparingInt(share -> share.wanted));
-        int left = grantWanted(active, capacity - reserved - countWithoutLink(outstanding));
+        int left = grantWanted(active, Math.min(slots, capacity - reserved) - countWithoutLink(outstanding));
         grantRest(active, left);
         shares.values().forEach(share -> share.window = Math.max(share.window, idleWindow));
     }
