A sidecar that refused a task is left alone for a while

Cause: a refused task went back to the same sidecar at once, until its attempts were used up. Change: a pause of 10 ms after a refusal, doubled at each refusal in a row.

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -8,6 +8,8 @@
 
 /** What the scheduler knows of one sidecar and its upstream. */
 final class Backend {
+    private static final int MAXIMUM_DOUBLINGS = 6;
+
     private final ProcessId sidecar;
     private final int sequence;
     private final List<KindPool.Seat> seats = new ArrayList<>();
@@ -21,6 +23,9 @@
     private int ejections;
     private long ejectedUntil = Long.MIN_VALUE;
     private boolean ejected;
+    private boolean full;
+    private long fullUntil = Long.MIN_VALUE;
+    private int refusals;
     private boolean probing;
     private SubmissionId lastFailed;
     private double completions;
@@ -75,7 +80,7 @@
 
     /** Returns how many placements may be outstanding here. */
     int capacity() {
-        if (!serving || ejected) {
+        if (!serving || ejected || full) {
             return 0;
         }
         int usable = Math.min(window, Math.min(upstream.slots(), allowance));
@@ -120,6 +125,7 @@
 
     void succeeded() {
         completions++;
+        refusals = 0;
         consecutiveFailures = 0;
         lastFailed = null;
         if (probing) {
@@ -167,6 +173,26 @@
         ejectedUntil = now + length;
     }
 
+    boolean isFull() {
+        return full;
+    }
+
+    long fullUntil() {
+        return fullUntil;
+    }
+
+    /** Notes that the sidecar refused a task, after which it is left alone, for longer each time. */
+    void refused(long now, SchedulerPolicy.Health policy) {
+        full = true;
+        fullUntil = now + (policy.refusalPause().toNanos() << Math.min(refusals, MAXIMUM_DOUBLINGS));
+        refusals++;
+    }
+
+    /** Ends the pause after a refusal. */
+    void retry() {
+        full = false;
+    }
+
     /** Ends the ejection; single tasks probe the back end from now on. */
     void probe() {
         ejected = false;
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -20,6 +20,8 @@
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
             new PriorityQueue<>(Comparator.comparingLong(Backend::ejectedUntil).thenComparingInt(Backend::sequence));
+    private final PriorityQueue<Backend> full =
+            new PriorityQueue<>(Comparator.comparingLong(Backend::fullUntil).thenComparingInt(Backend::sequence));
     private double completions;
     private double failures;
     private long forgetAt = Long.MIN_VALUE;
@@ -78,14 +80,27 @@
                 completions++;
             }
             case FAILED -> failed(backend, submission, now);
-            case NOT_STARTED, UNKNOWN -> {}
+            case NOT_STARTED -> refused(backend, now);
+            case UNKNOWN -> {}
         }
         refresh(backend);
         forgetIfGone(backend);
     }
 
-    /** Puts back ends on probation whose ejection is over. */
+    private void refused(Backend backend, long now) {
+        if (!backend.isFull()) {
+            backend.refused(now, policy);
+            full.add(backend);
+        }
+    }
+
+    /** Puts back ends on probation whose ejection is over, and uses those again that refused some time ago. */
     void release(long now) {
+        while (!full.isEmpty() && full.peek().fullUntil() <= now) {
+            Backend backend = full.poll();
+            backend.retry();
+            refresh(backend);
+        }
         while (!ejected.isEmpty() && ejected.peek().ejectedUntil() <= now) {
             Backend backend = ejected.poll();
             backend.probe();
@@ -168,6 +183,7 @@
             backend.seats().forEach(KindPool.Seat::leave);
             backends.remove(backend.sidecar());
             ejected.remove(backend);
+            full.remove(backend);
         }
     }
 }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -98,6 +98,7 @@
      * @param firstEjection how long the first ejection lasts
      * @param longestEjection how long an ejection lasts at most, each being twice as long as the one before
      * @param probePatience how long a probe waits for an idempotent request before it takes any task
+     * @param refusalPause how long a sidecar that refused a task is left alone, doubled at each refusal in a row
      * @param newcomerSlots slots used of a new back end until its first completions
      */
     public record Health(
@@ -107,16 +108,25 @@
             Duration firstEjection,
             Duration longestEjection,
             Duration probePatience,
+            Duration refusalPause,
             int newcomerSlots) {
         /** Constants for ordinary use. */
-        public static final Health DEFAULT =
-                new Health(3, 0.3, 0.5, Duration.ofSeconds(1), Duration.ofSeconds(30), Duration.ofMillis(500), 2);
+        public static final Health DEFAULT = new Health(
+                3,
+                0.3,
+                0.5,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(30),
+                Duration.ofMillis(500),
+                Duration.ofMillis(10),
+                2);
 
         /** Checks the ranges. */
         public Health {
             Objects.requireNonNull(firstEjection, "firstEjection");
             Objects.requireNonNull(longestEjection, "longestEjection");
             Objects.requireNonNull(probePatience, "probePatience");
+            Objects.requireNonNull(refusalPause, "refusalPause");
             if (minimumFailures < 1 || newcomerSlots < 1 || ejectableFraction < 0 || ejectableFraction > 1) {
                 throw new IllegalArgumentException("counts must be at least 1, the fraction within [0, 1]");
             }
