explain tells what happened to a submission, top what entries see

Change: explain asks entries in turn for a submission's history and sums it up: answer, waiting, where tasks ran, every event of a task that had trouble, the slowest. top shows entries, sidecars, upstreams with state and why, queues by kind, and the table version in force on each process, as each named entry sees them. Both pass over members that they don't know, so that entry and command line may be of different age.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
@@ -5,11 +5,15 @@
 import io.caperturn.cli.command.Command;
 import io.caperturn.cli.command.CommandParser;
 import io.caperturn.cli.command.EntryCommand;
+import io.caperturn.cli.command.ExplainCommand;
 import io.caperturn.cli.command.ParseResult;
 import io.caperturn.cli.command.SidecarCommand;
 import io.caperturn.cli.command.SubmitCommand;
 import io.caperturn.cli.command.TableCommand;
+import io.caperturn.cli.command.TopCommand;
 import io.caperturn.cli.daemon.DaemonRunner;
+import io.caperturn.cli.explain.ExplainAction;
+import io.caperturn.cli.status.TopAction;
 import io.caperturn.cli.submit.SubmitAction;
 import io.caperturn.cli.table.TableAction;
 
@@ -63,6 +67,8 @@
             case SidecarCommand sidecar -> DaemonRunner.runSidecar(sidecar.settings(), terminal);
             case CheckSettingsCommand check -> SettingsReport.check(check.file(), check.role(), terminal);
             case SubmitCommand submit -> SubmitAction.run(submit, terminal);
+            case ExplainCommand explain -> ExplainAction.run(explain, terminal);
+            case TopCommand top -> TopAction.run(top, terminal);
             case TableCommand table -> TableAction.run(table, terminal);
         };
     }
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
@@ -4,7 +4,13 @@
 
 /** One command with its options, as the command line gave them. */
 public sealed interface Command
-        permits CheckSettingsCommand, EntryCommand, SidecarCommand, SubmitCommand, TableCommand {
+        permits CheckSettingsCommand,
+                EntryCommand,
+                ExplainCommand,
+                SidecarCommand,
+                SubmitCommand,
+                TableCommand,
+                TopCommand {
     /**
      * Returns the options that every command has.
      *
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
@@ -74,6 +74,8 @@
         commands.put("sidecar", new SidecarCommand());
         commands.put("check-settings", new CheckSettingsCommand());
         commands.put("submit", new SubmitCommand());
+        commands.put("explain", new ExplainCommand());
+        commands.put("top", new TopCommand());
         return commands;
     }
 
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Explaining what happened to one submission. */
+package io.caperturn.cli.explain;
--- /dev/null
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/status/TopAction.java
@@ -0,0 +1,162 @@
+package io.caperturn.cli.status;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.caperturn.cli.ExitCode;
+import io.caperturn.cli.Terminal;
+import io.caperturn.cli.command.TopCommand;
+import io.caperturn.cli.http.EntryClient;
+import io.caperturn.cli.http.Exchange;
+import io.caperturn.cli.table.TablePrinter;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.eclipse.jetty.http.HttpMethod;
+
+/** Runs {@code top}: asks each entry for what it sees. */
+public final class TopAction {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int OK = 200;
+    private static final String CLEAR_SCREEN = "\u001b[H\u001b[2J";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final TopCommand command;
+    private final Terminal terminal;
+
+    private TopAction(TopCommand command, Terminal terminal) {
+        this.command = command;
+        this.terminal = terminal;
+    }
+
+    /**
+     * Shows the state as the options say.
+     *
+     * @param command the options
+     * @param terminal where it is shown
+     * @return {@link ExitCode#DONE} if every entry told its state, {@link ExitCode#FAILED} otherwise
+     */
+    public static ExitCode run(TopCommand command, Terminal terminal) {
+        TopAction action = new TopAction(command, terminal);
+        try (EntryClient client = EntryClient.open()) {
+            boolean complete = action.show(client);
+            while (command.intervalMilliseconds() > 0) {
+                Thread.sleep(command.intervalMilliseconds());
+                if (terminal.interactive()) {
+                    terminal.output().print(CLEAR_SCREEN);
+                }
+                complete = action.show(client);
+            }
+            return complete ? ExitCode.DONE : ExitCode.FAILED;
+        } catch (IOException e) {
+            terminal.messages().println("caperturn top: " + e.getMessage());
+            return ExitCode.FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
+
+    private boolean show(EntryClient client) {
+        boolean complete = true;
+        for (String entry : command.entries()) {
+            complete &= switch (client.send(HttpMethod.GET, "http://" + entry + "/v1/status", TIMEOUT)) {
+                case Exchange.Replied reply when reply.status() == OK -> show(entry, reply.body());
+                case Exchange.Replied reply -> fail(entry, "status " + reply.status());
+                case Exchange.NotSent(String cause) -> fail(entry, cause);
+                case Exchange.Lost(String cause) -> fail(entry, cause);
+            };
+        }
+        return complete;
+    }
+
+    private boolean fail(String entry, String cause) {
+        terminal.messages().println(entry + ": " + cause);
+        return false;
+    }
+
+    private boolean show(String entry, String body) {
+        if (command.json()) {
+            terminal.output().println(body);
+            return true;
+        }
+        try {
+            print(MAPPER.readValue(body, SystemStatus.class));
+            return true;
+        } catch (JsonProcessingException e) {
+            return fail(entry, "the reply can't be read");
+        }
+    }
+
+    private void print(SystemStatus status) {
+        terminal.output()
+                .println("entry " + status.entry() + " in " + text(status.availabilityZone()) + ": "
+                        + text(status.state()) + ", table version " + text(status.tableVersion()) + " confirmed "
+                        + text(status.tableAgeMilliseconds()) + " ms ago");
+        List<List<String>> lines = new ArrayList<>();
+        status.entries()
+                .forEach(peer -> lines.add(List.of(
+                        "entry",
+                        text(peer.name()),
+                        text(peer.availabilityZone()),
+                        text(peer.state()),
+                        text(peer.tableVersion()))));
+        status.sidecars()
+                .forEach(sidecar -> lines.add(List.of(
+                        "sidecar",
+                        text(sidecar.name()),
+                        text(sidecar.availabilityZone()),
+                        text(sidecar.state()),
+                        text(sidecar.tableVersion()))));
+        printTable(List.of("process", "name", "availabilityZone", "state", "tableVersion"), lines);
+        printUpstreams(status.sidecars());
+        printQueues(status.kinds());
+    }
+
+    private void printUpstreams(List<SystemStatus.Sidecar> sidecars) {
+        List<List<String>> lines = new ArrayList<>();
+        for (SystemStatus.Sidecar sidecar : sidecars) {
+            SystemStatus.Upstream upstream = sidecar.upstream();
+            if (upstream != null) {
+                lines.add(List.of(
+                        text(upstream.name()),
+                        text(sidecar.name()),
+                        text(upstream.state()),
+                        String.join(" ", upstream.kinds()),
+                        text(upstream.slots()),
+                        text(sidecar.window()),
+                        text(sidecar.outstanding()),
+                        text(upstream.why())));
+            }
+        }
+        printTable(List.of("upstream", "sidecar", "state", "kinds", "slots", "window", "outstanding", "why"), lines);
+    }
+
+    private void printQueues(List<SystemStatus.Queue> kinds) {
+        List<List<String>> lines = new ArrayList<>();
+        for (SystemStatus.Queue kind : kinds) {
+            lines.add(List.of(
+                    text(kind.kind()),
+                    text(kind.urgency()),
+                    text(kind.waiting()),
+                    text(kind.running()),
+                    text(kind.oldestWaitMilliseconds())));
+        }
+        printTable(List.of("kind", "urgency", "waiting", "running", "oldestWaitMilliseconds"), lines);
+    }
+
+    private void printTable(List<String> header, List<List<String>> lines) {
+        if (lines.isEmpty()) {
+            return;
+        }
+        List<List<String>> all = new ArrayList<>(List.of(header));
+        all.addAll(lines);
+        terminal.output().println();
+        TablePrinter.print(all, terminal.output());
+    }
+
+    private static String text(Object value) {
+        return Objects.toString(value, "");
+    }
+}
