Entry serves the operators' page at its root

Change: an endpoint that serves the page from the resources, with a content policy that allows its own script and style and calls to the entry only; the router takes "/" as that path alone, so that unknown paths stay 404.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -99,6 +99,7 @@
         Observer observer = kernel.find(Observer.NAME);
         HealthEndpoint health = new HealthEndpoint(this::unreadiness, observer.meters());
         return List.of(
+                new Router.Route("/", new PageEndpoint()),
                 new Router.Route(
                         "/v1/jobs",
                         new WorkEndpoint(WorkEndpoint.Resource.JOBS, engine, waiters, settings.requests(), clock)),
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/PageEndpoint.java
@@ -0,0 +1,41 @@
+package io.caperturn.entry.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Endpoint of the operators' page, one file with its script. */
+final class PageEndpoint implements Endpoint {
+    private static final String RESOURCE = "/io/caperturn/entry/page/index.html";
+    private static final String CONTENT_POLICY =
+            "default-src 'none'; script-src 'unsafe-inline'; style-src 'unsafe-inline'; connect-src 'self'; "
+                    + "frame-ancestors 'none'";
+    private static final int OK = 200;
+    private static final int METHOD_NOT_ALLOWED = 405;
+
+    private final byte[] page;
+
+    /** Loads the page from the resources. */
+    PageEndpoint() {
+        try (InputStream stream = PageEndpoint.class.getResourceAsStream(RESOURCE)) {
+            page = stream.readAllBytes();
+        } catch (IOException e) {
+            throw new UncheckedIOException("resource " + RESOURCE, e);
+        }
+    }
+
+    @Override
+    public void handle(Request request, Response response, Callback callback) {
+        if (!HttpMethod.GET.is(request.getMethod())) {
+            response.getHeaders().put("Allow", "GET");
+            Replies.problem(response, callback, Problem.badRequest(METHOD_NOT_ALLOWED, "GET is allowed here"));
+            return;
+        }
+        response.getHeaders().put("Content-Security-Policy", CONTENT_POLICY);
+        Replies.write(response, callback, OK, "text/html;charset=utf-8", page);
+    }
+}
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/Router.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/Router.java
@@ -52,12 +52,16 @@
     /**
      * A prefix with its endpoint.
      *
-     * @param prefix the path itself, or what paths begin with if it ends with a slash
+     * @param prefix the path itself, or what paths begin with if it ends with a slash and is not the root
      * @param endpoint who handles them
      */
     record Route(String prefix, Endpoint endpoint) {
         boolean matches(String path) {
-            return prefix.endsWith("/") ? path.startsWith(prefix) : path.equals(prefix);
+            return path.equals(prefix) || (isFolder() && path.startsWith(prefix));
+        }
+
+        private boolean isFolder() {
+            return prefix.length() > 1 && prefix.endsWith("/");
         }
     }
 }
