--- a/caperturn-cli/src/main/java/io/caperturn/cli/explain/ExplainAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/explain/ExplainAction.java
@@ -18,6 +18,7 @@
 public final class ExplainAction {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private ExplainAction() {}
@@ -39,6 +40,8 @@
                         print(entry, reply.body(), command, terminal);
                         return ExitCode.DONE;
                     }
+                    case Exchange.Replied reply when reply.status() == NOT_FOUND ->
+                        terminal.messages().println(entry + ": keeps nothing of it");
                     case Exchange.Replied reply ->
                         terminal.messages().println(entry + ": status " + reply.status() + " " + reply.body());
                     case Exchange.NotSent(String cause) -> terminal.messages().println(entry + ": " + cause);
