A refusal of a resubmission no longer says that nothing ran

Cause: two ways in which 'not run' or a second start could be wrong. An entry that refused before the claim was looked up (store down, queue full, draining) said 'not-run' also where an earlier entry had run the work. And an entry whose answer had left its memory noted the key as never started when a claim failed for an outage; the next grant of its own old row would have run the work again.

Change: clients say that they submit again (Caperturn-Resubmission), and refusals before the claim then say 'may-have-run'. Requests for claims are numbered by the machine, the row carries the number, and only rows written by a request under which nothing started may run.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/ClaimResult.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/ClaimResult.java
@@ -10,9 +10,9 @@
      * The claim is durable and belongs to this incarnation.
      *
      * @param fence the fence number for its attempts
-     * @param existedBefore true if the row was there before this request, written by this same incarnation
+     * @param request the number of the request of this incarnation that wrote the row
      */
-    record Granted(long fence, boolean existedBefore) implements ClaimResult {}
+    record Granted(long fence, long request) implements ClaimResult {}
 
     /**
      * Another incarnation holds the claim.
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
@@ -15,8 +15,9 @@
      * Write a durable claim for the submission.
      *
      * @param submission the submission
+     * @param request the number of this request within the incarnation, which the row carries
      */
-    record RequestClaim(Submission submission) implements EntryCommand {}
+    record RequestClaim(Submission submission, long request) implements EntryCommand {}
 
     /**
      * Relay the submission to the entry that owns its claim.
@@ -32,8 +33,9 @@
      *
      * @param submission the submission
      * @param held the claim that is to be replaced
+     * @param request the number of this request within the incarnation, which the row carries
      */
-    record AdoptClaim(Submission submission, ClaimResult.HeldByOther held) implements EntryCommand {}
+    record AdoptClaim(Submission submission, ClaimResult.HeldByOther held, long request) implements EntryCommand {}
 
     /**
      * Refuse lower fences of a submission at a sidecar from now on, and ask for its ledger's lines.
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -19,8 +19,20 @@
      *
      * @param submission the work
      * @param waiter the number under which the answer is returned
+     * @param resubmission true if the client may have submitted it before, here or elsewhere; a refusal then can't say
+     *     that it did not run
      */
-    record SubmissionArrived(Submission submission, long waiter) implements EntryEvent {}
+    record SubmissionArrived(Submission submission, long waiter, boolean resubmission) implements EntryEvent {
+        /**
+         * Creates the event of a first submission.
+         *
+         * @param submission the work
+         * @param waiter the number under which the answer is returned
+         */
+        public SubmissionArrived(Submission submission, long waiter) {
+            this(submission, waiter, false);
+        }
+    }
 
     /**
      * A client asked to cancel a submission.
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -83,7 +83,7 @@
 
     private void handle(EntryEvent event, Instant now) {
         switch (event) {
-            case EntryEvent.SubmissionArrived arrived -> onArrived(arrived.submission(), arrived.waiter(), now);
+            case EntryEvent.SubmissionArrived arrived -> onArrived(arrived, now);
             case EntryEvent.CancelRequested cancel -> onCancel(cancel.submission(), now);
             case EntryEvent.WaiterGone gone -> onWaiterGone(gone, now);
             case EntryEvent.ClaimSettled settled -> ownership.onClaimSettled(settled, now);
@@ -107,29 +107,40 @@
         }
     }
 
-    private void onArrived(Submission submission, long waiter, Instant now) {
+    private void onArrived(EntryEvent.SubmissionArrived arrived, Instant now) {
+        Submission submission = arrived.submission();
         Work known = book.find(submission.id());
         if (known != null && !known.isAnswered()) {
-            join(known, submission, waiter);
+            join(known, submission, arrived.waiter());
             return;
         }
         Optional<AnswerCache.Kept> kept = book.findAnswer(submission.id());
         if (kept.isPresent()) {
             boolean same = kept.get().digest().equals(submission.digest());
-            answer(submission, waiter, same ? kept.get().answer() : Failures.digestConflict());
+            answer(submission, arrived.waiter(), same ? kept.get().answer() : Failures.digestConflict());
         } else if (known != null) {
-            answer(submission, waiter, book.refusal(FailureReason.OVERLOADED, "its earlier run is still ending"));
+            refuse(arrived, FailureReason.OVERLOADED, "its earlier run is still ending");
         } else if (draining) {
-            answer(submission, waiter, book.refusal(FailureReason.DRAINING, "this entry is stopping"));
+            refuse(arrived, FailureReason.DRAINING, "this entry is stopping");
         } else if (tableVersion == 0) {
-            answer(submission, waiter, book.refusal(FailureReason.STALE_TABLE, "no table is known yet"));
+            refuse(arrived, FailureReason.STALE_TABLE, "no table is known yet");
         } else if (!now.isBefore(submission.deadline())) {
-            answer(submission, waiter, Failures.of(FailureReason.DEADLINE, Execution.NOT_RUN, "already past"));
+            answer(submission, arrived.waiter(), Failures.of(FailureReason.DEADLINE, before(arrived), "already past"));
         } else {
-            admit(submission, waiter, now);
+            admit(arrived, now);
         }
     }
 
+    /** Tells what can be said of work that is refused before its claim was looked up. */
+    private static Execution before(EntryEvent.SubmissionArrived arrived) {
+        boolean mayHaveRun = arrived.resubmission() && arrived.submission().needsClaim();
+        return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
+    }
+
+    private void refuse(EntryEvent.SubmissionArrived arrived, FailureReason reason, String detail) {
+        answer(arrived.submission(), arrived.waiter(), book.refusal(reason, before(arrived), detail));
+    }
+
     private void join(Work known, Submission submission, long waiter) {
         if (known.submission().digest().equals(submission.digest())) {
             known.addWaiter(waiter);
@@ -138,13 +149,17 @@
         }
     }
 
-    private void admit(Submission submission, long waiter, Instant now) {
+    private void admit(EntryEvent.SubmissionArrived arrived, Instant now) {
+        Submission submission = arrived.submission();
         switch (scheduler.admit(submission, now)) {
             case Admission.Refused(FailureReason reason, String detail, Optional<Duration> retryAfter) ->
-                answer(submission, waiter, new Answer.Failed(reason, Execution.NOT_RUN, detail, retryAfter));
+                answer(submission, arrived.waiter(), new Answer.Failed(reason, before(arrived), detail, retryAfter));
             case Admission.Admitted admitted -> {
                 Work work = new Work(submission, admitted.urgency(), admitted.taskTimeout(), now);
-                work.addWaiter(waiter);
+                work.addWaiter(arrived.waiter());
+                if (before(arrived) == Execution.MAY_HAVE_RUN) {
+                    work.startIsPossible();
+                }
                 book.add(work);
                 ownership.begin(work, now);
             }
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/NeverStartedClaims.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/NeverStartedClaims.java
@@ -5,36 +5,69 @@
 import java.util.Map;
 
 /**
- * Submissions whose claim this incarnation may hold and of which it knows that nothing ever started.
+ * Claims of this incarnation under which it knows that nothing ever started.
  *
- * <p>A resubmission of one of them may run under the claim that is already there. Bounded; what is forgotten is later
- * answered as "may have run", never run. Confined to the thread of the {@link EntryMachine}.
+ * <p>A resubmission may run under such a claim if the row in force was written by the very request that is noted here.
+ * Bounded; what is forgotten is later answered as "may have run", never run. Confined to the thread of the
+ * {@link EntryMachine}.
  */
 final class NeverStartedClaims {
     private static final int MAXIMUM_SUBMISSIONS = 50_000;
 
-    private final Map<SubmissionId, Integer> attempts = new LinkedHashMap<>() {
+    private final Map<SubmissionId, Unstarted> claims = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<SubmissionId, Integer> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<SubmissionId, Unstarted> eldest) {
             return size() > MAXIMUM_SUBMISSIONS;
         }
     };
 
-    void add(SubmissionId submission, int attemptsUsed) {
-        attempts.merge(submission, attemptsUsed, Math::max);
+    void add(SubmissionId submission, long request, int attemptsUsed) {
+        Unstarted earlier = claims.get(submission);
+        if (earlier == null || !earlier.covers(request)) {
+            claims.put(submission, new Unstarted(request, request, attemptsUsed));
+        } else {
+            claims.put(submission, earlier.extendTo(request, attemptsUsed));
+        }
     }
 
-    boolean contains(SubmissionId submission) {
-        return attempts.containsKey(submission);
+    /** Continues the note of an earlier request with a later one that is to claim the same submission. */
+    void follow(SubmissionId submission, long request) {
+        Unstarted earlier = claims.get(submission);
+        if (earlier != null) {
+            claims.put(submission, earlier.extendTo(request, 0));
+        }
+    }
+
+    boolean contains(SubmissionId submission, long request) {
+        Unstarted unstarted = claims.get(submission);
+        return unstarted != null && unstarted.covers(request);
     }
 
     int attemptsUsed(SubmissionId submission) {
-        return attempts.getOrDefault(submission, 0);
+        Unstarted unstarted = claims.get(submission);
+        return unstarted == null ? 0 : unstarted.attemptsUsed();
     }
 
     void remove(SubmissionId submission) {
-        attempts.remove(submission);
+        claims.remove(submission);
+    }
+
+    /**
+     * Requests under none of which anything started.
+     *
+     * @param first the number of the first
+     * @param last the number of the last; numbers of other submissions between them do no harm
+     * @param attemptsUsed the highest attempt number that was used
+     */
+    private record Unstarted(long first, long last, int attemptsUsed) {
+        boolean covers(long request) {
+            return first <= request && request <= last;
+        }
+
+        Unstarted extendTo(long request, int attempts) {
+            return new Unstarted(first, Math.max(last, request), Math.max(attemptsUsed, attempts));
+        }
     }
 }
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/OwnershipFlow.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/OwnershipFlow.java
@@ -26,6 +26,7 @@
     private final AttemptTracker attempts;
     private final List<EntryCommand> commands;
     private final Map<SubmissionId, Adoption> adoptions = new HashMap<>();
+    private long lastRequest;
 
     OwnershipFlow(
             Scheduler scheduler,
@@ -42,7 +43,7 @@
 
     void begin(Work work, Instant now) {
         if (work.submission().needsClaim()) {
-            commands.add(new EntryCommand.RequestClaim(work.submission()));
+            requestClaim(work);
         } else {
             run(work, 0, now);
         }
@@ -54,12 +55,14 @@
             return;
         }
         switch (settled.result()) {
-            case ClaimResult.Granted(long fence, boolean existedBefore) -> {
-                if (existedBefore && !book.neverStarted().contains(work.id())) {
-                    work.startIsPossible();
-                    fail(work, FailureReason.ANSWER_EXPIRED, "its answer is no longer kept", now);
-                } else {
+            case ClaimResult.Granted(long fence, long request) -> {
+                boolean fresh = request == work.claimRequest();
+                if (fresh || book.neverStarted().contains(work.id(), request)) {
+                    work.claiming(request);
+                    work.startIsExcluded();
                     run(work, fence, now);
+                } else {
+                    fail(work, FailureReason.ANSWER_EXPIRED, "its answer is no longer kept", now);
                 }
             }
             case ClaimResult.HeldByOther held -> {
@@ -73,12 +76,8 @@
             }
             case ClaimResult.Unavailable(String detail) -> {
                 scheduler.withdraw(work.submission());
-                if (work.isSuperseded()) {
-                    book.finish(work, ownerLost(detail), now);
-                } else {
-                    book.neverStarted().add(work.id(), 0);
-                    book.finish(work, book.refusal(FailureReason.STORE_UNAVAILABLE, detail), now);
-                }
+                book.neverStarted().add(work.id(), work.claimRequest(), 0);
+                book.finish(work, book.refusal(FailureReason.STORE_UNAVAILABLE, work.execution(), detail), now);
             }
         }
     }
@@ -99,7 +98,8 @@
                     fail(work, FailureReason.OWNER_LOST, detail, now);
                 } else {
                     work.adopting();
-                    commands.add(new EntryCommand.AdoptClaim(work.submission(), work.held()));
+                    work.claiming(++lastRequest);
+                    commands.add(new EntryCommand.AdoptClaim(work.submission(), work.held(), work.claimRequest()));
                 }
             }
         }
@@ -150,11 +150,17 @@
         attempts.dropOutstanding(work, now);
         work.superseded();
         switch (scheduler.admit(work.submission(), now)) {
-            case Admission.Admitted ignored -> commands.add(new EntryCommand.RequestClaim(work.submission()));
+            case Admission.Admitted ignored -> requestClaim(work);
             case Admission.Refused refused -> book.finish(work, ownerLost(refused.detail()), now);
         }
     }
 
+    private void requestClaim(Work work) {
+        work.claiming(++lastRequest);
+        book.neverStarted().follow(work.id(), work.claimRequest());
+        commands.add(new EntryCommand.RequestClaim(work.submission(), work.claimRequest()));
+    }
+
     private void run(Work work, long fence, Instant now) {
         work.run(fence, book.neverStarted().attemptsUsed(work.id()), now, now);
         book.neverStarted().remove(work.id());
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/SubmissionBook.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/SubmissionBook.java
@@ -85,7 +85,7 @@
         switch (work.phase()) {
             case CLAIMING -> {
                 scheduler.withdraw(work.submission());
-                neverStarted.add(work.id(), 0);
+                neverStarted.add(work.id(), work.claimRequest(), 0);
             }
             case RELAYED, ADOPTING -> {
                 scheduler.withdraw(work.submission());
@@ -115,7 +115,7 @@
             execution = failed.execution();
         }
         if (ranHere && execution == Execution.NOT_RUN) {
-            neverStarted.add(work.id(), work.highestAttempt());
+            neverStarted.add(work.id(), work.claimRequest(), work.highestAttempt());
         } else if (ranHere) {
             answers.keep(work.id(), work.submission().digest(), answer, now);
         }
@@ -143,8 +143,8 @@
     }
 
     /** Makes a refusal that says when to come back. */
-    Answer.Failed refusal(FailureReason reason, String detail) {
-        return new Answer.Failed(reason, Execution.NOT_RUN, detail, Optional.of(policy.retryAfter()));
+    Answer.Failed refusal(FailureReason reason, Execution execution, String detail) {
+        return new Answer.Failed(reason, execution, detail, Optional.of(policy.retryAfter()));
     }
 
     private void cancelOutstanding(Work work) {
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
@@ -46,6 +46,7 @@
     private boolean startKnown;
     private boolean startPossible;
     private boolean superseded;
+    private long claimRequest;
     private ClaimResult.HeldByOther held;
     private Answer answer;
 
@@ -138,6 +139,20 @@
         return taken;
     }
 
+    /** Returns the number of the request by which this submission was last claimed. */
+    long claimRequest() {
+        return claimRequest;
+    }
+
+    void claiming(long request) {
+        claimRequest = request;
+    }
+
+    /** Notes that a fresh claim proved that nothing started before. */
+    void startIsExcluded() {
+        startPossible = false;
+    }
+
     /** Returns the claim that another entry held when last asked. */
     ClaimResult.HeldByOther held() {
         return held;
--- a/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
@@ -62,8 +62,17 @@
         return waiters;
     }
 
+    void resubmit(Submission submission) {
+        waiters++;
+        send(new EntryEvent.SubmissionArrived(submission, waiters, true));
+    }
+
+    long lastRequest() {
+        return commands(EntryCommand.RequestClaim.class).getLast().request();
+    }
+
     void grantClaim() {
-        send(new EntryEvent.ClaimSettled(ID, new ClaimResult.Granted(1, false)));
+        send(new EntryEvent.ClaimSettled(ID, new ClaimResult.Granted(1, lastRequest())));
     }
 
     void open(ProcessId sidecar, int window) {
--- a/caperturn-core/src/test/java/io/caperturn/core/entry/EntryMachineTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryMachineTest.java
@@ -92,15 +92,37 @@
     @CsvSource({"true, 1", "false, 0"})
     void ownClaimFoundAgainRunsOnlyWhereNothingStartedUnderIt(boolean refusedBefore, int starts) {
         entry.open(EntryFixture.SIDECAR, 8);
-        if (refusedBefore) {
-            entry.submit(entry.job(1));
-            entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Unavailable("reply lost")));
-        }
         entry.submit(entry.job(1));
-        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Granted(1, true)));
+        long first = entry.lastRequest();
+        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Unavailable("reply lost")));
+        entry.submit(entry.job(1));
+        entry.send(new EntryEvent.ClaimSettled(
+                EntryFixture.ID, new ClaimResult.Granted(1, refusedBefore ? first : first - 1)));
         assertEquals(starts, entry.dispatches().size());
     }
 
+    @Test
+    void claimUnderWhichSomethingRanIsNeverRunAgainAfterAnOutage() {
+        startJob(1);
+        long first = entry.lastRequest();
+        entry.report(EntryFixture.SIDECAR, entry.lastAttempt(), EntryFixture.completed("1"));
+        entry.pass(EntryPolicy.DEFAULT.answerRetention());
+        entry.resubmit(entry.job(1));
+        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Unavailable("down")));
+        assertFailed(entry.answers().getLast().answer(), FailureReason.STORE_UNAVAILABLE, Execution.MAY_HAVE_RUN);
+        entry.resubmit(entry.job(1));
+        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Granted(1, first)));
+        assertFailed(entry.answers().getLast().answer(), FailureReason.ANSWER_EXPIRED, Execution.MAY_HAVE_RUN);
+        assertEquals(1, entry.dispatches().size());
+    }
+
+    @Test
+    void refusedResubmissionDoesNotClaimThatNothingRan() {
+        entry.send(new EntryEvent.DrainRequested());
+        entry.resubmit(entry.job(1));
+        assertFailed(onlyAnswer(), FailureReason.DRAINING, Execution.MAY_HAVE_RUN);
+    }
+
     @Test
     void claimHeldByAnotherEntryIsRelayedAndItsAnswerGiven() {
         entry.submit(entry.job(1));
@@ -204,8 +226,9 @@
         entry.grantClaim();
         entry.send(new EntryEvent.CancelRequested(EntryFixture.ID));
         entry.open(EntryFixture.SIDECAR, 8);
+        long first = entry.lastRequest();
         entry.submit(entry.job(1));
-        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Granted(1, true)));
+        entry.send(new EntryEvent.ClaimSettled(EntryFixture.ID, new ClaimResult.Granted(1, first)));
         assertEquals(1, entry.dispatches().size());
     }
 
--- a/caperturn-entry/src/main/java/io/caperturn/entry/claim/ClaimService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/claim/ClaimService.java
@@ -5,7 +5,6 @@
 import io.caperturn.core.entry.EntryCommand;
 import io.caperturn.core.entry.EntryEvent;
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.core.model.Submission;
 import io.caperturn.core.model.SubmissionId;
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.link.LinkService;
@@ -63,11 +62,11 @@
     /**
      * Asks for the claim of a submission; its fate reaches the engine as an event.
      *
-     * @param submission the submission
+     * @param command what to claim
      * @return false if too many claims wait; nothing was then written
      */
-    public boolean request(Submission submission) {
-        return writer.request(submission);
+    public boolean request(EntryCommand.RequestClaim command) {
+        return writer.request(command.submission(), command.request());
     }
 
     /**
@@ -79,7 +78,7 @@
     public void adopt(EntryCommand.AdoptClaim command, Set<ProcessId> sidecars) {
         adoptions.put(
                 command.submission().id(), new PendingAdoption(command.held().claimedAt(), sidecars));
-        writer.adopt(command.submission(), command.held());
+        writer.adopt(command.submission(), command.request(), command.held());
     }
 
     private void onSettled(EntryEvent.ClaimSettled settled) {
--- a/caperturn-entry/src/main/java/io/caperturn/entry/engine/CommandExecutor.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/engine/CommandExecutor.java
@@ -32,7 +32,7 @@
     void execute(EntryCommand command) {
         switch (command) {
             case EntryCommand.RequestClaim request -> {
-                if (!claims.request(request.submission())) {
+                if (!claims.request(request)) {
                     engine.feedBack(new EntryEvent.ClaimSettled(
                             request.submission().id(), new ClaimResult.Unavailable("too many claims wait")));
                 }
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
@@ -63,6 +63,7 @@
             return;
         }
         Optional<String> key = Optional.ofNullable(request.getHeaders().get("Idempotency-Key"));
+        boolean resubmission = "true".equals(request.getHeaders().get("Caperturn-Resubmission"));
         RequestReading reading = switch (resource) {
             case JOBS -> reader.readJob(body.get(), key, clock.instant());
             case REQUESTS -> reader.readRequest(body.get(), key, clock.instant());
@@ -70,11 +71,13 @@
         switch (reading) {
             case RequestReading.Malformed(int status, String detail) ->
                 Replies.problem(response, callback, Problem.badRequest(status, detail));
-            case RequestReading.Accepted(Submission submission) -> submit(submission, request, response, callback);
+            case RequestReading.Accepted(Submission submission) ->
+                submit(submission, resubmission, request, response, callback);
         }
     }
 
-    private void submit(Submission submission, Request request, Response response, Callback callback) {
+    private void submit(
+            Submission submission, boolean resubmission, Request request, Response response, Callback callback) {
         Executor executor = request.getComponents().getExecutor();
         long waiter = waiters.register((id, answer) -> executor.execute(() -> write(response, callback, id, answer)));
         request.addIdleTimeoutListener(ignored -> false);
@@ -84,7 +87,7 @@
                 callback.failed(failure);
             }
         });
-        if (!engine.offer(new EntryEvent.SubmissionArrived(submission, waiter))) {
+        if (!engine.offer(new EntryEvent.SubmissionArrived(submission, waiter, resubmission))) {
             waiters.take(waiter)
                     .ifPresent(receiver -> receiver.onAnswer(
                             submission.id(),
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
@@ -81,7 +81,7 @@
         Submission submission = FrameFactory.submission(relay, clock.instant());
         long number = relay.getRelayNumber();
         long waiter = waiters.register((ignored, answer) -> link.send(FrameFactory.answer(number, answer)));
-        engine.put(new EntryEvent.SubmissionArrived(submission, waiter));
+        engine.put(new EntryEvent.SubmissionArrived(submission, waiter, true));
     }
 
     /** What the duty's ring carries. */
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimVerdict.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimVerdict.java
@@ -43,14 +43,14 @@
     private static ClaimVerdict of(PendingClaim claim, ClaimRow row, long version, ProcessId owner, Instant now) {
         boolean ours = row.process().equals(owner);
         if (ours && row.request() == claim.request()) {
-            return new Settled(new ClaimResult.Granted(row.fence(), false));
+            return new Settled(new ClaimResult.Granted(row.fence(), row.request()));
         }
         if (row.expiresAtMilliseconds() <= now.toEpochMilli()) {
             return new Replaceable(version, row.fence() + 1);
         }
         boolean sameBody = row.digest().equals(claim.submission().digest());
         if (ours && sameBody) {
-            return new Settled(new ClaimResult.Granted(row.fence(), true));
+            return new Settled(new ClaimResult.Granted(row.fence(), row.request()));
         }
         if (!ours && sameBody && claim.adopts(row.fence())) {
             return new Replaceable(version, row.fence() + 1);
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
@@ -21,7 +21,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -44,7 +43,6 @@
     private final InstantSource clock;
     private final Duty<PendingClaim> duty;
     private final StoreCircuit circuit = new StoreCircuit();
-    private final AtomicLong requests = new AtomicLong();
     private final Map<RowKey, PendingClaim> pending = new LinkedHashMap<>();
     private final List<PendingClaim> following = new ArrayList<>();
     private long lastBegin;
@@ -101,27 +99,29 @@
      * Asks for a claim.
      *
      * @param submission the submission
+     * @param request the number of this request, which no other of this incarnation has
      * @return false if the ring is full or the store is known to be down; nothing was or will be written then
      */
-    public boolean request(Submission submission) {
-        return !circuit.isOpen() && duty.offer(claim(submission, Optional.empty()));
+    public boolean request(Submission submission, long request) {
+        return !circuit.isOpen() && duty.offer(claim(submission, request, Optional.empty()));
     }
 
     /**
      * Asks to replace the claim of an owner that is gone; no effect on a claim that has changed hands since.
      *
      * @param submission the submission
+     * @param request the number of this request, which no other of this incarnation has
      * @param held the claim that the owner that is gone held; when it was claimed is kept
      */
-    public void adopt(Submission submission, ClaimResult.HeldByOther held) {
-        if (circuit.isOpen() || !duty.offer(claim(submission, Optional.of(held)))) {
+    public void adopt(Submission submission, long request, ClaimResult.HeldByOther held) {
+        if (circuit.isOpen() || !duty.offer(claim(submission, request, Optional.of(held)))) {
             settle(submission, new ClaimResult.Unavailable("the store is down or too many claims wait"));
         }
     }
 
-    private PendingClaim claim(Submission submission, Optional<ClaimResult.HeldByOther> held) {
+    private PendingClaim claim(Submission submission, long request, Optional<ClaimResult.HeldByOther> held) {
         long deadline = System.nanoTime() + policy.timeout().toNanos();
-        return new PendingClaim(submission, requests.incrementAndGet(), held, deadline);
+        return new PendingClaim(submission, request, held, deadline);
     }
 
     private void gather(List<PendingClaim> batch) {
@@ -176,7 +176,7 @@
         return switch (result) {
             case StoreResult.Committed ignored -> {
                 circuit.succeeded();
-                batch.forEach(claim -> finish(claim, new ClaimResult.Granted(claim.fence(), false)));
+                batch.forEach(claim -> finish(claim, new ClaimResult.Granted(claim.fence(), claim.request())));
                 yield true;
             }
             case StoreResult.Conflict(List<Row> rows) -> {
--- a/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
@@ -44,6 +44,8 @@
 class ClaimWriterTest {
     private static final ProcessId SELF = new ProcessId("entry-1", 7);
     private static final ProcessId OTHER = new ProcessId("entry-2", 9);
+    private static final long REQUEST = 5;
+    private static final long EARLIER_REQUEST = 4;
     private static final Instant CLAIMED_AT = Instant.parse("2026-01-01T00:00:00Z");
     private static final String DIGEST = "digest";
     private static final int WAIT_SECONDS = 10;
@@ -64,7 +66,7 @@
     }
 
     static Stream<Arguments> faults() {
-        ClaimResult granted = new ClaimResult.Granted(1, false);
+        ClaimResult granted = new ClaimResult.Granted(1, REQUEST);
         return Stream.of(
                 arguments(List.of(NONE), granted),
                 arguments(List.of(LOST_BEFORE), granted),
@@ -81,7 +83,7 @@
         store.failNext(faults);
         writer.start();
 
-        writer.request(submission("job", DIGEST));
+        writer.request(submission("job", DIGEST), REQUEST);
 
         assertEquals(expected, next().result());
         boolean written = store.row(key("job")).version() > 0;
@@ -93,7 +95,7 @@
         store.failAlways(LOST_BEFORE);
         writer.start();
 
-        writer.request(submission("job", DIGEST));
+        writer.request(submission("job", DIGEST), REQUEST);
 
         assertInstanceOf(ClaimResult.Unavailable.class, next().result());
     }
@@ -101,7 +103,7 @@
     static Stream<Arguments> rowsInForce() {
         ClaimResult held = new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST, CLAIMED_AT);
         return Stream.of(
-                arguments(SELF, DIGEST, 1, new ClaimResult.Granted(4, true)),
+                arguments(SELF, DIGEST, 1, new ClaimResult.Granted(4, EARLIER_REQUEST)),
                 arguments(
                         SELF, "another", 1, new ClaimResult.HeldByOther(SELF, "127.0.0.1:2", 4, "another", CLAIMED_AT)),
                 arguments(OTHER, DIGEST, 1, held),
@@ -110,7 +112,7 @@
                         DIGEST,
                         1,
                         new ClaimResult.HeldByOther(new ProcessId("entry-1", 6), "127.0.0.1:2", 4, DIGEST, CLAIMED_AT)),
-                arguments(OTHER, DIGEST, -1, new ClaimResult.Granted(5, false)));
+                arguments(OTHER, DIGEST, -1, new ClaimResult.Granted(5, REQUEST)));
     }
 
     @ParameterizedTest
@@ -120,7 +122,7 @@
         store.put(key("job"), row(holder, 4, digest, Duration.ofHours(expiryHours)));
         writer.start();
 
-        writer.request(submission("job", DIGEST));
+        writer.request(submission("job", DIGEST), REQUEST);
 
         assertEquals(expected, next().result());
     }
@@ -129,16 +131,16 @@
     void gathersClaimsWhileOneTransactionIsInFlight() throws InterruptedException {
         store.hold();
         writer.start();
-        writer.request(submission("first", DIGEST));
+        writer.request(submission("first", DIGEST), REQUEST);
         await(() -> store.held() == 1);
         for (int number = 0; number < 20; number++) {
-            writer.request(submission("job-" + number, DIGEST));
+            writer.request(submission("job-" + number, DIGEST), REQUEST);
         }
 
         store.release();
 
         for (int number = 0; number <= 20; number++) {
-            assertEquals(new ClaimResult.Granted(1, false), next().result());
+            assertEquals(new ClaimResult.Granted(1, REQUEST), next().result());
         }
         assertEquals(2, store.writes().size());
     }
@@ -147,7 +149,7 @@
     void grantsTheRestOfABatchWithAConflict() throws InterruptedException {
         store.put(key("held"), row(OTHER, 4, DIGEST, Duration.ofHours(1)));
         for (String key : List.of("one", "held", "two")) {
-            writer.request(submission(key, DIGEST));
+            writer.request(submission(key, DIGEST), REQUEST);
         }
 
         writer.start();
@@ -167,10 +169,10 @@
         store.failNext(List.of(NONE, fault));
         writer.start();
 
-        writer.adopt(submission("job", DIGEST), held(heldFence));
+        writer.adopt(submission("job", DIGEST), REQUEST, held(heldFence));
 
         ClaimResult expected = grantedFence > 0
-                ? new ClaimResult.Granted(grantedFence, false)
+                ? new ClaimResult.Granted(grantedFence, REQUEST)
                 : new ClaimResult.HeldByOther(OTHER, "127.0.0.1:2", 4, DIGEST, CLAIMED_AT);
         assertEquals(expected, next().result());
     }
@@ -182,14 +184,16 @@
         writer.start();
         rival.start();
 
-        writer.adopt(submission("job", DIGEST), held(4));
-        rival.adopt(submission("job", DIGEST), held(4));
+        writer.adopt(submission("job", DIGEST), REQUEST, held(4));
+        rival.adopt(submission("job", DIGEST), REQUEST, held(4));
 
         List<ClaimResult> both = List.of(next().result(), next().result());
         rival.stop();
         assertEquals(
                 1,
-                both.stream().filter(new ClaimResult.Granted(5, false)::equals).count());
+                both.stream()
+                        .filter(new ClaimResult.Granted(5, REQUEST)::equals)
+                        .count());
         assertEquals(
                 1,
                 both.stream().filter(ClaimResult.HeldByOther.class::isInstance).count());
@@ -199,15 +203,15 @@
     void refusesAtOnceWhileTheStoreIsDownAndServesAgainAfterwards() throws InterruptedException {
         store.setDown(true);
         writer.start();
-        writer.request(submission("first", DIGEST));
+        writer.request(submission("first", DIGEST), REQUEST);
         assertInstanceOf(ClaimResult.Unavailable.class, next().result());
 
-        boolean taken = writer.request(submission("second", DIGEST));
+        boolean taken = writer.request(submission("second", DIGEST), REQUEST);
         store.setDown(false);
-        await(() -> writer.request(submission("third", DIGEST)));
+        await(() -> writer.request(submission("third", DIGEST), REQUEST));
 
         assertTrue(!taken, "taken while down");
-        assertEquals(new ClaimResult.Granted(1, false), next().result());
+        assertEquals(new ClaimResult.Granted(1, REQUEST), next().result());
     }
 
     @ParameterizedTest
@@ -246,7 +250,7 @@
                 digest,
                 CLAIMED_AT.toEpochMilli(),
                 expiry,
-                -1));
+                EARLIER_REQUEST));
     }
 
     private static ClaimResult.HeldByOther held(long fence) {
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
@@ -243,7 +243,7 @@
         SubmissionId submission = request.submission().id();
         EntryNode owner = claims.putIfAbsent(submission, entry);
         ClaimResult result = owner == null || owner == entry
-                ? new ClaimResult.Granted(1, owner != null)
+                ? new ClaimResult.Granted(1, owner == null ? request.request() : 0)
                 : new ClaimResult.HeldByOther(
                         owner.id(), "address", 1, request.submission().digest(), Instant.EPOCH);
         entry.on(new EntryEvent.ClaimSettled(submission, result));
