Tests of the promises with separate processes under faults

One scenario for each fault and for pairs of them, run once and judged by a test class for each promise, counted from the upstreams' record and from what clients received.

--- /dev/null
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
@@ -0,0 +1,80 @@
+package io.caperturn.proofs.promise;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.testkit.upstream.RecordLine;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+@Tag("process")
+class NotRunIsTrueTest {
+    /** A refusal at once: far below any time-out that a request could have waited for. */
+    private static final long AT_ONCE_MILLISECONDS = 2_500;
+
+    static Stream<List<Fault>> storeOutages() {
+        return Stream.of(List.of(Fault.STORE_DOWN), List.of(Fault.STORE_SILENT));
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
+    void workThatWasRefusedAsNotRunHadNotStarted(List<Fault> faults) {
+        FaultOutcome outcome = FaultOutcomes.of(faults);
+        notRun(outcome)
+                .forEach(exchange -> assertEquals(
+                        List.of(),
+                        starts(outcome, exchange)
+                                .filter(start ->
+                                        start.time() < exchange.answeredAt().toEpochMilli())
+                                .toList(),
+                        exchange::toString));
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
+    void workThatWasRefusedAsNotRunNeverStartsUnlessSentAgain(List<Fault> faults) {
+        FaultOutcome outcome = FaultOutcomes.of(faults);
+        notRun(outcome)
+                .filter(exchange -> outcome.timesSent(exchange) == 1)
+                .forEach(exchange ->
+                        assertEquals(List.of(), starts(outcome, exchange).toList(), exchange::toString));
+    }
+
+    @ParameterizedTest
+    @MethodSource("storeOutages")
+    void withoutTheStoreNewJobsAreRefusedAtOnce(List<Fault> faults) {
+        List<Exchange> fresh = FaultOutcomes.of(faults).of(Exchange.Sort.JOB).stream()
+                .filter(exchange -> exchange.stage() == Exchange.Stage.DURING_FAULT
+                        && exchange.submission().key().startsWith("fresh"))
+                .toList();
+        assertFalse(fresh.isEmpty());
+        fresh.forEach(exchange -> assertTrue(
+                exchange.answer().execution().equals("not-run")
+                        && exchange.answer().headers().containsKey("retry-after")
+                        && exchange.answer().took().toMillis() < AT_ONCE_MILLISECONDS,
+                exchange::toString));
+    }
+
+    @ParameterizedTest
+    @MethodSource("storeOutages")
+    void withoutTheStoreIdempotentRequestsGoOn(List<Fault> faults) {
+        FaultOutcomes.of(faults).of(Exchange.Sort.IDEMPOTENT).stream()
+                .filter(exchange -> exchange.stage() == Exchange.Stage.DURING_FAULT)
+                .forEach(exchange -> assertTrue(exchange.answer().isComplete(), exchange::toString));
+    }
+
+    private static Stream<Exchange> notRun(FaultOutcome outcome) {
+        return outcome.answered().stream()
+                .filter(exchange -> exchange.answer().execution().equals("not-run"));
+    }
+
+    private static Stream<RecordLine> starts(FaultOutcome outcome, Exchange exchange) {
+        String identity = exchange.submission().identity();
+        return outcome.records().starts().stream()
+                .filter(start -> start.submission().equals(identity));
+    }
+}
--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/process/EntryClient.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/process/EntryClient.java
@@ -17,7 +17,7 @@
 public final class EntryClient implements AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration PLAIN_TIMEOUT = Duration.ofSeconds(10);
-    private static final Duration ANSWER_GRACE = Duration.ofSeconds(5);
+    private static final Duration ANSWER_GRACE = Duration.ofSeconds(2);
 
     private final ExecutorService threads = Executors.newCachedThreadPool(
             Thread.ofPlatform().daemon().name("client-", 0).factory());
