--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
@@ -3,7 +3,14 @@
 import java.util.List;
 
 /** One command with its options, as the command line gave them. */
-public sealed interface Command permits CheckSettingsCommand, EntryCommand, SidecarCommand, SubmitCommand {
+public sealed interface Command
+        permits CheckSettingsCommand,
+                EntryCommand,
+                ExplainCommand,
+                SidecarCommand,
+                SubmitCommand,
+                TableCommand,
+                TopCommand {
     /**
      * Returns the options that every command has.
      *
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -20,6 +20,8 @@
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
             new PriorityQueue<>(Comparator.comparingLong(Backend::ejectedUntil).thenComparingInt(Backend::sequence));
+    private final PriorityQueue<Backend> full =
+            new PriorityQueue<>(Comparator.comparingLong(Backend::fullUntil).thenComparingInt(Backend::sequence));
     private double completions;
     private double failures;
     private long forgetAt = Long.MIN_VALUE;
@@ -78,14 +80,27 @@
                 completions++;
             }
             case FAILED -> failed(backend, submission, now);
-            case NOT_STARTED, UNKNOWN -> {}
+            case NOT_STARTED -> refused(backend, now);
+            case UNKNOWN -> {}
         }
         refresh(backend);
         forgetIfGone(backend);
     }
 
-    /** Puts back ends on probation whose ejection is over. */
+    private void refused(Backend backend, long now) {
+        if (!backend.isFull()) {
+            backend.refused(now, policy);
+            full.add(backend);
+        }
+    }
+
+    /** Puts back ends on probation whose ejection is over, and uses those again that refused some time ago. */
     void release(long now) {
+        while (!full.isEmpty() && full.peek().fullUntil() <= now) {
+            Backend backend = full.poll();
+            backend.retry();
+            refresh(backend);
+        }
         while (!ejected.isEmpty() && ejected.peek().ejectedUntil() <= now) {
             Backend backend = ejected.poll();
             backend.probe();
@@ -112,20 +127,22 @@
         if (backend.failed(submission)) {
             failures++;
         }
-        boolean suspect = backend.probing() || backend.consecutiveFailures() >= policy.minimumFailures();
-        if (!backend.ejected() && suspect && !peersFailToo(backend) && mayEjectMore(backend)) {
+        double peerFailures = failures - backend.failures();
+        double peerOutcomes = peerFailures + completions - backend.completions();
+        boolean peersFailToo = peerFailures > policy.peerFailureRatio() * peerOutcomes;
+        if (peersFailToo) {
+            backend.clear();
+        } else if (!backend.ejected() && (backend.probing() || mayAvoidMore(backend))) {
+            backend.suspect(now + policy.probePatience().toNanos());
+        }
+        boolean proven = peerOutcomes > 0 && backend.consecutiveFailures() >= policy.minimumFailures();
+        if (backend.probing() && !backend.ejected() && proven) {
             backend.eject(now, policy);
             ejected.add(backend);
         }
     }
 
-    private boolean peersFailToo(Backend backend) {
-        double peerFailures = failures - backend.failures();
-        double peerOutcomes = peerFailures + completions - backend.completions();
-        return peerOutcomes <= 0 || peerFailures / peerOutcomes > policy.peerFailureRatio();
-    }
-
-    private boolean mayEjectMore(Backend backend) {
+    private boolean mayAvoidMore(Backend backend) {
         long avoided = backends.values().stream()
                 .filter(other -> other != backend && other.serving() && other.probing())
                 .count();
@@ -166,6 +183,7 @@
             backend.seats().forEach(KindPool.Seat::leave);
             backends.remove(backend.sidecar());
             ejected.remove(backend);
+            full.remove(backend);
         }
     }
 }
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
@@ -10,6 +10,7 @@
 
 import io.caperturn.core.model.AttemptReport;
 import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -131,7 +132,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"0, 0, 2, 2", "100, 0, 14, 2", "100, 100, 8, 8", "3, 100, 3, 13"})
+    @CsvSource({"0, 0, 2, 2", "100, 0, 8, 2", "100, 100, 4, 4", "3, 100, 3, 5"})
     void windowsFollowDemand(int firstDemand, int secondDemand, int firstWindow, int secondWindow) {
         SidecarScenario scenario = SidecarScenario.serving(8);
         scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, firstDemand));
@@ -140,6 +141,20 @@
         assertEquals(Map.of(FIRST_ENTRY, firstWindow, SECOND_ENTRY, secondWindow), windows(scenario));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 8", "2, 8", "3, 8", "10, 8"})
+    void idleEntriesLeaveAllSlotsToDemand(int entries, int window) {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.on(new SidecarEvent.EntryLost(SECOND_ENTRY));
+        for (int entry = 2; entry <= entries; entry++) {
+            scenario.on(new SidecarEvent.EntryLinked(new ProcessId("entry-" + entry, 1)));
+        }
+        scenario.on(new SidecarEvent.DemandReceived(FIRST_ENTRY, 100));
+        assertEquals(
+                List.of(new SidecarCommand.SendWindow(FIRST_ENTRY, window)),
+                scenario.last(SidecarCommand.SendWindow.class));
+    }
+
     @Test
     void demandIsForgottenAfterOneSecond() {
         SidecarScenario scenario = SidecarScenario.serving(8);
@@ -154,8 +169,7 @@
         SidecarScenario scenario = SidecarScenario.serving(8);
         scenario.dispatch(FIRST_ENTRY, 50, attempt(1, 1, 1));
         assertEquals(
-                List.of(new SidecarCommand.SendWindow(FIRST_ENTRY, 14)),
-                scenario.last(SidecarCommand.SendWindow.class));
+                List.of(new SidecarCommand.SendWindow(FIRST_ENTRY, 8)), scenario.last(SidecarCommand.SendWindow.class));
     }
 
     @Test
