--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -92,7 +92,9 @@
             link.close();
             return;
         }
-        links.put(link.peer().process(), link);
+        if (links.put(link.peer().process(), link) != null) {
+            forgetLearnt(link.peer().process().name());
+        }
         log("link-opened", link, "hello");
         machine.post(new SidecarEvent.EntryLinked(link.peer().process()));
     }
@@ -169,6 +171,17 @@
         });
     }
 
+    /** Gives up the listed address of an entry that a seed leads to as well; two links would replace one another. */
+    private void forgetLearnt(String entry) {
+        learnt.entrySet().removeIf(known -> {
+            boolean same = known.getValue().equals(entry);
+            if (same) {
+                endpoint.disconnect(known.getKey());
+            }
+            return same;
+        });
+    }
+
     private static SidecarEvent dispatches(ProcessId entry, DispatchBatch batch) {
         return new SidecarEvent.DispatchReceived(
                 entry,
