Speeds count only beyond chance, waiting for a faster slot must pay well, demand respects limits; cost of decisions

Cause: learned speeds of equal back ends differed by chance, so tasks waited for back ends that were not faster, and all entries went for the same ones.

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -91,8 +91,9 @@
         return outstanding < capacity();
     }
 
+    /** Returns the part of the usable places that one more task would take up. */
     double load() {
-        return (double) outstanding / upstream.slots();
+        return (outstanding + 1.0) / Math.max(1, capacity());
     }
 
     void change(UpstreamDescription newer, boolean nowServing, int newWindow) {
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
@@ -40,6 +40,7 @@
     private final PriorityQueue<PlacedTask> overdue =
             new PriorityQueue<>(Comparator.comparingLong(PlacedTask::overdueAt));
     private Table table = Table.EMPTY;
+    private long lastNow;
 
     /**
      * Creates the scheduler of an entry that is alone until it is told otherwise.
@@ -176,6 +177,7 @@
     @Override
     public List<Placement> place(Instant instant) {
         long now = TimeUnits.nanoseconds(instant);
+        lastNow = now;
         limits.release(now);
         backends.release(now);
         noteOverdue(now);
@@ -192,7 +194,7 @@
     public int demandFor(ProcessId sidecar) {
         return backends.find(sidecar).filter(Backend::serving).stream()
                 .flatMap(backend -> backend.seats().stream())
-                .mapToInt(seat -> seat.kind().waiting())
+                .mapToInt(seat -> seat.kind().startable(lastNow))
                 .sum();
     }
 
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/KindState.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/KindState.java
@@ -45,6 +45,11 @@
         return waiting;
     }
 
+    /** Returns how many waiting tasks the kind's limits would let start now. */
+    int startable(long now) {
+        return usage.startable(waiting, now);
+    }
+
     void change(KindRow newer) {
         row = newer;
         usage.change(newer.limits(), newer.taskTimeout());
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/LimitUsage.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/LimitUsage.java
@@ -57,6 +57,14 @@
         return unlimited || running < runningShare(now) && starts.allows(rateShare(now), now);
     }
 
+    /** Returns how many of the waiting tasks may start now. */
+    int startable(int waiting, long now) {
+        if (!mayStart(now)) {
+            return 0;
+        }
+        return limits.running() == Limits.UNLIMITED ? waiting : Math.min(waiting, runningShare(now) - running);
+    }
+
     boolean neverStarts() {
         return limits.running() == 0 || limits.startsPerSecond() == 0;
     }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -78,7 +78,7 @@
     public record Speed(
             double smoothing, int priorSamples, Duration defaultServiceTime, double overdueFactor, double waitMargin) {
         /** Constants for ordinary use. */
-        public static final Speed DEFAULT = new Speed(0.05, 3, Duration.ofMillis(200), 3, 0.9);
+        public static final Speed DEFAULT = new Speed(0.05, 3, Duration.ofMillis(200), 3, 0.3);
 
         /** Checks the ranges. */
         public Speed {
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
@@ -10,6 +10,7 @@
 final class SpeedModel {
     private static final double MINIMUM_SECONDS = 1e-6;
     private static final double UNLIKELY_DEVIATIONS = 2.5;
+    private static final double CHANCE_DEVIATIONS = 2;
 
     private final SchedulerPolicy.Speed policy;
     private final Feature services = new Feature();
@@ -111,11 +112,15 @@
             }
         }
 
+        /** Returns the backend's deviation from the mean as far as it is more than chance. */
         double deviation(Mean backend) {
             if (backend.count == 0) {
                 return 0;
             }
-            return (backend.mean - all.mean) * backend.count / (backend.count + policy.priorSamples());
+            double difference = backend.mean - all.mean;
+            double effective = Math.min(backend.count, 2 / policy.smoothing() - 1);
+            double chance = CHANCE_DEVIATIONS * Math.sqrt(variance / effective);
+            return Math.signum(difference) * Math.max(0, Math.abs(difference) - chance);
         }
     }
 }
--- /dev/null
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/cost/DecisionCost.java
@@ -0,0 +1,215 @@
+package io.caperturn.replay.cost;
+
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.entry.EntryMachine;
+import io.caperturn.core.entry.EntryPolicy;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.model.Urgency;
+import io.caperturn.core.schedule.FairScheduler;
+import io.caperturn.core.schedule.SchedulerPolicy;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Measured loop of an entry's decisions: a completion is reported, and the next task is placed in its stead. */
+public final class DecisionCost {
+    private static final int JOB_TASKS = 1_800;
+    private static final int WINDOW = 4;
+    private static final int SLOTS = 8;
+    private static final int KINDS = 4;
+    private static final int MEMORY_JOBS = 100;
+    private static final Duration EVENT_DISTANCE = Duration.ofNanos(100_000);
+    private static final int EVENTS_PER_TICK = 500;
+    private static final double NANOSECONDS_IN_SECOND = 1e9;
+
+    private final EntryMachine machine =
+            new EntryMachine(new FairScheduler(SchedulerPolicy.DEFAULT), EntryPolicy.DEFAULT);
+    private final Deque<Outstanding> outstanding = new ArrayDeque<>();
+    private Instant now = Instant.EPOCH;
+    private int nextJob;
+    private long starts;
+
+    private DecisionCost() {}
+
+    /**
+     * What was measured.
+     *
+     * @param upstreams how many upstreams were known
+     * @param startsPerSecond starts that one thread decided in a second
+     */
+    public record Speed(int upstreams, double startsPerSecond) {}
+
+    /**
+     * Measures how many starts one thread decides in a second.
+     *
+     * @param upstreams how many upstreams the entry knows of
+     * @param warmUp how long to run before the measurement
+     * @param measured how long to measure
+     * @return the result
+     */
+    public static Speed measureSpeed(int upstreams, Duration warmUp, Duration measured) {
+        DecisionCost cost = new DecisionCost();
+        cost.start(upstreams);
+        cost.runFor(warmUp);
+        long before = cost.starts;
+        long elapsed = cost.runFor(measured);
+        return new Speed(upstreams, (cost.starts - before) * NANOSECONDS_IN_SECOND / elapsed);
+    }
+
+    /**
+     * Measures the memory that a waiting task takes up in an entry, its payload of two bytes included.
+     *
+     * @return bytes for each task
+     */
+    public static double measureBytesPerTask() {
+        DecisionCost cost = new DecisionCost();
+        cost.tableChanged();
+        long before = usedBytes();
+        for (int job = 0; job < MEMORY_JOBS; job++) {
+            cost.submit();
+        }
+        long after = usedBytes();
+        int queuedTasks = cost.machine.openSubmissions() * JOB_TASKS;
+        return (double) (after - before) / queuedTasks;
+    }
+
+    /**
+     * Prints the measurements.
+     *
+     * @param arguments numbers of upstreams, by default 100, 1,000 and 4,000
+     */
+    public static void main(String[] arguments) {
+        List<Integer> sizes = new ArrayList<>(List.of(100, 1_000, 4_000));
+        if (arguments.length > 0) {
+            sizes.clear();
+            for (String argument : arguments) {
+                sizes.add(Integer.valueOf(argument));
+            }
+        }
+        for (int upstreams : sizes) {
+            Speed speed = measureSpeed(upstreams, Duration.ofSeconds(5), Duration.ofSeconds(5));
+            System.out.printf(
+                    Locale.ROOT, "upstreams=%d startsPerSecond=%.0f%n", speed.upstreams(), speed.startsPerSecond());
+        }
+        System.out.printf(Locale.ROOT, "bytesPerQueuedTask=%.0f%n", measureBytesPerTask());
+    }
+
+    private void start(int upstreams) {
+        tableChanged();
+        for (int upstream = 0; upstream < upstreams; upstream++) {
+            UpstreamDescription description =
+                    new UpstreamDescription("executor-" + upstream, kinds(), SLOTS, 64, "worker", "rack", "zone");
+            ProcessId sidecar = new ProcessId("sidecar-" + upstream, 1);
+            on(new EntryEvent.SidecarChanged(sidecar, description, true, WINDOW));
+        }
+        while (outstanding.size() < upstreams * WINDOW) {
+            submit();
+        }
+    }
+
+    private void tableChanged() {
+        Map<String, KindRow> rows = new HashMap<>();
+        for (String kind : kinds()) {
+            rows.put(kind, new KindRow(kind, 1, Urgency.NORMAL, Limits.NONE, Duration.ofSeconds(30), 1));
+        }
+        on(new EntryEvent.TableChanged(new Table(1, rows, Map.of())));
+    }
+
+    private static Set<String> kinds() {
+        List<String> kinds = new ArrayList<>();
+        for (int kind = 0; kind < KINDS; kind++) {
+            kinds.add("kind-" + kind);
+        }
+        return Set.copyOf(kinds);
+    }
+
+    private long runFor(Duration duration) {
+        long begin = System.nanoTime();
+        long elapsed = 0;
+        while (elapsed < duration.toNanos()) {
+            for (int event = 0; event < EVENTS_PER_TICK; event++) {
+                completeOne();
+            }
+            on(new EntryEvent.Tick());
+            elapsed = System.nanoTime() - begin;
+        }
+        return elapsed;
+    }
+
+    private void completeOne() {
+        Outstanding oldest = outstanding.poll();
+        Duration service = Duration.ofMillis(50 + Math.floorMod(oldest.sidecar().hashCode(), 20));
+        AttemptReport report = new AttemptReport(
+                oldest.dispatch().attempt(), new AttemptState.Done(new TaskOutcome.Completed("{}", service)));
+        on(new EntryEvent.ReportsReceived(oldest.sidecar(), List.of(report), WINDOW));
+        if (starts / JOB_TASKS + KINDS > nextJob) {
+            submit();
+        }
+    }
+
+    private void submit() {
+        List<TaskSpec> tasks = new ArrayList<>(JOB_TASKS);
+        for (int task = 0; task < JOB_TASKS; task++) {
+            tasks.add(new TaskSpec("task-" + task, Optional.of(Duration.ofMillis(100)), "{}"));
+        }
+        SubmissionId id = new SubmissionId("team-" + nextJob % 20, "job-" + nextJob);
+        Submission submission = new Submission(
+                id,
+                "kind-" + nextJob % KINDS,
+                Optional.empty(),
+                Repeatability.AT_MOST_ONCE,
+                now.plus(Duration.ofHours(1)),
+                "digest",
+                tasks);
+        nextJob++;
+        on(new EntryEvent.SubmissionArrived(submission, nextJob));
+        on(new EntryEvent.ClaimSettled(id, new ClaimResult.Granted(1, false)));
+    }
+
+    private void on(EntryEvent event) {
+        now = now.plus(EVENT_DISTANCE);
+        for (EntryCommand command : machine.on(event, now)) {
+            if (command instanceof EntryCommand.SendDispatches send) {
+                send.dispatches().forEach(dispatch -> outstanding.add(new Outstanding(send.sidecar(), dispatch)));
+                starts += send.dispatches().size();
+            }
+        }
+    }
+
+    private static long usedBytes() {
+        for (int round = 0; round < 3; round++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /**
+     * A dispatch whose completion was not reported yet.
+     *
+     * @param sidecar where to
+     * @param dispatch the dispatch
+     */
+    private record Outstanding(ProcessId sidecar, EntryCommand.Dispatch dispatch) {}
+}
