--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/Ledger.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/Ledger.java
@@ -5,6 +5,7 @@
 import io.caperturn.core.model.AttemptState;
 import io.caperturn.core.model.Execution;
 import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskKey;
 import io.caperturn.core.model.TaskOutcome;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -13,12 +14,9 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Record of every attempt that this sidecar accepted or fenced.
@@ -29,12 +27,13 @@
  */
 final class Ledger {
     private static final String RESULT_DROPPED = "result no longer kept";
+    private static final int FEW_TASKS = 2;
 
     private final SidecarPolicy policy;
-    private final Map<SubmissionId, Map<String, LedgerLine>> claimed = new HashMap<>();
+    private final Map<SubmissionId, Tasks> claimed = new HashMap<>();
     private final Map<AttemptId, LedgerLine> idempotent = new HashMap<>();
     private final Map<SubmissionId, Fence> fences = new LinkedHashMap<>();
-    private final Set<LedgerLine> ended = new LinkedHashSet<>();
+    private final Deque<LedgerLine> ended = new ArrayDeque<>();
     private final Deque<LedgerLine> withResults = new ArrayDeque<>();
     private int lines;
     private long resultBytes;
@@ -48,14 +47,14 @@
         if (attempt.fence() == 0) {
             return idempotent.get(attempt);
         }
-        Map<String, LedgerLine> tasks = claimed.get(attempt.key().submission());
-        return tasks == null ? null : tasks.get(attempt.key().task());
+        Tasks tasks = claimed.get(attempt.key().submission());
+        return tasks == null ? null : tasks.lines().get(attempt.key().task());
     }
 
     /** Returns the lines of a submission under a claim. */
     Collection<LedgerLine> linesOf(SubmissionId submission) {
-        Map<String, LedgerLine> tasks = claimed.get(submission);
-        return tasks == null ? List.of() : List.copyOf(tasks.values());
+        Tasks tasks = claimed.get(submission);
+        return tasks == null ? List.of() : List.copyOf(tasks.lines().values());
     }
 
     /** Returns the reports on all lines of a submission under a claim. */
@@ -65,15 +64,13 @@
 
     /** Writes a line, in place of the one that the attempt falls under. */
     LedgerLine write(AttemptId attempt, AttemptState state, Instant now) {
-        LedgerLine line = new LedgerLine(attempt, state, now);
-        LedgerLine earlier = attempt.fence() == 0
-                ? idempotent.put(attempt, line)
-                : claimed.computeIfAbsent(attempt.key().submission(), ignored -> new LinkedHashMap<>())
-                        .put(attempt.key().task(), line);
+        LedgerLine earlier = find(attempt);
+        LedgerLine line = attempt.fence() == 0 ? new LedgerLine(attempt, state, now) : under(attempt, state, now);
+        if (attempt.fence() == 0) {
+            idempotent.put(attempt, line);
+        }
         if (earlier == null) {
             lines++;
-        } else {
-            ended.remove(earlier);
         }
         if (line.hasEnded()) {
             ended.add(line);
@@ -81,6 +78,17 @@
         return line;
     }
 
+    /** Adds a line to those of its submission, all of which share one identity of the submission. */
+    private LedgerLine under(AttemptId attempt, AttemptState state, Instant now) {
+        Tasks tasks = claimed.computeIfAbsent(
+                attempt.key().submission(), id -> new Tasks(id, new LinkedHashMap<>(FEW_TASKS)));
+        String task = attempt.key().task();
+        AttemptId shared = new AttemptId(new TaskKey(tasks.submission(), task), attempt.fence(), attempt.attempt());
+        LedgerLine line = new LedgerLine(shared, state, now);
+        tasks.lines().put(task, line);
+        return line;
+    }
+
     /** Changes the state of a line and returns who is to be told. */
     List<LedgerLine.Asker> change(LedgerLine line, AttemptState state, Instant now) {
         List<LedgerLine.Asker> told = line.change(state, now);
@@ -130,14 +138,11 @@
     /** Drops what is older than the reach. */
     void evict(Instant now) {
         Instant limit = now.minus(policy.ledgerReach());
-        Iterator<LedgerLine> oldest = ended.iterator();
-        while (oldest.hasNext()) {
-            LedgerLine line = oldest.next();
-            if (!line.changedAt().isBefore(limit)) {
-                break;
+        while (!ended.isEmpty() && ended.getFirst().changedAt().isBefore(limit)) {
+            LedgerLine line = ended.removeFirst();
+            if (find(line.attempt()) == line) {
+                remove(line);
             }
-            oldest.remove();
-            remove(line);
         }
         fences.values().removeIf(fence -> fence.setAt().isBefore(limit));
     }
@@ -153,9 +158,9 @@
             idempotent.remove(attempt);
             return;
         }
-        Map<String, LedgerLine> tasks = claimed.get(attempt.key().submission());
-        tasks.remove(attempt.key().task());
-        if (tasks.isEmpty()) {
+        Tasks tasks = claimed.get(attempt.key().submission());
+        tasks.lines().remove(attempt.key().task());
+        if (tasks.lines().isEmpty()) {
             claimed.remove(attempt.key().submission());
         }
     }
@@ -177,6 +182,14 @@
         return completed.result().getBytes(StandardCharsets.UTF_8).length;
     }
 
+    /**
+     * Lines of one submission.
+     *
+     * @param submission the submission
+     * @param lines its lines, by task
+     */
+    private record Tasks(SubmissionId submission, Map<String, LedgerLine> lines) {}
+
     /**
      * Fence of a submission.
      *
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/LedgerRulesTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/LedgerRulesTest.java
@@ -193,6 +193,17 @@
         assertEquals(linesLeft, scenario.machine().load().ledgerLines());
     }
 
+    @Test
+    void lineThatStartedAfterAllOutlivesItsRefusal() {
+        SidecarScenario scenario = SidecarScenario.serving(8);
+        scenario.resolve(FIRST_ENTRY, ATTEMPT);
+        scenario.pass(REACH.dividedBy(2), 8);
+        scenario.dispatch(FIRST_ENTRY, attempt(1, 1, 2));
+        scenario.end(attempt(1, 1, 2));
+        scenario.pass(REACH.dividedBy(2).plusMillis(1), 8);
+        assertEquals(1, scenario.machine().load().ledgerLines());
+    }
+
     @Test
     void runningLineIsNeverDropped() {
         SidecarScenario scenario = SidecarScenario.serving(8);
--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeEntry.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeEntry.java
@@ -1,6 +1,7 @@
 package io.caperturn.sidecar;
 
 import io.caperturn.core.model.ProcessId;
+import io.caperturn.settings.LinkTimes;
 import io.caperturn.wire.FrameStamp;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.LinkEndpoint;
@@ -26,6 +27,8 @@
 
 /** Entry in the test's own process that accepts a sidecar's link and speaks the frames by hand. */
 public final class FakeEntry implements LinkListener, FrameStamp, AutoCloseable {
+    private static final LinkTimes SHORT_TIMES = new LinkTimes(200, 1_000, 50);
+    private static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
     private static final long PATIENCE_SECONDS = 10;
 
     private final LinkEndpoint endpoint;
@@ -36,19 +39,30 @@
     private Link link;
 
     /**
-     * Starts it on a free port.
+     * Starts it on a free port with short times.
      *
      * @param name its name
      * @throws IOException if it can't listen
      */
     public FakeEntry(String name) throws IOException {
+        this(name, SHORT_TIMES);
+    }
+
+    /**
+     * Starts it on a free port.
+     *
+     * @param name its name
+     * @param times the times that its links keep to
+     * @throws IOException if it can't listen
+     */
+    public FakeEntry(String name, LinkTimes times) throws IOException {
         endpoint = new LinkEndpoint(
                 new LinkSettings(
                         new Peer(new ProcessId(name, 1), Role.ROLE_ENTRY, "zone-a", ""),
-                        Duration.ofMillis(200),
-                        Duration.ofMillis(1_000),
-                        Duration.ofMillis(50),
-                        32 * 1024 * 1024),
+                        Duration.ofMillis(times.heartbeatIntervalMilliseconds()),
+                        Duration.ofMillis(times.silenceTimeoutMilliseconds()),
+                        Duration.ofMillis(times.reconnectDelayMilliseconds()),
+                        MAXIMUM_FRAME_BYTES),
                 this,
                 this);
         address = "127.0.0.1:" + endpoint.listen("127.0.0.1", 0).getPort();
