--- a/caperturn-settings/src/main/java/io/caperturn/settings/internal/ValueCheck.java
+++ b/caperturn-settings/src/main/java/io/caperturn/settings/internal/ValueCheck.java
@@ -51,12 +51,7 @@
                                 new Relation(
                                         "/requests/maximumDeadlineMilliseconds", "/claims/expiryMilliseconds", true),
                                 new Relation("/answers/milliseconds", "/claims/expiryMilliseconds", true)));
-            case SIDECAR ->
-                new ValueCheck(
-                        List.of(new Address("/announceAddress", AddressUse.LISTEN)),
-                        List.of(
-                                links,
-                                new Relation("/links/silenceTimeoutMilliseconds", "/ledger/reachMilliseconds", false)));
+            case SIDECAR -> new ValueCheck(List.of(new Address("/announceAddress", AddressUse.LISTEN)), List.of(links));
         };
     }
 
