--- a/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
@@ -7,6 +7,7 @@
 import io.caperturn.cli.command.EntryCommand;
 import io.caperturn.cli.command.ExplainCommand;
 import io.caperturn.cli.command.ParseResult;
+import io.caperturn.cli.command.ReplayTraceCommand;
 import io.caperturn.cli.command.SidecarCommand;
 import io.caperturn.cli.command.SubmitCommand;
 import io.caperturn.cli.command.TableCommand;
@@ -16,6 +17,7 @@
 import io.caperturn.cli.status.TopAction;
 import io.caperturn.cli.submit.SubmitAction;
 import io.caperturn.cli.table.TableAction;
+import io.caperturn.replay.ReplayCommand;
 
 /** Entry point of the command line. */
 public final class Main {
@@ -68,8 +70,15 @@
             case CheckSettingsCommand check -> SettingsReport.check(check.file(), check.role(), terminal);
             case SubmitCommand submit -> SubmitAction.run(submit, terminal);
             case ExplainCommand explain -> ExplainAction.run(explain, terminal);
+            case ReplayTraceCommand replay -> replay(replay, terminal);
             case TopCommand top -> TopAction.run(top, terminal);
             case TableCommand table -> TableAction.run(table, terminal);
         };
     }
+
+    private static ExitCode replay(ReplayTraceCommand command, Terminal terminal) {
+        int code = command.replay()
+                .run(command.trace(), command.deployment(), command.json(), command.svg(), terminal.output());
+        return code == ReplayCommand.SUCCESS ? ExitCode.DONE : ExitCode.FAILED;
+    }
 }
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/Command.java
@@ -7,6 +7,7 @@
         permits CheckSettingsCommand,
                 EntryCommand,
                 ExplainCommand,
+                ReplayTraceCommand,
                 SidecarCommand,
                 SubmitCommand,
                 TableCommand,
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
@@ -76,6 +76,7 @@
         commands.put("submit", new SubmitCommand());
         commands.put("explain", new ExplainCommand());
         commands.put("top", new TopCommand());
+        commands.put("replay", new ReplayTraceCommand());
         return commands;
     }
 
--- a/caperturn-cli/src/main/java/io/caperturn/cli/explain/ExplainAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/explain/ExplainAction.java
@@ -40,8 +40,8 @@
                         print(entry, reply.body(), command, terminal);
                         return ExitCode.DONE;
                     }
-                    case Exchange.Replied reply when reply.status() == NOT_FOUND ->
-                        terminal.messages().println(entry + ": keeps nothing of it");
+                    case Exchange.Replied reply
+                    when reply.status() == NOT_FOUND -> terminal.messages().println(entry + ": keeps nothing of it");
                     case Exchange.Replied reply ->
                         terminal.messages().println(entry + ": status " + reply.status() + " " + reply.body());
                     case Exchange.NotSent(String cause) -> terminal.messages().println(entry + ": " + cause);
--- a/caperturn-cli/src/test/java/io/caperturn/cli/command/CommandParserTest.java
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/command/CommandParserTest.java
@@ -39,6 +39,13 @@
                 SUBMIT + "--tasks 1 --key a --resubmit b | exclude each other",
                 SUBMIT + "--tasks 1 --non-idempotent | --request",
                 SUBMIT + "--tasks 1 --request | exclude each other",
+                "explain --entry a:1 lab | TEAM/KEY",
+                "top --entry a:1 --interval-milliseconds -1 | negative",
+                "replay steady --length-seconds 0 | positive",
+                "table | show, set, import, export, history",
+                "table set --entry a:1 --weight 2 | either --kind or --team",
+                "table set --entry a:1 --kind assay | --delete",
+                "table export --entry a:1 --format xml | csv or json",
                 "submit --entry nowhere --team demo --kind assay --tasks 1 | HOST:PORT",
                 "submit --entry 127.0.0.1:1 --tasks 1 | --team"
             })
