Measurement of claims against the stand-in platform

Cause: synced writes per job and the latency that a claim adds were not known. Change: ClaimMeasurement, run by name only: open arrivals of a fixed seed, latency from the arrival that was due, counts from the stand-in; synced writes of 4 ms.

--- /dev/null
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
@@ -0,0 +1,177 @@
+package io.caperturn.entry.claim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryEvent.ClaimSettled;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.platform.claim.ClaimOwner;
+import io.caperturn.platform.claim.ClaimPolicy;
+import io.caperturn.platform.claim.ClaimWriter;
+import io.caperturn.platform.http.HttpPlatformStore;
+import io.caperturn.testkit.platform.PlatformControl;
+import io.caperturn.testkit.platform.PlatformMode;
+import io.caperturn.testkit.platform.StandInPlatform;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Measurement of claims against the stand-in platform, at random arrivals of a fixed seed.
+ *
+ * <p>Not run with the tests; {@code bin/build -o test -pl caperturn-entry -am -Dtest=ClaimMeasurement
+ * -Dsurefire.failIfNoSpecifiedTests=false} prints a line for each case. Latencies count from the arrival that was due,
+ * so that a stall counts for all whom it keeps waiting. The first quarter warms up and is left out.
+ */
+class ClaimMeasurement {
+    private static final long SEED = 7;
+    private static final long SYNC_MILLISECONDS = 4;
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final int WARM_UP_FRACTION = 4;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Histogram latencies = new ConcurrentHistogram(3);
+    private final Map<SubmissionId, Long> due = new ConcurrentHashMap<>();
+    private final AtomicLong granted = new AtomicLong();
+    private final AtomicLong refused = new AtomicLong();
+    private volatile boolean counting;
+
+    @ParameterizedTest
+    @CsvSource({
+        "10, 60, 0, 500, 1",
+        "100, 20, 0, 500, 1",
+        "1000, 20, 0, 500, 1",
+        "10, 60, 20, 500, 1",
+        "100, 20, 20, 500, 1",
+        "1000, 20, 20, 500, 1",
+        "1000, 20, 0, 500, 3",
+        "1000, 20, 20, 500, 3",
+        "1000, 20, 0, 100, 3",
+        "1000, 20, 0, 30, 3",
+    })
+    void measures(int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
+            throws Exception {
+        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries);
+
+        assertTrue(due.isEmpty());
+    }
+
+    private void run(int jobsPerSecond, int seconds, Duration interval, int writesPerSecond, int entries)
+            throws Exception {
+        ClaimPolicy policy = new ClaimPolicy(interval, Duration.ofSeconds(2), 500, Duration.ofDays(1), 1 << 14);
+        HttpClient client = new HttpClient();
+        client.start();
+        try (StandInPlatform platform = new StandInPlatform(io.caperturn.testkit.Endpoint.ANY);
+                HttpPlatformStore store =
+                        new HttpPlatformStore(platform.address().toString(), Duration.ofSeconds(1))) {
+            platform.control(new PlatformControl(PlatformMode.NORMAL, 0, writesPerSecond, SYNC_MILLISECONDS));
+            ClaimWriter[] writers = new ClaimWriter[entries];
+            for (int number = 0; number < entries; number++) {
+                ClaimOwner owner = new ClaimOwner(new ProcessId("entry-" + number, 1), "127.0.0.1:1");
+                writers[number] = new ClaimWriter(store, owner, policy, this::settled);
+                writers[number].start();
+            }
+            int warmUp = jobsPerSecond * seconds / WARM_UP_FRACTION;
+            offer(writers, jobsPerSecond, 0, warmUp);
+            JsonNode before = counts(client, platform);
+            counting = true;
+            offer(writers, jobsPerSecond, warmUp, jobsPerSecond * seconds);
+            while (!due.isEmpty()) {
+                LockSupport.parkNanos(1_000_000);
+            }
+            print(jobsPerSecond, interval, writesPerSecond, entries, before, counts(client, platform));
+            for (ClaimWriter writer : writers) {
+                writer.stop();
+            }
+        } finally {
+            client.stop();
+        }
+    }
+
+    private void offer(ClaimWriter[] writers, int jobsPerSecond, int from, int to) {
+        Random random = new Random(SEED + from);
+        double next = System.nanoTime();
+        for (int number = from; number < to; number++) {
+            next += -Math.log(1 - random.nextDouble()) / jobsPerSecond * NANOSECONDS_PER_SECOND;
+            while (System.nanoTime() < next) {
+                LockSupport.parkNanos((long) next - System.nanoTime());
+            }
+            Submission submission = submission(number);
+            due.put(submission.id(), counting ? (long) next : Long.MIN_VALUE);
+            if (!writers[number % writers.length].request(submission)) {
+                settled(new ClaimSettled(submission.id(), new ClaimResult.Unavailable("refused at once")));
+            }
+        }
+    }
+
+    private void settled(ClaimSettled settled) {
+        long since = due.remove(settled.submission());
+        if (since == Long.MIN_VALUE) {
+            return;
+        }
+        if (settled.result() instanceof ClaimResult.Granted) {
+            granted.incrementAndGet();
+            latencies.recordValue(Math.max(0, (System.nanoTime() - since) / 1_000));
+        } else {
+            refused.incrementAndGet();
+        }
+    }
+
+    private void print(
+            int jobsPerSecond, Duration interval, int writesPerSecond, int entries, JsonNode before, JsonNode after) {
+        double transactions = difference("transactions", before, after);
+        double claims = difference("writes", before, after);
+        System.out.printf(
+                "jobs/s=%d entries=%d interval_ms=%d store_writes/s=%d granted=%d refused=%d transactions=%.0f "
+                        + "claims/transaction=%.2f transactions/job=%.3f p50_ms=%.1f p99_ms=%.1f max_ms=%.1f%n",
+                jobsPerSecond,
+                entries,
+                interval.toMillis(),
+                writesPerSecond,
+                granted.get(),
+                refused.get(),
+                transactions,
+                claims / transactions,
+                transactions / Math.max(1, granted.get()),
+                latencies.getValueAtPercentile(50) / 1_000.0,
+                latencies.getValueAtPercentile(99) / 1_000.0,
+                latencies.getMaxValue() / 1_000.0);
+    }
+
+    private static double difference(String count, JsonNode before, JsonNode after) {
+        return after.path(count).asLong() - before.path(count).asLong();
+    }
+
+    private static JsonNode counts(HttpClient client, StandInPlatform platform) throws Exception {
+        return MAPPER.readTree(
+                client.GET("http://" + platform.address() + "/control").getContent());
+    }
+
+    private static Submission submission(int number) {
+        return new Submission(
+                new SubmissionId("team", "job-" + number),
+                "kind",
+                Optional.empty(),
+                Repeatability.AT_MOST_ONCE,
+                Instant.now().plusSeconds(60),
+                "digest",
+                List.of(new TaskSpec("task", Optional.empty(), "{}")));
+    }
+}
