Tests of membership and enrolment meet the fault they name

Cause: the fake store was told to let the first write pass, and each call makes one write only, so the fault never came. Change: the fault comes first; a refusal for too many writes counts as a refusal.

--- a/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
@@ -115,7 +115,7 @@
             }
             Submission submission = submission(number);
             due.put(submission.id(), counting ? (long) next : Long.MIN_VALUE);
-            if (!writers[number % writers.length].request(submission)) {
+            if (!writers[number % writers.length].request(submission, number)) {
                 settled(new ClaimSettled(submission.id(), new ClaimResult.Unavailable("refused at once")));
             }
         }
--- a/caperturn-platform/src/main/java/io/caperturn/platform/StoreResult.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/StoreResult.java
@@ -41,6 +41,18 @@
         }
     }
 
+    /**
+     * The store refused because of too many writes; nothing was written, and fewer or larger transactions may pass.
+     *
+     * @param detail one line for people
+     */
+    record Limited(String detail) implements StoreResult {
+        /** Checks that the detail is present. */
+        public Limited {
+            Objects.requireNonNull(detail, "detail");
+        }
+    }
+
     /**
      * The reply was lost; the writes may have taken effect, or may yet.
      *
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
@@ -28,8 +28,9 @@
  * Writer of durable claims, one transaction for all claims that wait.
  *
  * <p>While a transaction is in flight the next claims gather. A lost reply is settled by the same conditional write
- * again: the row carries the incarnation and number of the request that wrote it. While the store is known to be down,
- * claims are refused at once and a read probes it.
+ * again: the row carries the incarnation and number of the request that wrote it. Where the store limits writes, fewer
+ * and larger transactions are sent. While the store is known to be down, claims are refused at once and a read probes
+ * it.
  */
 public final class ClaimWriter {
     private static final System.Logger LOGGER = System.getLogger(ClaimWriter.class.getName());
@@ -43,6 +44,7 @@
     private final InstantSource clock;
     private final Duty<PendingClaim> duty;
     private final StoreCircuit circuit = new StoreCircuit();
+    private final BatchPace pace;
     private final Map<RowKey, PendingClaim> pending = new LinkedHashMap<>();
     private final List<PendingClaim> following = new ArrayList<>();
     private long lastBegin;
@@ -71,6 +73,7 @@
         this.policy = Objects.requireNonNull(policy, "policy");
         this.settled = Objects.requireNonNull(settled, "settled");
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.pace = new BatchPace(policy.batchInterval());
         this.lastBegin = System.nanoTime() - policy.batchInterval().toNanos();
         this.duty = new Duty<>("claim-writer", policy.ringCapacity(), PROBE_INTERVAL, new Duty.Work<>() {
             @Override
@@ -132,21 +135,22 @@
                 following.add(claim);
             }
         }
-        waitForInterval();
+        waitForPace();
         if (duty.backlog() == 0 || pending.size() >= policy.maximumBatch()) {
             writePending();
         }
     }
 
-    private void waitForInterval() {
-        long rest = policy.batchInterval().toNanos() - (System.nanoTime() - lastBegin);
-        if (rest > 0 && pending.size() < policy.maximumBatch()) {
+    private void waitForPace() {
+        long rest = pace.interval().toNanos() - (System.nanoTime() - lastBegin);
+        if (rest > 0) {
             LockSupport.parkNanos(this, rest);
         }
     }
 
     private void retry() {
         if (!pending.isEmpty()) {
+            waitForPace();
             writePending();
         } else if (circuit.isOpen() && store.transact(PROBE) instanceof StoreResult.Committed) {
             circuit.succeeded();
@@ -155,7 +159,7 @@
         }
     }
 
-    /** Writes until nothing is pending or the store fails, which leaves claims in doubt to the next interval. */
+    /** Writes until nothing is pending or the store fails; what is left then waits for more claims or the interval. */
     private void writePending() {
         boolean progress = true;
         while (progress && !pending.isEmpty()) {
@@ -176,6 +180,7 @@
         return switch (result) {
             case StoreResult.Committed ignored -> {
                 circuit.succeeded();
+                pace.committed();
                 batch.forEach(claim -> finish(claim, new ClaimResult.Granted(claim.fence(), claim.request())));
                 yield true;
             }
@@ -183,6 +188,11 @@
                 circuit.succeeded();
                 yield judge(batch, rows);
             }
+            case StoreResult.Limited ignored -> {
+                circuit.succeeded();
+                pace.limited();
+                yield false;
+            }
             case StoreResult.Unavailable(String detail) -> {
                 circuit.refused();
                 log("claim-store-unavailable", batch.size(), detail);
--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
@@ -133,8 +133,8 @@
                 rows(response)
                         .<StoreResult>map(StoreResult.Conflict::new)
                         .orElseGet(() -> new StoreResult.Unknown("unreadable reply with status 409"));
-            case HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503 ->
-                new StoreResult.Unavailable("status " + response.getStatus());
+            case HttpStatus.TOO_MANY_REQUESTS_429 -> new StoreResult.Limited("status 429");
+            case HttpStatus.SERVICE_UNAVAILABLE_503 -> new StoreResult.Unavailable("status 503");
             default -> new StoreResult.Unknown("status " + response.getStatus());
         };
     }
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/EnrolmentStore.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/registry/EnrolmentStore.java
@@ -87,6 +87,9 @@
                 case StoreResult.Unavailable(String reason) -> {
                     return new EnrolmentResult.Failed(reason);
                 }
+                case StoreResult.Limited(String reason) -> {
+                    return new EnrolmentResult.Failed(reason);
+                }
                 case StoreResult.Unknown(String reason) -> detail = reason;
             }
         }
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipStore.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipStore.java
@@ -66,6 +66,7 @@
             case StoreResult.Committed ignored -> new MembershipResult.Done();
             case StoreResult.Conflict ignored -> new MembershipResult.NotMember();
             case StoreResult.Unavailable(String detail) -> new MembershipResult.Failed(detail);
+            case StoreResult.Limited(String detail) -> new MembershipResult.Failed(detail);
             case StoreResult.Unknown(String detail) -> new MembershipResult.Failed(detail);
         };
     }
@@ -138,6 +139,9 @@
                 case StoreResult.Unavailable(String reason) -> {
                     return new MembershipResult.Failed(reason);
                 }
+                case StoreResult.Limited(String reason) -> {
+                    return new MembershipResult.Failed(reason);
+                }
                 case StoreResult.Unknown(String reason) -> detail = reason;
             }
         }
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableEditor.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/table/TableEditor.java
@@ -149,6 +149,7 @@
                 yield conflicts.isEmpty() ? new Step.Moved() : settle(change, conflicts);
             }
             case StoreResult.Unavailable(String detail) -> new Step.Done(new EditResult.Unavailable(detail));
+            case StoreResult.Limited(String detail) -> new Step.Done(new EditResult.Unavailable(detail));
             case StoreResult.Unknown(String detail) -> new Step.Lost(detail);
         };
     }
--- a/caperturn-platform/src/test/java/io/caperturn/platform/FakePlatformStore.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/FakePlatformStore.java
@@ -20,6 +20,8 @@
         NONE,
         /** Refused before any effect. */
         REFUSED,
+        /** Refused before any effect because of too many writes. */
+        LIMITED,
         /** No reply, and no effect. */
         LOST_BEFORE,
         /** No reply, after the effect. */
@@ -102,6 +104,7 @@
         return switch (next == null ? lasting : next) {
             case NONE -> commit(transaction);
             case REFUSED -> new StoreResult.Unavailable("refused");
+            case LIMITED -> new StoreResult.Limited("limited");
             case LOST_BEFORE -> new StoreResult.Unknown("lost before");
             case LOST_AFTER -> {
                 commit(transaction);
--- a/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
@@ -1,5 +1,6 @@
 package io.caperturn.platform.claim;
 
+import static io.caperturn.platform.FakePlatformStore.Fault.LIMITED;
 import static io.caperturn.platform.FakePlatformStore.Fault.LOST_AFTER;
 import static io.caperturn.platform.FakePlatformStore.Fault.LOST_BEFORE;
 import static io.caperturn.platform.FakePlatformStore.Fault.NONE;
@@ -74,6 +75,8 @@
                 arguments(List.of(LOST_BEFORE, LOST_AFTER), granted),
                 arguments(List.of(LOST_AFTER, REFUSED, REFUSED), granted),
                 arguments(List.of(LOST_BEFORE, REFUSED), granted),
+                arguments(List.of(LIMITED, LIMITED), granted),
+                arguments(List.of(LOST_AFTER, LIMITED), granted),
                 arguments(List.of(REFUSED), new ClaimResult.Unavailable("refused")));
     }
 
--- a/caperturn-platform/src/test/java/io/caperturn/platform/http/HttpPlatformStoreTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/http/HttpPlatformStoreTest.java
@@ -93,7 +93,7 @@
             value = {
                 "409 | {\"rows\":[]} | Conflict",
                 "409 | nonsense | Unknown",
-                "429 | | Unavailable",
+                "429 | | Limited",
                 "503 | | Unavailable",
                 "500 | | Unknown",
                 "302 | | Unknown",
--- a/caperturn-platform/src/test/java/io/caperturn/platform/registry/EnrolmentStoreTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/registry/EnrolmentStoreTest.java
@@ -21,11 +21,13 @@
     private final EnrolmentStore enrolments = new EnrolmentStore(store);
 
     @ParameterizedTest
-    @EnumSource(names = "REFUSED", mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            names = {"REFUSED", "LIMITED"},
+            mode = EnumSource.Mode.EXCLUDE)
     void adopterLearnsEverySidecarOnRecordUnderEachFault(Fault fault) {
         enrolments.enrol(ENTRY, Set.of(FIRST));
         enrolments.enrol(ENTRY, Set.of(FIRST, SECOND));
-        store.failNext(List.of(Fault.NONE, fault));
+        store.failNext(List.of(fault));
         assertEquals(new EnrolmentResult.Closed(Set.of(FIRST, SECOND)), enrolments.close(ENTRY));
     }
 
--- a/caperturn-platform/src/test/java/io/caperturn/platform/registry/MembershipStoreTest.java
+++ b/caperturn-platform/src/test/java/io/caperturn/platform/registry/MembershipStoreTest.java
@@ -17,9 +17,11 @@
     private final MembershipStore membership = new MembershipStore(store);
 
     @ParameterizedTest
-    @EnumSource(names = "REFUSED", mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            names = {"REFUSED", "LIMITED"},
+            mode = EnumSource.Mode.EXCLUDE)
     void listsWhoJoinedUnderEachFault(Fault fault) {
-        store.failNext(List.of(Fault.NONE, fault));
+        store.failNext(List.of(fault));
         assertEquals(new MembershipResult.Done(), membership.join(member("entry", 1, 0)));
         assertEquals(List.of(member("entry", 1, 0)), members().members());
     }
