--- a/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
@@ -61,12 +61,23 @@
         "10, 60, 20, 500, 1",
         "100, 20, 20, 500, 1",
         "1000, 20, 20, 500, 1",
+    })
+    void measuresOneEntry(int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
+            throws Exception {
+        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries);
+
+        assertTrue(due.isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
         "1000, 20, 0, 500, 3",
         "1000, 20, 20, 500, 3",
         "1000, 20, 0, 100, 3",
         "1000, 20, 0, 30, 3",
     })
-    void measures(int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
+    void measuresEntriesThatShareALimit(
+            int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
             throws Exception {
         run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries);
 
