--- a/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmitAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/SubmitAction.java
@@ -16,6 +16,7 @@
 public final class SubmitAction {
     private static final Duration ANSWER_MARGIN = Duration.ofSeconds(5);
     private static final String KEY_HEADER = "Idempotency-Key";
+    private static final String RESUBMISSION_HEADER = "Caperturn-Resubmission";
 
     private final SubmitCommand command;
     private final Terminal terminal;
@@ -61,12 +62,12 @@
         }
     }
 
-    private static Exchange send(EntryClient client, String entry, Submission submission, Duration remaining) {
+    private Exchange send(EntryClient client, String entry, Submission submission, Duration remaining) {
         return client.send(
                 HttpMethod.POST,
                 "http://" + entry + submission.path(),
                 submission.bodyWithin(remaining),
-                Map.of(KEY_HEADER, submission.key()),
+                Map.of(KEY_HEADER, submission.key(), RESUBMISSION_HEADER, String.valueOf(command.resubmission())),
                 remaining.plus(ANSWER_MARGIN));
     }
 
--- a/caperturn-replay/src/main/java/io/caperturn/replay/cost/DecisionCost.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/cost/DecisionCost.java
@@ -184,7 +184,7 @@
                 tasks);
         nextJob++;
         on(new EntryEvent.SubmissionArrived(submission, nextJob));
-        on(new EntryEvent.ClaimSettled(id, new ClaimResult.Granted(1, false)));
+        on(new EntryEvent.ClaimSettled(id, new ClaimResult.Granted(1, nextJob)));
     }
 
     private void on(EntryEvent event) {
