--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultOutcomes.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultOutcomes.java
@@ -3,6 +3,9 @@
 import io.caperturn.testkit.process.ClusterFixture;
 import io.caperturn.testkit.process.ClusterOptions;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -59,6 +62,7 @@
                 cluster = ClusterFixture.start("faults-" + clusters, options());
             }
             FaultOutcome outcome = new FaultScenario(cluster, faults).run();
+            report(faults, outcome);
             if (!outcome.recovered()) {
                 discard();
             }
@@ -71,6 +75,16 @@
         }
     }
 
+    /** Keeps the story of a scenario for whoever looks into a failure. */
+    private static void report(List<Fault> faults, FaultOutcome outcome) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add(Instant.now() + " cluster " + clusters + " recovered " + outcome.recovered());
+        outcome.exchanges().forEach(exchange -> lines.add(exchange.answeredAt() + " " + exchange));
+        Files.write(
+                Path.of("target", "processes", "outcome-" + faults.toString().replaceAll("[^A-Z_]+", "-") + ".txt"),
+                lines);
+    }
+
     private static void discard() {
         if (cluster != null) {
             cluster.close();
