--- a/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
@@ -66,9 +66,12 @@
         SchedulerPolicy order =
                 SchedulerPolicy.DEFAULT.withUnservableGrace(Duration.ofMillis(settings.unservableGraceMilliseconds()));
         EntryMachine machine = new EntryMachine(new FairScheduler(order, new LimitShare.None()), policy(settings));
+        TableService table = new TableService(store, clock);
+        EntryMeters meters = new EntryMeters();
+        meters.gauge("caperturn_table_version", table::tableVersion);
         kernel.register(Waiters.NAME, new Waiters());
-        kernel.register(Observer.NAME, new Observer(clock, new EntryMeters(), new SubmissionHistory()));
-        kernel.register(TableService.NAME, new TableService(store, clock));
+        kernel.register(Observer.NAME, new Observer(clock, meters, new SubmissionHistory()));
+        kernel.register(TableService.NAME, table);
         kernel.register(LinkService.NAME, new LinkService(links(settings, self), settings.linkAddress(), clock));
         kernel.register(RegistryService.NAME, new RegistryService(self, settings.availabilityZone(), store, clock));
         kernel.register(ClaimService.NAME, new ClaimService(self, store, claims(settings)));
