--- a/caperturn-replay/src/main/java/io/caperturn/replay/cost/DecisionCost.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/cost/DecisionCost.java
@@ -184,15 +184,20 @@
                 tasks);
         nextJob++;
         on(new EntryEvent.SubmissionArrived(submission, nextJob));
-        on(new EntryEvent.ClaimSettled(id, new ClaimResult.Granted(1, false)));
     }
 
     private void on(EntryEvent event) {
         now = now.plus(EVENT_DISTANCE);
         for (EntryCommand command : machine.on(event, now)) {
-            if (command instanceof EntryCommand.SendDispatches send) {
-                send.dispatches().forEach(dispatch -> outstanding.add(new Outstanding(send.sidecar(), dispatch)));
-                starts += send.dispatches().size();
+            switch (command) {
+                case EntryCommand.RequestClaim request ->
+                    on(new EntryEvent.ClaimSettled(
+                            request.submission().id(), new ClaimResult.Granted(1, request.request())));
+                case EntryCommand.SendDispatches send -> {
+                    send.dispatches().forEach(dispatch -> outstanding.add(new Outstanding(send.sidecar(), dispatch)));
+                    starts += send.dispatches().size();
+                }
+                default -> {}
             }
         }
     }
