Urgent attempts go first among those that wait at a sidecar, and idle entries keep wider windows

Cause: with several entries a quarter of a message for each task only widened windows, while wider idle windows alone let urgent work queue behind other work. Change: the queue of a sidecar serves kinds that its table calls urgent first; idle windows are up to 4 instead of 2.

--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -6,8 +6,10 @@
 import io.caperturn.core.model.Execution;
 import io.caperturn.core.model.NotStartedReason;
 import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Table;
 import io.caperturn.core.model.TaskOutcome;
 import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.model.Urgency;
 import io.caperturn.core.sidecar.SidecarEvent.ReceivedDispatch;
 import java.time.Duration;
 import java.time.Instant;
@@ -35,6 +37,7 @@
     private final Map<ProcessId, List<AttemptReport>> reports = new LinkedHashMap<>();
     private final Map<LedgerLine, ProcessId> owners = new HashMap<>();
     private List<SidecarCommand> commands = new ArrayList<>();
+    private Table table = Table.EMPTY;
     private UpstreamDescription upstream;
     private Instant announcedAt = Instant.MIN;
     private boolean leaving;
@@ -75,7 +78,7 @@
                 cancel.attempts().forEach(attempt -> cancel(cancel.entry(), attempt, now));
             case SidecarEvent.FenceReceived fence -> onFence(fence, now);
             case SidecarEvent.RunEnded(AttemptId attempt, TaskOutcome outcome) -> onRunEnded(attempt, outcome, now);
-            case SidecarEvent.TableChanged ignored -> {}
+            case SidecarEvent.TableChanged(Table newer) -> table = newer;
             case SidecarEvent.DrainRequested() -> onDrain(now);
             case SidecarEvent.Tick() -> onTick(now);
         }
@@ -182,7 +185,7 @@
         accepted.ask(entry, attempt);
         owners.put(accepted, entry);
         outstanding.merge(entry, 1, Integer::sum);
-        slots.enqueue(accepted, dispatch);
+        slots.enqueue(accepted, dispatch, isUrgent(dispatch.kind()));
     }
 
     private Optional<NotStartedReason> findRefusal(ReceivedDispatch dispatch, boolean hasLine) {
@@ -203,6 +206,10 @@
         return full ? Optional.of(NotStartedReason.FULL) : Optional.empty();
     }
 
+    private boolean isUrgent(String kind) {
+        return table.kind(kind).filter(row -> row.urgency() == Urgency.URGENT).isPresent();
+    }
+
     /** Refuses an attempt under a claim for good: its line keeps it from starting if the dispatch comes again. */
     private void refuse(ProcessId entry, AttemptId attempt, NotStartedReason reason, boolean hasLine, Instant now) {
         if (attempt.fence() > 0 && (hasLine || ledger.hasRoomForRefusal())) {
--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SlotPool.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SlotPool.java
@@ -8,13 +8,14 @@
 import java.util.Map;
 
 /**
- * Slots of the upstream and the attempts that wait for one, in order of arrival.
+ * Slots of the upstream and the attempts that wait for one, urgent ones first and then in order of arrival.
  *
  * <p>Slots and connections are hard bounds: no more run at once than the lesser of them. Confined to the thread of the
  * {@link SidecarMachine}.
  */
 final class SlotPool {
     private final int queuedPerSlot;
+    private final Map<LedgerLine, ReceivedDispatch> urgent = new LinkedHashMap<>();
     private final Map<LedgerLine, ReceivedDispatch> waiting = new LinkedHashMap<>();
     private int limit;
     private int running;
@@ -38,7 +39,7 @@
     }
 
     boolean hasRoom() {
-        return running + waiting.size() < capacity();
+        return running + queued() < capacity();
     }
 
     int running() {
@@ -46,33 +47,40 @@
     }
 
     int queued() {
-        return waiting.size();
+        return urgent.size() + waiting.size();
     }
 
-    void enqueue(LedgerLine line, ReceivedDispatch dispatch) {
-        waiting.put(line, dispatch);
+    void enqueue(LedgerLine line, ReceivedDispatch dispatch, boolean isUrgent) {
+        (isUrgent ? urgent : waiting).put(line, dispatch);
     }
 
     void remove(LedgerLine line) {
+        urgent.remove(line);
         waiting.remove(line);
     }
 
-    /** Removes and returns all that wait, in order of arrival. */
+    /** Removes and returns all that wait, urgent ones first and then in order of arrival. */
     List<LedgerLine> removeAll() {
-        List<LedgerLine> all = new ArrayList<>(waiting.keySet());
+        List<LedgerLine> all = new ArrayList<>(urgent.keySet());
+        all.addAll(waiting.keySet());
+        urgent.clear();
         waiting.clear();
         return all;
     }
 
-    /** Takes a slot for the attempt that waits longest, or returns null if there is no slot or no such attempt. */
+    /**
+     * Takes a slot for the attempt that waits longest, urgent ones first, or returns null if there is no slot or no
+     * such attempt.
+     */
     Map.Entry<LedgerLine, ReceivedDispatch> startNext() {
-        if (running >= limit || waiting.isEmpty()) {
+        if (running >= limit || queued() == 0) {
             return null;
         }
         running++;
+        Map<LedgerLine, ReceivedDispatch> next = urgent.isEmpty() ? waiting : urgent;
         Map.Entry<LedgerLine, ReceivedDispatch> first =
-                Map.Entry.copyOf(waiting.entrySet().iterator().next());
-        waiting.remove(first.getKey());
+                Map.Entry.copyOf(next.entrySet().iterator().next());
+        next.remove(first.getKey());
         return first;
     }
 
--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/WindowAllocator.java
@@ -20,8 +20,8 @@
  * of the {@link SidecarMachine}.
  */
 final class WindowAllocator {
-    private static final int IDLE_WINDOW = 2;
-    private static final int IDLE_WINDOW_DIVISOR = 8;
+    private static final int IDLE_WINDOW = 4;
+    private static final int IDLE_WINDOW_DIVISOR = 4;
     private static final int IDLE_PART_DIVISOR = 4;
     private static final Duration DEMAND_LIFETIME = Duration.ofSeconds(1);
     private static final int GROWTH_DIVISOR = 4;
