--- a/caperturn-replay/src/main/java/io/caperturn/replay/policy/ReplayPolicy.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/policy/ReplayPolicy.java
@@ -40,6 +40,15 @@
      */
     int queuedPerSlot();
 
+    /**
+     * Tells whether sidecars know the table and let urgent attempts go before others that wait there.
+     *
+     * @return true for the product, false for baselines
+     */
+    default boolean sidecarsKnowTable() {
+        return !(this instanceof Push);
+    }
+
     /**
      * The product's scheduler.
      *
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
@@ -123,6 +123,9 @@
                 entry -> entry.on(new EntryEvent.TableChanged(trace.header().table())));
         sidecars.forEach(sidecar -> {
             sidecar.announce();
+            if (policy.sidecarsKnowTable()) {
+                sidecar.on(new SidecarEvent.TableChanged(trace.header().table()));
+            }
             entries.forEach(entry -> sidecar.on(new SidecarEvent.EntryLinked(entry.id())));
         });
         entries.forEach(entry -> every(ENTRY_TICK_MILLISECONDS, entry::tick));
