Scheduler tells operators what it knows

Change: a view of queues by kind and of back ends with how they are treated (used, probed, ejected, full), asked through the machine.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -11,6 +11,7 @@
 import io.caperturn.core.schedule.Admission;
 import io.caperturn.core.schedule.Placement;
 import io.caperturn.core.schedule.Scheduler;
+import io.caperturn.core.schedule.SchedulerView;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -81,6 +82,15 @@
         return book.open();
     }
 
+    /**
+     * Tells what the scheduler knows now, for operators.
+     *
+     * @return the view
+     */
+    public SchedulerView view() {
+        return scheduler.view();
+    }
+
     private void handle(EntryEvent event, Instant now) {
         switch (event) {
             case EntryEvent.SubmissionArrived arrived -> onArrived(arrived, now);
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -149,6 +149,18 @@
         return true;
     }
 
+    SchedulerView.BackendView view() {
+        SchedulerView.Treatment treatment = SchedulerView.Treatment.USED;
+        if (ejected()) {
+            treatment = SchedulerView.Treatment.EJECTED;
+        } else if (probing()) {
+            treatment = SchedulerView.Treatment.PROBED;
+        } else if (isFull()) {
+            treatment = SchedulerView.Treatment.FULL;
+        }
+        return new SchedulerView.BackendView(sidecar, treatment, window, outstanding(), consecutiveFailures());
+    }
+
     int consecutiveFailures() {
         return consecutiveFailures;
     }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -5,6 +5,7 @@
 import io.caperturn.core.model.UpstreamDescription;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -36,6 +37,10 @@
         return Optional.ofNullable(backends.get(sidecar));
     }
 
+    List<SchedulerView.BackendView> view() {
+        return backends.values().stream().map(Backend::view).toList();
+    }
+
     void changed(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window) {
         Backend backend = backends.computeIfAbsent(
                 sidecar, id -> new Backend(id, nextSequence++, upstream, firstAllowance(upstream)));
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
@@ -215,6 +215,19 @@
         return unservable;
     }
 
+    @Override
+    public SchedulerView view() {
+        List<SchedulerView.Queue> queues = kinds.values().stream()
+                .filter(kind -> table.kind(kind.row().kind()).isPresent() || kind.waiting() > 0)
+                .map(kind -> new SchedulerView.Queue(
+                        kind.row().kind(),
+                        kind.row().urgency(),
+                        kind.waiting(),
+                        kind.usage().running()))
+                .toList();
+        return new SchedulerView(queues, backends.view());
+    }
+
     private Placement place(WaitingTasks.Choice choice, long now) {
         SubmissionQueue queue = choice.queue();
         KindPool.Seat seat = choice.seat();
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Scheduler.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Scheduler.java
@@ -129,4 +129,13 @@
      * @return submissions with waiting tasks whose kind no upstream has served for the configured grace
      */
     List<SubmissionId> findUnservable(Instant now);
+
+    /**
+     * Tells what is known now, for operators.
+     *
+     * @return the view, {@link SchedulerView#EMPTY} unless the scheduler tells more
+     */
+    default SchedulerView view() {
+        return SchedulerView.EMPTY;
+    }
 }
