Entry answers GET /v1/status

Change: what the entry sees of the system: its table's version and the age of its confirmation, the other entries, each linked sidecar with the table version heard from it, its upstream's state and why, queues by kind. The view of the scheduler is asked of the engine's thread, which answers between its ticks and only when asked. Ruled out: counting queues from published occurrences, which may be dropped when their reader is behind. Left: the table version in force at other entries, as entries hold no links to each other but for relays.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/engine/Engine.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/engine/Engine.java
@@ -3,6 +3,7 @@
 import io.caperturn.core.entry.EntryCommand;
 import io.caperturn.core.entry.EntryEvent;
 import io.caperturn.core.entry.EntryMachine;
+import io.caperturn.core.schedule.SchedulerView;
 import io.caperturn.kernel.Duty;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.Service;
@@ -13,6 +14,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -35,6 +39,7 @@
     private final Duty<EntryEvent> duty;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Deque<EntryEvent> feedback = new ArrayDeque<>();
+    private final Queue<CompletableFuture<SchedulerView>> viewRequests = new ConcurrentLinkedQueue<>();
     private volatile int openSubmissions;
     private CommandExecutor executor;
 
@@ -115,6 +120,17 @@
         return duty.backlog();
     }
 
+    /**
+     * Asks the engine's thread what the scheduler knows.
+     *
+     * @return the view, completed within about one tick
+     */
+    public CompletableFuture<SchedulerView> view() {
+        CompletableFuture<SchedulerView> view = new CompletableFuture<>();
+        viewRequests.add(view);
+        return view;
+    }
+
     /**
      * Adds an event that carrying out a command caused; called on the engine's thread only.
      *
@@ -133,6 +149,18 @@
         openSubmissions = machine.openSubmissions();
     }
 
+    private void answerViewRequests() {
+        if (viewRequests.isEmpty()) {
+            return;
+        }
+        SchedulerView view = machine.view();
+        for (CompletableFuture<SchedulerView> request = viewRequests.poll();
+                request != null;
+                request = viewRequests.poll()) {
+            request.complete(view);
+        }
+    }
+
     private final class Work implements Duty.Work<EntryEvent> {
         @Override
         public void onBatch(List<EntryEvent> batch) {
@@ -142,6 +170,7 @@
         @Override
         public void onInterval() {
             handle(new EntryEvent.Tick());
+            answerViewRequests();
         }
     }
 }
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -2,6 +2,7 @@
 
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
+import io.caperturn.entry.link.LinkService;
 import io.caperturn.entry.observe.Observer;
 import io.caperturn.entry.table.TableEndpoint;
 import io.caperturn.entry.table.TableService;
@@ -112,6 +113,12 @@
                 new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
                 new Router.Route(TableEndpoint.PATH, tableEndpoint),
                 new Router.Route(TableEndpoint.PATH + "/", tableEndpoint),
+                new Router.Route(
+                        "/v1/status",
+                        new StatusEndpoint(
+                                settings,
+                                new StatusReader(engine, kernel.find(LinkService.NAME), table),
+                                () -> draining)),
                 new Router.Route("/healthz", health),
                 new Router.Route("/readyz", health),
                 new Router.Route("/metrics", health));
--- /dev/null
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/StatusEndpoint.java
@@ -0,0 +1,49 @@
+package io.caperturn.entry.http;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.caperturn.settings.EntrySettings;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Endpoint of {@code GET /v1/status}: what this entry sees of the system. */
+final class StatusEndpoint implements Endpoint {
+    private static final int OK = 200;
+    private static final int METHOD_NOT_ALLOWED = 405;
+
+    private final EntrySettings settings;
+    private final StatusReader reader;
+    private final BooleanSupplier draining;
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param settings the entry's settings
+     * @param reader reader of what the entry sees
+     * @param draining whether the entry drains
+     */
+    StatusEndpoint(EntrySettings settings, StatusReader reader, BooleanSupplier draining) {
+        this.settings = settings;
+        this.reader = reader;
+        this.draining = draining;
+    }
+
+    @Override
+    public void handle(Request request, Response response, Callback callback) throws InterruptedException {
+        if (!HttpMethod.GET.is(request.getMethod())) {
+            response.getHeaders().put("Allow", "GET");
+            Replies.problem(response, callback, Problem.badRequest(METHOD_NOT_ALLOWED, "GET is allowed here"));
+            return;
+        }
+        ObjectNode json = JsonNodeFactory.instance
+                .objectNode()
+                .put("entry", settings.name())
+                .put("availabilityZone", settings.availabilityZone())
+                .put("state", draining.getAsBoolean() ? "draining" : "serving");
+        reader.addTo(json);
+        Replies.json(response, callback, OK, json);
+    }
+}
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -111,6 +111,24 @@
         return Map.copyOf(sidecars);
     }
 
+    /**
+     * Returns what the linked sidecars said last of their upstreams.
+     *
+     * @return the upstreams by sidecar
+     */
+    public Map<ProcessId, Upstream> upstreams() {
+        return Map.copyOf(upstreams);
+    }
+
+    /**
+     * Returns the other entries by the last list of the store.
+     *
+     * @return the entries
+     */
+    public List<EntryAddress> entries() {
+        return entryList.getEntriesList();
+    }
+
     /**
      * Sends attempts to a sidecar.
      *
@@ -228,6 +246,7 @@
         if (link.peer().role() == Role.ROLE_SIDECAR) {
             if (sidecars.remove(link.peer().process(), link)) {
                 upstreams.remove(link.peer().process());
+                table.forget(link.peer().process());
                 engine.put(new EntryEvent.SidecarLost(link.peer().process()));
             }
         } else {
--- a/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
@@ -1,6 +1,7 @@
 package io.caperturn.entry.table;
 
 import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.model.Table;
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.kernel.EventLine;
@@ -18,7 +19,9 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -38,6 +41,7 @@
     private final Clock clock;
     private final AtomicReference<Table> table = new AtomicReference<>(Table.EMPTY);
     private final AtomicReference<Instant> confirmed = new AtomicReference<>(Instant.EPOCH);
+    private final Map<ProcessId, Long> versionsHeard = new ConcurrentHashMap<>();
     private Engine engine;
     private TableWatcher watcher;
 
@@ -130,8 +134,27 @@
                 : Math.max(0, Duration.between(last, clock.instant()).toMillis());
     }
 
+    /**
+     * Returns the version in force at each process that it was heard from.
+     *
+     * @return the versions by process
+     */
+    public Map<ProcessId, Long> versionsHeard() {
+        return Map.copyOf(versionsHeard);
+    }
+
+    /**
+     * Forgets a process whose link is closed.
+     *
+     * @param process the process
+     */
+    public void forget(ProcessId process) {
+        versionsHeard.remove(process);
+    }
+
     @Override
     public void observe(Link link, long tableVersion, long confirmationAgeMilliseconds) {
+        versionsHeard.put(link.peer().process(), tableVersion);
         if (confirmationAgeMilliseconds >= 0) {
             onConfirmed(clock.instant().minusMillis(confirmationAgeMilliseconds));
         }
