--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/ChangeOptions.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/ChangeOptions.java
@@ -1,6 +1,8 @@
 package io.caperturn.cli.command;
 
 import com.beust.jcommander.Parameter;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +20,11 @@
     @Parameter(names = "--create", description = "Allow rows that the table does not have yet")
     private boolean create;
 
+    @Parameter(
+            names = "--wait-milliseconds",
+            description = "Wait until the change is in force at every process that the named entries know")
+    private int waitMilliseconds;
+
     /**
      * Tells whether nothing is to be changed.
      *
@@ -54,12 +61,28 @@
         return create;
     }
 
+    /**
+     * Returns how long to wait for the change to be in force everywhere.
+     *
+     * @return the time, zero not to wait
+     */
+    public Duration propagationTimeout() {
+        return Duration.ofMillis(waitMilliseconds);
+    }
+
     /**
      * Checks the options.
      *
      * @return one line for each mistake
      */
     public List<String> mistakes() {
-        return author.isBlank() ? List.of("--author must not be blank") : List.of();
+        List<String> mistakes = new ArrayList<>();
+        if (author.isBlank()) {
+            mistakes.add("--author must not be blank");
+        }
+        if (waitMilliseconds < 0) {
+            mistakes.add("--wait-milliseconds must not be negative");
+        }
+        return mistakes;
     }
 }
--- a/caperturn-cli/src/main/java/io/caperturn/cli/status/TopAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/status/TopAction.java
@@ -1,26 +1,18 @@
 package io.caperturn.cli.status;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.caperturn.cli.ExitCode;
 import io.caperturn.cli.Terminal;
 import io.caperturn.cli.command.TopCommand;
 import io.caperturn.cli.http.EntryClient;
-import io.caperturn.cli.http.Exchange;
 import io.caperturn.cli.table.TablePrinter;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import org.eclipse.jetty.http.HttpMethod;
 
 /** Runs {@code top}: asks each entry for what it sees. */
 public final class TopAction {
-    private static final Duration TIMEOUT = Duration.ofSeconds(5);
-    private static final int OK = 200;
     private static final String CLEAR_SCREEN = "\u001b[H\u001b[2J";
-    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final TopCommand command;
     private final Terminal terminal;
@@ -39,7 +31,8 @@
      */
     public static ExitCode run(TopCommand command, Terminal terminal) {
         TopAction action = new TopAction(command, terminal);
-        try (EntryClient client = EntryClient.open()) {
+        try (EntryClient http = EntryClient.open()) {
+            StatusClient client = new StatusClient(http);
             boolean complete = action.show(client);
             while (command.intervalMilliseconds() > 0) {
                 Thread.sleep(command.intervalMilliseconds());
@@ -58,37 +51,22 @@
         }
     }
 
-    private boolean show(EntryClient client) {
+    private boolean show(StatusClient client) {
         boolean complete = true;
         for (String entry : command.entries()) {
-            complete &= switch (client.send(HttpMethod.GET, "http://" + entry + "/v1/status", TIMEOUT)) {
-                case Exchange.Replied reply when reply.status() == OK -> show(entry, reply.body());
-                case Exchange.Replied reply -> fail(entry, "status " + reply.status());
-                case Exchange.NotSent(String cause) -> fail(entry, cause);
-                case Exchange.Lost(String cause) -> fail(entry, cause);
-            };
+            switch (client.ask(entry)) {
+                case StatusClient.Reply.Failed(String cause) -> {
+                    terminal.messages().println(entry + ": " + cause);
+                    complete = false;
+                }
+                case StatusClient.Reply.Told(SystemStatus ignored, String text)
+                when command.json() -> terminal.output().println(text);
+                case StatusClient.Reply.Told(SystemStatus status, String ignored) -> print(status);
+            }
         }
         return complete;
     }
 
-    private boolean fail(String entry, String cause) {
-        terminal.messages().println(entry + ": " + cause);
-        return false;
-    }
-
-    private boolean show(String entry, String body) {
-        if (command.json()) {
-            terminal.output().println(body);
-            return true;
-        }
-        try {
-            print(MAPPER.readValue(body, SystemStatus.class));
-            return true;
-        } catch (JsonProcessingException e) {
-            return fail(entry, "the reply can't be read");
-        }
-    }
-
     private void print(SystemStatus status) {
         terminal.output()
                 .println("entry " + status.entry() + " in " + text(status.availabilityZone()) + ": "
--- a/caperturn-cli/src/main/java/io/caperturn/cli/table/TableAction.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/table/TableAction.java
@@ -10,8 +10,11 @@
 import io.caperturn.cli.command.TableSetCommand;
 import io.caperturn.cli.command.TableShowCommand;
 import io.caperturn.cli.http.EntryClient;
+import io.caperturn.cli.status.Propagation;
+import io.caperturn.cli.status.StatusClient;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -22,11 +25,17 @@
 
 /** Runs the commands on the table. */
 public final class TableAction {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
+
     private final TableClient client;
+    private final StatusClient status;
+    private final List<String> entries;
     private final Terminal terminal;
 
-    private TableAction(TableClient client, Terminal terminal) {
-        this.client = client;
+    private TableAction(EntryClient http, List<String> entries, Terminal terminal) {
+        this.client = new TableClient(http, entries);
+        this.status = new StatusClient(http);
+        this.entries = entries;
         this.terminal = terminal;
     }
 
@@ -39,7 +48,7 @@
      */
     public static ExitCode run(TableCommand command, Terminal terminal) {
         try (EntryClient http = EntryClient.open()) {
-            return new TableAction(new TableClient(http, command.entries()), terminal).run(command);
+            return new TableAction(http, command.entries(), terminal).run(command);
         } catch (IOException e) {
             terminal.messages().println("caperturn table: " + e.getMessage());
             return ExitCode.FAILED;
@@ -148,12 +157,14 @@
         String changeId = options.changeId().orElseGet(() -> UUID.randomUUID().toString());
         TableReply reply = client.change(changeId, options.author(), options.dryRun(), edits);
         if (reply instanceof TableReply.Accepted(long version)) {
-            terminal.output()
-                    .println(
-                            options.dryRun()
-                                    ? "dry run: would be version " + version + "; nothing was changed"
-                                    : "accepted as version " + version);
-            return ExitCode.DONE;
+            if (options.dryRun()) {
+                terminal.output().println("dry run: would be version " + version + "; nothing was changed");
+                return ExitCode.DONE;
+            }
+            terminal.output().println("accepted as version " + version);
+            return options.propagationTimeout().isZero()
+                    ? ExitCode.DONE
+                    : awaitInForce(version, options.propagationTimeout());
         }
         if (reply instanceof TableReply.Conflict(List<TableReply.RowInForce> rows)) {
             rows.forEach(row -> showConflict(edits, row));
@@ -164,6 +175,28 @@
         return report(reply);
     }
 
+    private ExitCode awaitInForce(long version, Duration timeout) {
+        long start = System.nanoTime();
+        while (true) {
+            Propagation propagation = Propagation.ask(status, entries);
+            Duration elapsed = Duration.ofNanos(System.nanoTime() - start);
+            boolean complete = propagation.isComplete(version);
+            if (complete || elapsed.compareTo(timeout) >= 0) {
+                terminal.output()
+                        .println("in force at " + propagation.inForce(version) + " of "
+                                + propagation.versions().size() + " processes after " + elapsed.toMillis() + " ms");
+                propagation.behind(version).forEach(terminal.messages()::println);
+                return complete ? ExitCode.DONE : ExitCode.UNKNOWN;
+            }
+            try {
+                Thread.sleep(POLL_INTERVAL);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return ExitCode.UNKNOWN;
+            }
+        }
+    }
+
     private void showConflict(List<TableEdit> edits, TableReply.RowInForce row) {
         String wanted = edits.stream()
                 .filter(edit -> edit.name().toString().equals(row.name()))
--- a/caperturn-cli/src/test/java/io/caperturn/cli/table/TableActionTest.java
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/table/TableActionTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TableActionTest {
     private static final String TABLE = """
@@ -68,6 +70,18 @@
         assertTrue(entry.lastBody().contains("\"dryRun\":true"), entry.lastBody());
     }
 
+    @ParameterizedTest
+    @CsvSource({"8, DONE, in force at 2 of 2", "7, UNKNOWN, in force at 1 of 2"})
+    void waitingTellsAtHowManyProcessesTheChangeIsInForce(int sidecarVersion, ExitCode code, String expected) {
+        entry.answer("PUT /v1/table", 200, "{\"version\":8}");
+        entry.answer("GET /v1/status", 200, """
+                {"entry":"e","tableVersion":8,"entries":[{"name":"unheard"}],
+                "sidecars":[{"name":"s","tableVersion":%d}]}
+                """.formatted(sidecarVersion));
+        assertEquals(code, run("set --kind assay --weight 5 --wait-milliseconds 100"));
+        assertTrue(output.toString().contains(expected), output.toString());
+    }
+
     @Test
     void conflictShowsBothValues() {
         entry.answer("PUT /v1/table", 412, """
