Store's client trusts no connection as old as a silent one

Cause: what loses track of one connection has often lost all of them; each further call then spent its timeout on the next silent one, and a claim its whole time. Ruled out: one connection for each call (a round trip more on each claim); heartbeats, which the platform's protocol has none of. Change: the pool counts time-outs; a connection opened before the last one is closed in place of being used again.

--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
-import org.eclipse.jetty.client.DuplexConnectionPool;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -28,8 +28,8 @@
  * Store reached over HTTP and JSON.
  *
  * <p>A call that ends before its request began, as with a refused connection, wrote nothing. Connections are replaced
- * after a bounded age, and the client closes one whose call timed out, so that a connection which went silent serves no
- * second call.
+ * after a bounded age, and after a call that timed out all that were open then, so that a connection which went silent
+ * serves no second call.
  */
 public final class HttpPlatformStore implements PlatformStore {
     private static final int MAXIMUM_CONNECTIONS = 8;
@@ -60,7 +60,7 @@
         client.setIdleTimeout(Math.max(CONNECTION_IDLE_MILLISECONDS, 2 * timeout.toMillis()));
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS);
         client.getHttpClientTransport().setConnectionPoolFactory(destination -> {
-            DuplexConnectionPool pool = new DuplexConnectionPool(destination, MAXIMUM_CONNECTIONS);
+            DistrustingConnectionPool pool = new DistrustingConnectionPool(destination, MAXIMUM_CONNECTIONS);
             pool.setMaxDuration(CONNECTION_MAXIMUM_AGE_MILLISECONDS);
             return pool;
         });
@@ -115,13 +115,25 @@
             return new StoreResult.Unknown("interrupted");
         } catch (TimeoutException e) {
             request.abort(e);
+            distrustConnections();
             return new StoreResult.Unknown("no reply within " + timeout.toMillis() + " ms");
         } catch (ExecutionException e) {
+            if (e.getCause() instanceof TimeoutException) {
+                distrustConnections();
+            }
             String detail = String.valueOf(e.getCause());
             return begun.get() ? new StoreResult.Unknown(detail) : new StoreResult.Unavailable(detail);
         }
     }
 
+    private void distrustConnections() {
+        for (Destination destination : client.getDestinations()) {
+            if (destination.getConnectionPool() instanceof DistrustingConnectionPool pool) {
+                pool.distrust();
+            }
+        }
+    }
+
     private static StoreResult judge(ContentResponse response, int expectedRows) {
         return switch (response.getStatus()) {
             case HttpStatus.OK_200 ->
