--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/Exchange.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/Exchange.java
@@ -25,10 +25,17 @@
     /** What a request asks for. */
     enum Sort {
         JOB,
+        /** A job that the client says to submit again. */
+        JOB_AGAIN,
         NON_IDEMPOTENT,
         IDEMPOTENT
     }
 
+    /** Says whether the work is a job, submitted for the first time or again. */
+    boolean isOfJob() {
+        return sort == Sort.JOB || sort == Sort.JOB_AGAIN;
+    }
+
     @Override
     public String toString() {
         return sort + " " + submission.identity() + " at entry " + entry + " " + stage
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultScenario.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultScenario.java
@@ -91,6 +91,7 @@
     private List<CompletableFuture<Exchange>> sendDuringFault() {
         List<CompletableFuture<Exchange>> sent = new ArrayList<>();
         sent.add(send(Exchange.Sort.JOB, job(), 1, Exchange.Stage.DURING_FAULT));
+        sent.add(send(Exchange.Sort.JOB_AGAIN, job(), 1, Exchange.Stage.DURING_FAULT));
         sent.add(send(Exchange.Sort.JOB, other("fresh"), 1, Exchange.Stage.DURING_FAULT));
         for (int index = 0; index < REQUESTS; index++) {
             sent.add(send(Exchange.Sort.NON_IDEMPOTENT, request("certificate", index), 1, Exchange.Stage.DURING_FAULT));
@@ -124,6 +125,7 @@
         Endpoint address = cluster.entry(entry).toHttp().address();
         CompletableFuture<ClientAnswer> answer = switch (sort) {
             case JOB -> client.submitJob(address, submission);
+            case JOB_AGAIN -> client.resubmitJob(address, submission);
             case NON_IDEMPOTENT -> client.submitRequest(address, submission, false);
             case IDEMPOTENT -> client.submitRequest(address, submission, true);
         };
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
@@ -25,13 +25,17 @@
     void workThatWasRefusedAsNotRunHadNotStarted(List<Fault> faults) {
         FaultOutcome outcome = FaultOutcomes.of(faults);
         notRun(outcome)
-                .forEach(exchange -> assertEquals(
-                        List.of(),
-                        starts(outcome, exchange)
-                                .filter(start ->
-                                        start.time() < exchange.answeredAt().toEpochMilli())
-                                .toList(),
-                        exchange::toString));
+                .filter(exchange -> exchange.sort() != Exchange.Sort.JOB_AGAIN)
+                .forEach(exchange -> assertEquals(List.of(), startsBefore(outcome, exchange), exchange::toString));
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
+    void jobSubmittedAgainIsNotRefusedAsNotRunAfterAStart(List<Fault> faults) {
+        FaultOutcome outcome = FaultOutcomes.of(faults);
+        notRun(outcome)
+                .filter(exchange -> exchange.sort() == Exchange.Sort.JOB_AGAIN)
+                .forEach(exchange -> assertEquals(List.of(), startsBefore(outcome, exchange), exchange::toString));
     }
 
     @ParameterizedTest
@@ -72,6 +76,13 @@
                 .filter(exchange -> exchange.answer().execution().equals("not-run"));
     }
 
+    private static List<RecordLine> startsBefore(FaultOutcome outcome, Exchange exchange) {
+        long answeredAt = exchange.answeredAt().toEpochMilli();
+        return starts(outcome, exchange)
+                .filter(start -> start.time() < answeredAt)
+                .toList();
+    }
+
     private static Stream<RecordLine> starts(FaultOutcome outcome, Exchange exchange) {
         String identity = exchange.submission().identity();
         return outcome.records().starts().stream()
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/OwnAnswerTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/OwnAnswerTest.java
@@ -13,25 +13,23 @@
     @ParameterizedTest
     @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
     void resultsOfAJobAreThoseOfItsOwnTasks(List<Fault> faults) {
-        FaultOutcomes.of(faults).complete().stream()
-                .filter(exchange -> exchange.sort() == Exchange.Sort.JOB)
-                .forEach(exchange -> {
-                    for (JsonNode result : exchange.answer().body().path("results")) {
-                        assertEquals(
-                                exchange.submission().identity() + "/"
-                                        + result.path("task").asText(),
-                                result.at("/result/submission").asText() + "/"
-                                        + result.at("/result/task").asText(),
-                                exchange::toString);
-                    }
-                });
+        FaultOutcomes.of(faults).complete().stream().filter(Exchange::isOfJob).forEach(exchange -> {
+            for (JsonNode result : exchange.answer().body().path("results")) {
+                assertEquals(
+                        exchange.submission().identity() + "/"
+                                + result.path("task").asText(),
+                        result.at("/result/submission").asText() + "/"
+                                + result.at("/result/task").asText(),
+                        exchange::toString);
+            }
+        });
     }
 
     @ParameterizedTest
     @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
     void resultOfARequestIsItsOwn(List<Fault> faults) {
         FaultOutcomes.of(faults).complete().stream()
-                .filter(exchange -> exchange.sort() != Exchange.Sort.JOB)
+                .filter(exchange -> !exchange.isOfJob())
                 .forEach(exchange -> assertEquals(
                         exchange.submission().identity(),
                         exchange.answer().body().at("/result/submission").asText(),
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/StartsAtMostOnceTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/StartsAtMostOnceTest.java
@@ -16,7 +16,8 @@
     void noTaskOfAJobStartsTwice(List<Fault> faults) {
         FaultOutcome outcome = FaultOutcomes.of(faults);
         Map<String, Long> twice = new TreeMap<>();
-        for (Exchange exchange : outcome.of(Exchange.Sort.JOB)) {
+        for (Exchange exchange :
+                outcome.exchanges().stream().filter(Exchange::isOfJob).toList()) {
             String identity = exchange.submission().identity();
             outcome.records().startsPerTask(identity).forEach((task, starts) -> {
                 if (starts > 1) {
@@ -32,7 +33,7 @@
     void everyTaskOfACompleteJobStarted(List<Fault> faults) {
         FaultOutcome outcome = FaultOutcomes.of(faults);
         outcome.complete().stream()
-                .filter(exchange -> exchange.sort() == Exchange.Sort.JOB)
+                .filter(Exchange::isOfJob)
                 .forEach(exchange -> assertEquals(
                         exchange.submission().tasks(),
                         outcome.records()
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/TableInForceTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/TableInForceTest.java
@@ -70,30 +70,29 @@
     @EnumSource
     void acceptedEditIsInForceEverywhereWithinSeconds(Trouble trouble) throws IOException {
         bringAbout(trouble);
-        ClientAnswer accepted = change(0, "change-" + trouble, rowInForce());
-        end(trouble, false);
-        assertEquals(OK, accepted.status(), accepted::toString);
-        long version = accepted.body().path("version").asLong();
-        Conditions.await(
-                "version " + version + " on every process",
-                IN_FORCE_WITHIN,
-                () -> processes().allMatch(process -> versionAt(process).orElse(0L) >= version));
-        end(trouble, true);
+        try {
+            ClientAnswer accepted = change(0, "change-" + trouble, rowInForce());
+            endForEdit(trouble);
+            assertEquals(OK, accepted.status(), accepted::toString);
+            awaitInForce(accepted.body().path("version").asLong());
+        } finally {
+            endForAll();
+        }
     }
 
     @Test
     void versionNeverFallsOnAnyProcess() {
-        Map<Endpoint, Long> highest = new HashMap<>();
+        Map<String, Long> highest = new HashMap<>();
         List<String> falls = new ArrayList<>();
         for (int round = 0; round < 5; round++) {
             change(round % 2, "monotone-" + round, rowInForce());
             cluster.entry(0).toLinks().mode(RelayMode.CUT);
             for (int sample = 0; sample < 5; sample++) {
                 processes()
-                        .forEach(process -> versionAt(process).ifPresent(version -> {
-                            Long before = highest.put(process, version);
+                        .forEach(process -> versionAt(process.endpoint()).ifPresent(version -> {
+                            Long before = highest.put(process.name(), version);
                             if (before != null && before > version) {
-                                falls.add(process + " fell from " + before + " to " + version);
+                                falls.add(process.name() + " fell from " + before + " to " + version);
                             }
                         }));
             }
@@ -142,12 +141,8 @@
         }
     }
 
-    /** Ends a trouble: what the edit had to meet at once, what must be outlived once it is in force. */
-    private void end(Trouble trouble, boolean inForce) throws IOException {
-        if (inForce) {
-            cluster.entry(1).toPlatform().mode(RelayMode.PASS);
-            return;
-        }
+    /** Ends what only the edit had to meet; the rest lasts until the edit is in force. */
+    private void endForEdit(Trouble trouble) throws IOException {
         switch (trouble) {
             case REPLY_OF_STORE_LOST -> store("normal");
             case SIDECAR_KILLED_AND_RESTARTED -> cluster.restartSidecar(0);
@@ -156,6 +151,32 @@
         }
     }
 
+    /** Ends every trouble and waits until the cluster is whole again, so that the next one begins afresh. */
+    private void endForAll() {
+        store("normal");
+        cluster.entry(1).toPlatform().mode(RelayMode.PASS);
+        long version = rowsInForce().path("version").asLong();
+        Conditions.await("the cluster is whole", TIMEOUT, () -> behind(version).isEmpty());
+    }
+
+    private void awaitInForce(long version) {
+        try {
+            Conditions.await(
+                    "version " + version + " on every process",
+                    IN_FORCE_WITHIN,
+                    () -> behind(version).isEmpty());
+        } catch (AssertionError e) {
+            throw new AssertionError(e.getMessage() + ", behind: " + behind(version), e);
+        }
+    }
+
+    private List<String> behind(long version) {
+        return processes()
+                .filter(process -> versionAt(process.endpoint()).orElse(0L) < version)
+                .map(Observed::name)
+                .toList();
+    }
+
     private void cutOff(RelayMode mode) {
         cluster.entry(1).toPlatform().mode(RelayMode.CUT);
         cluster.entry(1).toPlatform().mode(mode);
@@ -166,14 +187,17 @@
     }
 
     private ObjectNode rowInForce() {
-        JsonNode rows = Conditions.awaitValue(
+        return (ObjectNode) rowsInForce().path("kinds").get(0);
+    }
+
+    private JsonNode rowsInForce() {
+        return Conditions.awaitValue(
                 "the table",
                 TIMEOUT,
                 () -> Optional.of(cluster.client()
                                 .exchange("GET", cluster.entry(0).http(), "/v1/table", Map.of(), null))
                         .filter(ClientAnswer::isComplete)
-                        .map(answer -> answer.body().path("kinds")));
-        return (ObjectNode) rows.get(0);
+                        .map(ClientAnswer::body));
     }
 
     private ClientAnswer change(int entry, String changeId, ObjectNode row) {
@@ -191,11 +215,13 @@
         return cluster.client().exchange("PUT", cluster.entry(entry).http(), "/v1/table", Map.of(), change);
     }
 
-    private Stream<Endpoint> processes() {
-        Stream<Endpoint> entries =
-                IntStream.range(0, 2).mapToObj(index -> cluster.entry(index).http());
-        Stream<Endpoint> sidecars = IntStream.range(0, cluster.sidecarCount())
-                .mapToObj(index -> cluster.sidecar(index).process().endpoint("announce"));
+    private Stream<Observed> processes() {
+        Stream<Observed> entries = IntStream.range(0, 2)
+                .mapToObj(index ->
+                        new Observed("entry-" + index, cluster.entry(index).http()));
+        Stream<Observed> sidecars = IntStream.range(0, cluster.sidecarCount())
+                .mapToObj(index -> new Observed(
+                        "sidecar-" + index, cluster.sidecar(index).process().endpoint("announce")));
         return Stream.concat(entries, sidecars);
     }
 
@@ -204,4 +230,7 @@
         Matcher matcher = VERSION.matcher(metrics.body().path("text").asText());
         return matcher.find() ? Optional.of((long) Double.parseDouble(matcher.group(1))) : Optional.empty();
     }
+
+    /** Process of the product with the address of its metrics. */
+    private record Observed(String name, Endpoint endpoint) {}
 }
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/WholeAnswerOrFailureTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/WholeAnswerOrFailureTest.java
@@ -21,7 +21,7 @@
     @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
     void completeJobHasEveryResultOnceInOrder(List<Fault> faults) {
         FaultOutcomes.of(faults).complete().stream()
-                .filter(exchange -> exchange.sort() == Exchange.Sort.JOB)
+                .filter(Exchange::isOfJob)
                 .forEach(exchange -> assertEquals(
                         IntStream.range(0, exchange.submission().tasks())
                                 .mapToObj(index -> "t" + index)
--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/process/EntryClient.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/process/EntryClient.java
@@ -38,6 +38,18 @@
         return submit(entry, "/v1/jobs", submission, submission.toJob());
     }
 
+    /**
+     * Submits a job again and says so.
+     *
+     * @param entry the entry's HTTP address
+     * @param submission the job, which may have been submitted before
+     * @return its answer; never completes exceptionally
+     */
+    public CompletableFuture<ClientAnswer> resubmitJob(Endpoint entry, Submission submission) {
+        Map<String, String> headers = Map.of("Idempotency-Key", submission.key(), "Caperturn-Resubmission", "true");
+        return submit(entry, "/v1/jobs", submission, submission.toJob(), headers);
+    }
+
     /**
      * Submits a single request.
      *
@@ -88,8 +100,13 @@
     }
 
     private CompletableFuture<ClientAnswer> submit(Endpoint entry, String path, Submission submission, JsonNode body) {
+        return submit(entry, path, submission, body, Map.of("Idempotency-Key", submission.key()));
+    }
+
+    private CompletableFuture<ClientAnswer> submit(
+            Endpoint entry, String path, Submission submission, JsonNode body, Map<String, String> headers) {
         Duration timeout = Duration.ofMillis(submission.deadlineMilliseconds()).plus(ANSWER_GRACE);
-        return send("POST", entry, path, Map.of("Idempotency-Key", submission.key()), body, timeout);
+        return send("POST", entry, path, headers, body, timeout);
     }
 
     private CompletableFuture<ClientAnswer> send(
