A planned stop of an entry waits until its last answers are delivered

Cause: the drain ends with the last answer decided, while another thread still writes it; the HTTP server stopped at once and cut that connection. Seen by GracefulShutdownTest (stop of an entry): the job had run all 40 tasks, the log said answered COMPLETE, the client got no byte. Ruled out: the admission during the drain, which the engine had refused or accepted properly. Change: the server stops gracefully, up to 5 s for answers on their way.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.VirtualThreads;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -27,6 +28,7 @@
     /** Name under which the service is found. */
     public static final ServiceName<HttpService> NAME = new ServiceName<>("http", HttpService.class);
 
+    private static final long ANSWER_DELIVERY_TIMEOUT_MILLISECONDS = 5_000;
     private static final int MAXIMUM_THREADS = 32;
 
     private final EntrySettings settings;
@@ -62,7 +64,8 @@
         connector.setHost(settings.httpAddress().substring(0, colon));
         connector.setPort(Integer.parseInt(settings.httpAddress().substring(colon + 1)));
         server.addConnector(connector);
-        server.setHandler(new Router(routes(kernel)));
+        server.setHandler(new GracefulHandler(new Router(routes(kernel))));
+        server.setStopTimeout(ANSWER_DELIVERY_TIMEOUT_MILLISECONDS);
         server.setErrorHandler(new ProblemErrorHandler());
         try {
             server.start();
