A declared resubmission that joins a claim in progress is refused as 'may have run'

Cause: a client that submitted twice to an entry, the second time with Caperturn-Resubmission, got the first request's refusal when the store failed: 'not-run', though another entry had started the work. Seen by NotRunIsTrueTest with the store silent and slow. Ruled out: the refusals before the claim, which do heed the header. Change: joining while the claim is being written notes the possible start.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -121,7 +121,7 @@
         Submission submission = arrived.submission();
         Work known = book.find(submission.id());
         if (known != null && !known.isAnswered()) {
-            join(known, submission, arrived.waiter());
+            join(known, arrived);
             return;
         }
         Optional<AnswerCache.Kept> kept = book.findAnswer(submission.id());
@@ -151,11 +151,14 @@
         answer(arrived.submission(), arrived.waiter(), book.refusal(reason, before(arrived), detail));
     }
 
-    private void join(Work known, Submission submission, long waiter) {
-        if (known.submission().digest().equals(submission.digest())) {
-            known.addWaiter(waiter);
-        } else {
-            answer(submission, waiter, Failures.digestConflict());
+    private void join(Work known, EntryEvent.SubmissionArrived arrived) {
+        if (!known.submission().digest().equals(arrived.submission().digest())) {
+            answer(arrived.submission(), arrived.waiter(), Failures.digestConflict());
+            return;
+        }
+        known.addWaiter(arrived.waiter());
+        if (known.phase() == Work.Phase.CLAIMING && before(arrived) == Execution.MAY_HAVE_RUN) {
+            known.startIsPossible();
         }
     }
 
