Back ends are learned over all kinds, and slow tasks that still run count only until they end

Cause: each kind had to learn a straggler anew, and a task that waited at a sidecar made its back end count as slow for long after. Change: deviations are learned for the back end over all kinds and for each kind beside that; a task that runs for far longer than expected, queueing left out, makes its back end count as slow until it ends, and then its measured time counts more. The time-out of tasks in traces is 60 s, so that a straggler is slow and not failing.

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -9,15 +9,20 @@
 /** What the scheduler knows of one sidecar and its upstream. */
 final class Backend {
     private static final int MAXIMUM_DOUBLINGS = 6;
+    private static final double OVERHEAD_SMOOTHING = 0.1;
 
     private final ProcessId sidecar;
     private final int sequence;
     private final List<KindPool.Seat> seats = new ArrayList<>();
+    private final SpeedModel.OverallSpeed speed;
     private UpstreamDescription upstream;
+    private int overdue;
+    private double overdueFactor = 1;
     private boolean linked;
     private boolean serving;
     private int window;
     private int outstanding;
+    private double overheadSeconds;
     private int allowance;
     private int consecutiveFailures;
     private int ejections;
@@ -31,7 +36,13 @@
     private double completions;
     private double failures;
 
-    Backend(ProcessId sidecar, int sequence, UpstreamDescription upstream, int allowance) {
+    Backend(
+            ProcessId sidecar,
+            int sequence,
+            UpstreamDescription upstream,
+            int allowance,
+            SpeedModel.OverallSpeed speed) {
+        this.speed = speed;
         this.sidecar = sidecar;
         this.sequence = sequence;
         this.upstream = upstream;
@@ -124,6 +135,38 @@
         outstanding--;
     }
 
+    SpeedModel.OverallSpeed speed() {
+        return speed;
+    }
+
+    /** Returns the largest multiple of its expected time that an overdue task runs here, 1 if there is none. */
+    double overdueFactor() {
+        return overdueFactor;
+    }
+
+    /** Notes that a task here runs for some multiple of its expected time, for the first time or again. */
+    void overdue(boolean first, double factor) {
+        overdue += first ? 1 : 0;
+        overdueFactor = Math.max(overdueFactor, factor);
+    }
+
+    /** Notes that an overdue task ended, after which its measured time counts instead. */
+    void overdueEnded() {
+        overdue--;
+        if (overdue == 0) {
+            overdueFactor = 1;
+        }
+    }
+
+    /** Returns the mean time that a placement spends on links and in the sidecar's queue, in seconds. */
+    double overheadSeconds() {
+        return overheadSeconds;
+    }
+
+    void observeOverhead(double seconds) {
+        overheadSeconds += OVERHEAD_SMOOTHING * (Math.max(0, seconds) - overheadSeconds);
+    }
+
     void succeeded() {
         completions++;
         refusals = 0;
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -16,6 +16,7 @@
     private static final long FORGET_INTERVAL_NANOSECONDS = 5_000_000_000L;
 
     private final SchedulerPolicy.Health policy;
+    private final SchedulerPolicy.Speed speed;
     private final Function<String, Optional<KindState>> kinds;
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
@@ -27,8 +28,9 @@
     private long forgetAt = Long.MIN_VALUE;
     private int nextSequence;
 
-    BackendRegistry(SchedulerPolicy.Health policy, Function<String, Optional<KindState>> kinds) {
-        this.policy = policy;
+    BackendRegistry(SchedulerPolicy policy, Function<String, Optional<KindState>> kinds) {
+        this.policy = policy.health();
+        this.speed = policy.speed();
         this.kinds = kinds;
     }
 
@@ -37,8 +39,7 @@
     }
 
     void changed(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window) {
-        Backend backend = backends.computeIfAbsent(
-                sidecar, id -> new Backend(id, nextSequence++, upstream, firstAllowance(upstream)));
+        Backend backend = backends.computeIfAbsent(sidecar, id -> newBackend(id, upstream));
         boolean sameKinds = backend.upstream().kinds().equals(upstream.kinds());
         backend.change(upstream, serving, window);
         if (!sameKinds || backend.seats().isEmpty()) {
@@ -150,6 +151,11 @@
         return avoided + 1 <= policy.ejectableFraction() * serving;
     }
 
+    private Backend newBackend(ProcessId sidecar, UpstreamDescription upstream) {
+        return new Backend(
+                sidecar, nextSequence++, upstream, firstAllowance(upstream), new SpeedModel.OverallSpeed(speed));
+    }
+
     private int firstAllowance(UpstreamDescription upstream) {
         boolean peersAreProven = upstream.kinds().stream()
                 .map(kinds)
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/FairScheduler.java
@@ -30,6 +30,8 @@
  * a fixed share of the slot time.
  */
 public final class FairScheduler implements Scheduler {
+    private static final int UNLIKELY_OVERHEADS = 4;
+
     private final SchedulerPolicy policy;
     private final LimitBook limits;
     private final WaitingTasks waiting;
@@ -61,7 +63,7 @@
         this.policy = policy;
         this.limits = new LimitBook(initial);
         this.waiting = new WaitingTasks(policy);
-        this.backends = new BackendRegistry(policy.health(), kind -> Optional.ofNullable(kinds.get(kind)));
+        this.backends = new BackendRegistry(policy, kind -> Optional.ofNullable(kinds.get(kind)));
         this.admission = new AdmissionCheck(policy.admission());
     }
 
@@ -169,7 +171,10 @@
         };
         waiting.charge(task.lane(), task.team(), seconds - task.chargedSeconds());
         if (end == PlacementEnd.COMPLETED) {
-            task.lane().kind().speeds().observe(task.seat().observed(), task.estimateSeconds(), seconds);
+            observe(task, seconds, now);
+        }
+        if (task.isOverdue()) {
+            task.seat().backend().overdueEnded();
         }
         backends.ended(task.seat().backend(), key.submission(), end, now);
     }
@@ -224,7 +229,9 @@
         TaskSpec spec = waiting.take(choice, expected);
         TaskKey key = new TaskKey(queue.id(), spec.id());
         PlacedTask task = new PlacedTask(key, queue, seat, estimate, expected, now);
-        task.overdueAt(now + TimeUnits.nanoseconds(kind.speeds().unlikelySeconds(estimate) * seat.slowness()));
+        double unlikely = kind.speeds().unlikelySeconds(estimate) * seat.slowness();
+        double overhead = UNLIKELY_OVERHEADS * seat.backend().overheadSeconds();
+        task.overdueAt(now + TimeUnits.nanoseconds(unlikely + overhead));
         placed.put(key, task);
         overdue.add(task);
         queue.team().placed();
@@ -234,7 +241,14 @@
         return new Placement(key, seat.backend().sidecar());
     }
 
-    /** Lets tasks that run for much longer than expected count as observations of their back ends' speeds. */
+    private static void observe(PlacedTask task, double seconds, long now) {
+        Backend backend = task.seat().backend();
+        SpeedModel speeds = task.lane().kind().speeds();
+        speeds.observe(task.seat().observed(), backend.speed(), task.estimateSeconds(), seconds);
+        backend.observeOverhead(TimeUnits.seconds(now - task.placedAt()) - seconds);
+    }
+
+    /** Lets back ends count as slow while tasks there run for much longer than expected. */
     private void noteOverdue(long now) {
         while (!overdue.isEmpty() && overdue.peek().overdueAt() <= now) {
             PlacedTask task = overdue.poll();
@@ -242,7 +256,8 @@
                 continue;
             }
             double elapsed = TimeUnits.seconds(now - task.placedAt());
-            task.lane().kind().speeds().observeOverdue(task.seat().observed(), task.estimateSeconds(), elapsed);
+            task.seat().backend().overdue(!task.isOverdue(), elapsed / task.chargedSeconds());
+            task.overdue();
             backends.refresh(task.seat().backend());
             task.overdueAt(now + (now - task.placedAt()));
             overdue.add(task);
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
@@ -145,7 +145,8 @@
     private void refresh(Seat seat) {
         withdraw(seat);
         Backend backend = seat.backend;
-        double position = speeds.slowness(seat.observed) / BAND_WIDTH;
+        double slowness = speeds.slowness(seat.observed, backend.speed()) + Math.log(backend.overdueFactor());
+        double position = slowness / BAND_WIDTH;
         seat.band = (int) Math.max(0, Math.min(BANDS - 1, Math.round(position) + MIDDLE));
         seat.isProbe = backend.probing();
         seat.counted = seat.isProbe ? 0 : backend.capacity();
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/PlacedTask.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/PlacedTask.java
@@ -12,6 +12,7 @@
     private final double chargedSeconds;
     private final long placedAt;
     private long overdueAt;
+    private boolean overdue;
     private boolean ended;
 
     PlacedTask(
@@ -69,6 +70,14 @@
         overdueAt = time;
     }
 
+    boolean isOverdue() {
+        return overdue;
+    }
+
+    void overdue() {
+        overdue = true;
+    }
+
     boolean hasEnded() {
         return ended;
     }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -72,7 +72,8 @@
      * @param smoothing weight of the newest observation in a mean, within (0, 1]
      * @param priorSamples number of observations that the mean of all back ends counts for
      * @param defaultServiceTime expected service time where nothing was declared or observed
-     * @param overdueFactor multiple of its expected time after which a running task counts as an observation
+     * @param overdueFactor least multiple of its expected time after which a running task makes its back end count as
+     *     slow
      * @param waitMargin part of the time at a free slow back end that waiting for a fast one must stay below
      */
     public record Speed(
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
@@ -10,6 +10,7 @@
 final class SpeedModel {
     private static final double MINIMUM_SECONDS = 1e-6;
     private static final double UNLIKELY_DEVIATIONS = 2.5;
+    private static final double UNLIKELY_WEIGHT = 0.3;
     private static final double CHANCE_DEVIATIONS = 2;
 
     private final SchedulerPolicy.Speed policy;
@@ -31,20 +32,15 @@
     }
 
     /** Notes a service time; the estimate is not a number where none was declared. */
-    void observe(Observed backend, double estimateSeconds, double serviceSeconds) {
+    void observe(Observed backend, OverallSpeed overall, double estimateSeconds, double serviceSeconds) {
+        boolean unlikely = serviceSeconds > unlikelySeconds(estimateSeconds) * Math.exp(slowness(backend, overall));
+        double weight = unlikely ? Math.max(policy.smoothing(), UNLIKELY_WEIGHT) : policy.smoothing();
         double logarithm = Math.log(Math.max(MINIMUM_SECONDS, serviceSeconds));
-        services.observe(backend.service, logarithm);
+        overall.observe(logarithm - Math.log(expectedMedianSeconds(estimateSeconds)), weight);
+        services.observe(backend.service, logarithm, weight);
         if (!Double.isNaN(estimateSeconds)) {
-            ratios.observe(backend.ratio, logarithm - Math.log(Math.max(MINIMUM_SECONDS, estimateSeconds)));
-        }
-    }
-
-    /** Notes that a task runs for longer than expected and still does; other back ends' means stay as they are. */
-    void observeOverdue(Observed backend, double estimateSeconds, double elapsedSeconds) {
-        double logarithm = Math.log(Math.max(MINIMUM_SECONDS, elapsedSeconds));
-        backend.service.raise(logarithm, policy.smoothing());
-        if (!Double.isNaN(estimateSeconds)) {
-            backend.ratio.raise(logarithm - Math.log(Math.max(MINIMUM_SECONDS, estimateSeconds)), policy.smoothing());
+            double ratio = logarithm - Math.log(Math.max(MINIMUM_SECONDS, estimateSeconds));
+            ratios.observe(backend.ratio, ratio, weight);
         }
     }
 
@@ -52,9 +48,17 @@
         return services.all.count;
     }
 
-    /** Returns the logarithm of how much slower the back end is than the mean of all. */
-    double slowness(Observed backend) {
-        return ratiosTell() ? ratios.deviation(backend.ratio) : services.deviation(backend.service);
+    /**
+     * Returns the logarithm of how much slower the back end is than the mean of all.
+     *
+     * <p>What all kinds showed of the back end holds for this one too, but for what this one showed otherwise.
+     */
+    double slowness(Observed backend, OverallSpeed overall) {
+        double shared = overall.deviation();
+        return shared
+                + (ratiosTell()
+                        ? ratios.deviation(backend.ratio, shared)
+                        : services.deviation(backend.service, shared));
     }
 
     /** Returns the expected service time of a task at a back end of mean speed, in seconds. */
@@ -69,6 +73,13 @@
         return declared ? estimateSeconds : TimeUnits.seconds(policy.defaultServiceTime());
     }
 
+    private double expectedMedianSeconds(double estimateSeconds) {
+        if (!Double.isNaN(estimateSeconds) && ratiosTell()) {
+            return estimateSeconds * Math.exp(ratios.all.mean);
+        }
+        return services.all.count == 0 ? expectedSeconds(estimateSeconds) : Math.exp(services.all.mean);
+    }
+
     /** Returns a service time that few tasks exceed at a back end of mean speed, in seconds. */
     double unlikelySeconds(double estimateSeconds) {
         double variance = !Double.isNaN(estimateSeconds) && ratiosTell() ? ratios.variance : services.variance;
@@ -80,6 +91,35 @@
         return ratios.all.count > policy.priorSamples() && ratios.variance < services.variance;
     }
 
+    private static double beyondChance(double difference, double variance, double samples) {
+        double chance = CHANCE_DEVIATIONS * Math.sqrt(variance / samples);
+        return Math.signum(difference) * Math.max(0, Math.abs(difference) - chance);
+    }
+
+    /** Speed that a back end showed with tasks of any kind. */
+    static final class OverallSpeed {
+        private final SchedulerPolicy.Speed policy;
+        private final Mean residual = new Mean();
+        private double variance;
+
+        OverallSpeed(SchedulerPolicy.Speed policy) {
+            this.policy = policy;
+        }
+
+        private void observe(double logarithm, double weight) {
+            double difference = logarithm - residual.mean;
+            residual.observe(logarithm, weight);
+            variance += Math.max(policy.smoothing(), 1 / residual.count) * (difference * difference - variance);
+        }
+
+        private double deviation() {
+            if (residual.count < policy.priorSamples()) {
+                return 0;
+            }
+            return beyondChance(residual.mean, variance, Math.min(residual.count, 2 / policy.smoothing() - 1));
+        }
+    }
+
     /** Mean of logarithms with exponentially fading weights. */
     private static final class Mean {
         private double mean;
@@ -89,12 +129,6 @@
             count++;
             mean += Math.max(smoothing, 1 / count) * (value - mean);
         }
-
-        void raise(double value, double smoothing) {
-            if (count == 0 || value > mean) {
-                observe(value, Math.max(smoothing, 0.5));
-            }
-        }
     }
 
     /** One feature over all back ends. */
@@ -102,25 +136,23 @@
         private final Mean all = new Mean();
         private double variance;
 
-        void observe(Mean backend, double value) {
+        void observe(Mean backend, double value, double weight) {
             double residual = backend.count == 0 ? value - all.mean : value - backend.mean;
             boolean first = all.count == 0;
             all.observe(value, policy.smoothing() / 10);
-            backend.observe(value, policy.smoothing());
+            backend.observe(value, weight);
             if (!first) {
                 variance += Math.max(policy.smoothing() / 10, 1 / all.count) * (residual * residual - variance);
             }
         }
 
-        /** Returns the backend's deviation from the mean as far as it is more than chance. */
-        double deviation(Mean backend) {
+        /** Returns the back end's deviation from an expected one, as far as it is more than chance. */
+        double deviation(Mean backend, double expected) {
             if (backend.count == 0) {
                 return 0;
             }
-            double difference = backend.mean - all.mean;
             double effective = Math.min(backend.count, 2 / policy.smoothing() - 1);
-            double chance = CHANCE_DEVIATIONS * Math.sqrt(variance / effective);
-            return Math.signum(difference) * Math.max(0, Math.abs(difference) - chance);
+            return beyondChance(backend.mean - all.mean - expected, variance, effective);
         }
     }
 }
--- a/caperturn-replay/src/main/java/io/caperturn/replay/trace/TraceGenerator.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/trace/TraceGenerator.java
@@ -14,7 +14,7 @@
 
 /** Generator of named traces; the same seed gives the same trace. */
 public final class TraceGenerator {
-    private static final long TASK_TIMEOUT_MILLISECONDS = 30_000;
+    private static final long TASK_TIMEOUT_MILLISECONDS = 60_000;
     private static final long URGENT_DEADLINE_MILLISECONDS = 60_000;
     private static final long DEADLINE_MILLISECONDS = 300_000;
     private static final double STRAGGLER_SPEED = 0.1;
