--- /dev/null
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/submit/SubmitActionTest.java
@@ -0,0 +1,123 @@
+package io.caperturn.cli.submit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.caperturn.cli.ExitCode;
+import io.caperturn.cli.FakeEntry;
+import io.caperturn.cli.Main;
+import io.caperturn.cli.Terminal;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SubmitActionTest {
+    private static final String JOBS = "POST /v1/jobs";
+    private static final String REQUESTS = "POST /v1/requests";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream messages = new ByteArrayOutputStream();
+    private FakeEntry entry;
+
+    @TempDir
+    private Path directory;
+
+    @BeforeEach
+    void startEntry() throws Exception {
+        entry = FakeEntry.open();
+    }
+
+    @AfterEach
+    void stopEntry() throws Exception {
+        entry.close();
+    }
+
+    private ExitCode submit(String options) {
+        String line = "submit --entry " + entry.address() + " --key k1 " + options;
+        Terminal terminal = new Terminal(new PrintStream(output), new PrintStream(messages), false);
+        return Main.run(line.split(" "), terminal);
+    }
+
+    private void assertSent(String expectedWithoutDeadline) throws IOException {
+        String sent = entry.lastBody().replaceFirst(",?\"deadlineMilliseconds\":[0-9]+", "");
+        assertEquals(MAPPER.readTree(expectedWithoutDeadline), MAPPER.readTree(sent));
+    }
+
+    @Test
+    void generatedJobHasTheTasksThatWereAskedFor() throws IOException {
+        entry.answer(JOBS, 200, "{\"submission\":\"lab/k1\",\"results\":[{},{}]}");
+        assertEquals(ExitCode.DONE, submit("--team lab --kind assay --tasks 2 --run-milliseconds 7"));
+        assertSent("""
+                {"team":"lab","kind":"assay","tasks":[
+                {"id":"task-1","estimateMilliseconds":7,"payload":{"runMilliseconds":7}},
+                {"id":"task-2","estimateMilliseconds":7,"payload":{"runMilliseconds":7}}]}
+                """);
+        assertTrue(output.toString().startsWith("event=complete submission=lab/k1"), output.toString());
+    }
+
+    @Test
+    void requestThatMustRunOnceIsMarked() throws IOException {
+        entry.answer(REQUESTS, 200, "{\"submission\":\"lab/k1\",\"result\":{}}");
+        String options = "--team lab --kind certificate --request --non-idempotent --run-milliseconds 0";
+        assertEquals(ExitCode.DONE, submit(options));
+        assertSent(
+                "{\"team\":\"lab\",\"kind\":\"certificate\",\"idempotent\":false,\"payload\":{\"runMilliseconds\":0}}");
+    }
+
+    @Test
+    void optionsGoBeforeTheFile() throws IOException {
+        Path file = directory.resolve("job.json");
+        Files.writeString(file, """
+                {"team":"lab","kind":"assay","deadlineMilliseconds":5000,"tasks":[{"id":"a","payload":{}}]}
+                """);
+        entry.answer(JOBS, 200, "{\"results\":[{}]}");
+        assertEquals(ExitCode.DONE, submit("--file " + file + " --kind cube --urgency urgent"));
+        assertSent("""
+                {"team":"lab","kind":"cube","tasks":[{"id":"a","payload":{}}],"urgency":"urgent"}
+                """);
+    }
+
+    @Test
+    void jsonGoesAloneToTheOutput() {
+        String answer = "{\"results\":[{\"task\":\"task-1\",\"result\":{\"value\":1}}]}";
+        entry.answer(JOBS, 200, answer);
+        assertEquals(ExitCode.DONE, submit("--team lab --kind assay --tasks 1 --json"));
+        assertEquals(answer, output.toString().strip());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "422, unknown-kind, not-run, REFUSED, event=refused",
+        "502, task-failed, ran, FAILED, event=failed",
+        "504, deadline, may-have-run, FAILED, event=failed",
+        "502, , , UNKNOWN, event=unknown"
+    })
+    void endIsToldByCodeAndLine(int status, String reason, String execution, ExitCode code, String event) {
+        String problem = "{\"reason\":\"" + reason + "\",\"execution\":\"" + execution + "\",\"detail\":\"why not\"}";
+        entry.answer(JOBS, status, problem);
+        assertEquals(code, submit("--team lab --kind assay --tasks 1"));
+        assertTrue(messages.toString().contains(event), messages.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {"[] | no JSON object", "{ | no JSON", "{\"kind\":\"assay\"} | needs a team"})
+    void fileThatCannotBeSubmittedIsToldAndNothingIsSent(String text, String expected) throws IOException {
+        Path file = directory.resolve("job.json");
+        Files.writeString(file, text);
+        assertEquals(ExitCode.WRONG_USAGE, submit("--file " + file));
+        assertTrue(messages.toString().contains(expected), messages.toString());
+        assertEquals("", entry.lastBody());
+    }
+}
