Entry counts the refusals that clients get, by reason

Cause: only answers to admitted submissions were counted, so refusals by admission, by a full ring and of malformed requests left no trace in the metrics. Change: caperturn_refusals_total by reason, counted where the reply is written; reasons are a fixed set.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -106,10 +106,22 @@
                 new Router.Route("/", new PageEndpoint()),
                 new Router.Route(
                         "/v1/jobs",
-                        new WorkEndpoint(WorkEndpoint.Resource.JOBS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.JOBS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route(
                         "/v1/requests",
-                        new WorkEndpoint(WorkEndpoint.Resource.REQUESTS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.REQUESTS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
                 new Router.Route(TableEndpoint.PATH, tableEndpoint),
                 new Router.Route(TableEndpoint.PATH + "/", tableEndpoint),
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
@@ -8,6 +8,7 @@
 import io.caperturn.core.model.SubmissionId;
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
+import io.caperturn.entry.observe.EntryMeters;
 import io.caperturn.settings.EntrySettings.RequestBounds;
 import java.time.Clock;
 import java.time.Duration;
@@ -36,14 +37,17 @@
     private final Waiters waiters;
     private final RequestBounds bounds;
     private final SubmissionReader reader;
+    private final EntryMeters meters;
     private final Clock clock;
 
-    WorkEndpoint(Resource resource, Engine engine, Waiters waiters, RequestBounds bounds, Clock clock) {
+    WorkEndpoint(
+            Resource resource, Engine engine, Waiters waiters, RequestBounds bounds, EntryMeters meters, Clock clock) {
         this.resource = resource;
         this.engine = engine;
         this.waiters = waiters;
         this.bounds = bounds;
         this.reader = new SubmissionReader(bounds);
+        this.meters = meters;
         this.clock = clock;
     }
 
@@ -56,7 +60,7 @@
         }
         Optional<byte[]> body = BodyReader.read(request, bounds.maximumBodyBytes());
         if (body.isEmpty()) {
-            Replies.problem(
+            refuse(
                     response,
                     callback,
                     Problem.badRequest(PAYLOAD_TOO_LARGE, "the body exceeds " + bounds.maximumBodyBytes() + " bytes"));
@@ -70,7 +74,7 @@
         };
         switch (reading) {
             case RequestReading.Malformed(int status, String detail) ->
-                Replies.problem(response, callback, Problem.badRequest(status, detail));
+                refuse(response, callback, Problem.badRequest(status, detail));
             case RequestReading.Accepted(Submission submission) ->
                 submit(submission, resubmission, request, response, callback);
         }
@@ -99,7 +103,15 @@
         }
     }
 
+    private void refuse(Response response, Callback callback, Problem problem) {
+        meters.refused(problem.reason());
+        Replies.problem(response, callback, problem);
+    }
+
     private void write(Response response, Callback callback, SubmissionId submission, Answer answer) {
+        if (answer instanceof Answer.Failed failed && failed.execution() == Execution.NOT_RUN) {
+            meters.refused(Problem.of(submission, failed).reason());
+        }
         switch (resource) {
             case JOBS -> AnswerWriter.writeJob(response, callback, submission, answer);
             case REQUESTS -> AnswerWriter.writeRequest(response, callback, submission, answer);
--- a/caperturn-entry/src/main/java/io/caperturn/entry/observe/EntryMeters.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/observe/EntryMeters.java
@@ -79,6 +79,15 @@
         }
     }
 
+    /**
+     * Counts a refusal that a client got, of work of which nothing ran; may be called from any thread.
+     *
+     * @param reason the machine-readable cause, one of a fixed set
+     */
+    public void refused(String reason) {
+        registry.counter("caperturn_refusals", "reason", reason).increment();
+    }
+
     /**
      * Notes how many occurrences were lost because the observer was behind.
      *
