An entry cut off from the store takes the table from another entry

Cause: an entry that alone loses the store hears of a newer version on the frames of its sidecars, but those hold only the rows of their kinds and can't send it; it went on with the old table. Ruled out: a standing link between entries (it would cost heartbeats for a rare case). Change: an entry without a confirmation of its own for 2 s that hears of a newer version opens a link to another listed entry for a while, at most once a second; its frames bring the version and the rows.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -33,6 +33,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Service that holds the links of an entry and turns frames into events of the engine. */
 public final class LinkService implements Service, LinkListener {
@@ -47,6 +48,7 @@
     private final Map<ProcessId, Link> sidecars = new ConcurrentHashMap<>();
     private final Map<ProcessId, Upstream> upstreams = new ConcurrentHashMap<>();
     private final Set<ProcessId> enrolled = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger visits = new AtomicInteger();
     private volatile EntryList entryList = EntryList.getDefaultInstance();
     private RegistryService registry;
     private Engine engine;
@@ -129,6 +131,15 @@
         return entryList.getEntriesList();
     }
 
+    /** Opens a link to one of the other entries for a while, each time to another one; nothing if none is listed. */
+    public void visitAnotherEntry() {
+        List<EntryAddress> others = entries();
+        if (!others.isEmpty()) {
+            int next = Math.floorMod(visits.getAndIncrement(), others.size());
+            relays.visit(others.get(next).getLinkAddress());
+        }
+    }
+
     /**
      * Sends attempts to a sidecar.
      *
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Opens a link to another entry for a while, if there is none; its frames tell which table it has in force. */
+    void visit(String address) {
+        duty.offer(new Step.Visit(address));
+    }
+
     void onOpened(Link link) {
         duty.offer(new Step.Opened(link));
     }
@@ -89,6 +94,9 @@
         /** A submission is to be relayed. */
         record Begin(EntryCommand.RelayToOwner command) implements Step {}
 
+        /** Another entry is to be visited. */
+        record Visit(String address) implements Step {}
+
         /** A link to another entry opened. */
         record Opened(Link link) implements Step {}
 
@@ -108,6 +116,7 @@
             for (Step step : batch) {
                 switch (step) {
                     case Step.Begin(EntryCommand.RelayToOwner command) -> begin(command);
+                    case Step.Visit(String address) -> open(address);
                     case Step.Opened(Link link) -> opened(link);
                     case Step.Closed(Link link, String reason) -> closed(link, reason);
                     case Step.Answered(RelayAnswer answer) -> answered(answer);
@@ -146,6 +155,13 @@
         }
     }
 
+    private void open(String address) {
+        if (!links.containsKey(address)) {
+            lastUse.put(address, clock.instant());
+            endpoint.connect(address);
+        }
+    }
+
     private void opened(Link link) {
         String address = link.peer().linkAddress();
         if (!lastUse.containsKey(address)) {
--- a/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/TableService.java
@@ -4,6 +4,7 @@
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.model.Table;
 import io.caperturn.entry.engine.Engine;
+import io.caperturn.entry.link.LinkService;
 import io.caperturn.kernel.EventLine;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.Service;
@@ -15,6 +16,7 @@
 import io.caperturn.wire.FrameStamp;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.Role;
 import io.caperturn.wire.message.TableRequest;
 import java.time.Clock;
 import java.time.Duration;
@@ -36,13 +38,18 @@
 
     private static final System.Logger LOGGER = System.getLogger(TableService.class.getName());
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration CUT_OFF_AFTER = Duration.ofSeconds(2);
+    private static final Duration VISIT_INTERVAL = Duration.ofSeconds(1);
 
     private final PlatformStore store;
     private final Clock clock;
     private final AtomicReference<Table> table = new AtomicReference<>(Table.EMPTY);
     private final AtomicReference<Instant> confirmed = new AtomicReference<>(Instant.EPOCH);
     private final Map<ProcessId, Long> versionsHeard = new ConcurrentHashMap<>();
+    private final AtomicReference<Instant> nextVisit = new AtomicReference<>(Instant.EPOCH);
+    private volatile Instant confirmedHere = Instant.EPOCH;
     private Engine engine;
+    private LinkService links;
     private TableWatcher watcher;
 
     /**
@@ -59,6 +66,7 @@
     @Override
     public void start(Kernel kernel) {
         engine = kernel.find(Engine.NAME);
+        links = kernel.find(LinkService.NAME);
         watcher = new TableWatcher(store, POLL_INTERVAL, this);
         watcher.start();
     }
@@ -118,6 +126,11 @@
 
     @Override
     public void onConfirmed(Instant readSentAt) {
+        confirmedHere = readSentAt;
+        confirm(readSentAt);
+    }
+
+    private void confirm(Instant readSentAt) {
         confirmed.accumulateAndGet(readSentAt, (held, heard) -> heard.isAfter(held) ? heard : held);
     }
 
@@ -156,12 +169,25 @@
     public void observe(Link link, long tableVersion, long confirmationAgeMilliseconds) {
         versionsHeard.put(link.peer().process(), tableVersion);
         if (confirmationAgeMilliseconds >= 0) {
-            onConfirmed(clock.instant().minusMillis(confirmationAgeMilliseconds));
+            confirm(clock.instant().minusMillis(confirmationAgeMilliseconds));
         }
         if (tableVersion > table.get().version()) {
             link.send(Frame.newBuilder()
                     .setTableRequest(TableRequest.newBuilder()
                             .setKnownVersion(table.get().version())));
+            if (link.peer().role() == Role.ROLE_SIDECAR) {
+                askElsewhere();
+            }
+        }
+    }
+
+    /** Turns to another entry where this one no longer reaches the store; a sidecar has only the rows it needs. */
+    private void askElsewhere() {
+        Instant now = clock.instant();
+        Instant due = nextVisit.get();
+        boolean cutOff = now.isAfter(confirmedHere.plus(CUT_OFF_AFTER));
+        if (cutOff && !now.isBefore(due) && nextVisit.compareAndSet(due, now.plus(VISIT_INTERVAL))) {
+            links.visitAnotherEntry();
         }
     }
 }
