--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/Main.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/Main.java
@@ -6,24 +6,26 @@
 import com.beust.jcommander.Parameters;
 import io.caperturn.testkit.platform.PlatformControl;
 import io.caperturn.testkit.platform.StandInPlatform;
+import io.caperturn.testkit.process.PathMeasurement;
 import io.caperturn.testkit.relay.StandInRelay;
 import io.caperturn.testkit.upstream.StandInUpstream;
 import io.caperturn.testkit.upstream.UpstreamOptions;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 
-/** Runs one stand-in as a process until it is terminated. */
+/** Runs one stand-in as a process until it is terminated, or measures. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
 
     /**
-     * Starts the stand-in that the arguments name, prints where it listens, and waits.
+     * Starts the stand-in that the arguments name, prints where it listens, and waits; or measures and ends.
      *
-     * @param arguments {@code platform}, {@code upstream} or {@code relay}, and its options
+     * @param arguments {@code platform}, {@code upstream}, {@code relay} or {@code measure}, and its options
      * @throws IOException if an address can't be bound
      * @throws InterruptedException if the wait is interrupted
      */
@@ -31,11 +33,13 @@
         PlatformCommand platform = new PlatformCommand();
         UpstreamCommand upstream = new UpstreamCommand();
         RelayCommand relay = new RelayCommand();
+        MeasureCommand measure = new MeasureCommand();
         JCommander commander = JCommander.newBuilder()
                 .programName("caperturn-testkit")
                 .addCommand("platform", platform)
                 .addCommand("upstream", upstream)
                 .addCommand("relay", relay)
+                .addCommand("measure", measure)
                 .build();
         try {
             commander.parse(arguments);
@@ -51,7 +55,11 @@
         switch (command) {
             case "platform" -> platform.run();
             case "upstream" -> upstream.run();
-            default -> relay.run();
+            case "relay" -> relay.run();
+            default -> {
+                measure.run();
+                return;
+            }
         }
         new CountDownLatch(1).await();
     }
@@ -161,4 +169,40 @@
             System.out.println("event=listening http=" + relay.address() + " control=" + relay.controlAddress());
         }
     }
+
+    @Parameters(commandDescription = "Measures response times of one client, directly and through an entry")
+    private static final class MeasureCommand {
+        private static final double MEDIAN = 0.5;
+        private static final double HIGH = 0.99;
+
+        @Parameter(names = "--entry", required = true, description = "The entry's HTTP address, host:port")
+        private String entry;
+
+        @Parameter(names = "--upstream", required = true, description = "The upstream's HTTP address, host:port")
+        private String upstream;
+
+        @Parameter(names = "--kind", required = true, description = "Kind of work")
+        private String kind;
+
+        @Parameter(names = "--run-milliseconds", description = "How long each task runs")
+        private int runMilliseconds = 50;
+
+        @Parameter(names = "--warm-up", description = "Rounds that don't count")
+        private int warmUp = 50;
+
+        @Parameter(names = "--rounds", description = "Rounds that count")
+        private int rounds = 200;
+
+        void run() {
+            new PathMeasurement(Endpoint.parse(entry), Endpoint.parse(upstream), kind, runMilliseconds)
+                    .run(warmUp, rounds)
+                    .forEach((way, times) -> System.out.printf(
+                            Locale.ROOT,
+                            "event=measured way=%s requests=%d medianMilliseconds=%.2f p99Milliseconds=%.2f%n",
+                            way,
+                            rounds,
+                            times.quantileMilliseconds(MEDIAN),
+                            times.quantileMilliseconds(HIGH)));
+        }
+    }
 }
