A sidecar that stops takes leave of its entries before it closes its links

A dispatch that was on its way while the sidecar said that it was drained was never answered, and what it had queued last could be lost with the connection: the links were shut down at once, and a close over unread bytes resets a connection.

Ruled out: reports sent after the drain was noted (they are flushed before); a fixed wait before closing (a guess at how late an entry may be).

Change: a farewell that each entry answers once it sends no more work there; what it sent before is then refused or reported. Endpoints end their output, and wait for the peer to close, before they shut down.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryCommand.java
@@ -89,6 +89,13 @@
         }
     }
 
+    /**
+     * Tell a sidecar that stops that no more work is sent to it.
+     *
+     * @param sidecar the sidecar
+     */
+    record SendFarewell(ProcessId sidecar) implements EntryCommand {}
+
     /**
      * Give the answer to the clients that wait for it.
      *
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -107,6 +107,13 @@
      */
     record SidecarLost(ProcessId sidecar) implements EntryEvent {}
 
+    /**
+     * A sidecar that stops has nothing outstanding any more and waits for the reply.
+     *
+     * @param sidecar the sidecar
+     */
+    record FarewellReceived(ProcessId sidecar) implements EntryEvent {}
+
     /**
      * A sidecar changed the number of attempts that this entry may have outstanding there.
      *
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -102,6 +102,10 @@
             case EntryEvent.SubmissionFenced fenced -> ownership.onFenced(fenced, now);
             case EntryEvent.SidecarChanged changed -> onSidecarChanged(changed, now);
             case EntryEvent.SidecarLost lost -> onSidecarLost(lost.sidecar(), now);
+            case EntryEvent.FarewellReceived(ProcessId sidecar) -> {
+                scheduler.sidecarLost(sidecar);
+                commands.add(new EntryCommand.SendFarewell(sidecar));
+            }
             case EntryEvent.WindowChanged changed -> scheduler.windowChanged(changed.sidecar(), changed.window());
             case EntryEvent.ReportsReceived reports -> onReports(reports, now);
             case EntryEvent.DispatchNotSent notSent -> apply(attempts.notSent(notSent, book.works(), now), now);
--- a/caperturn-entry/src/main/java/io/caperturn/entry/engine/CommandExecutor.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/engine/CommandExecutor.java
@@ -44,6 +44,7 @@
             case EntryCommand.SendDemand demand -> links.sendDemand(demand);
             case EntryCommand.SendResolve resolve -> links.sendResolve(resolve);
             case EntryCommand.SendCancels cancels -> links.sendCancels(cancels);
+            case EntryCommand.SendFarewell farewell -> links.sendFarewell(farewell);
             case EntryCommand.GiveAnswer given ->
                 given.waiters()
                         .forEach(number -> waiters.take(number)
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -21,6 +21,7 @@
 import io.caperturn.wire.TableCodec;
 import io.caperturn.wire.message.EntryAddress;
 import io.caperturn.wire.message.EntryList;
+import io.caperturn.wire.message.Farewell;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.Role;
 import io.caperturn.wire.message.Upstream;
@@ -186,6 +187,15 @@
         send(command.sidecar(), FrameFactory.fence(command));
     }
 
+    /**
+     * Tells a sidecar that stops that no more work is sent to it.
+     *
+     * @param command what to send
+     */
+    public void sendFarewell(EntryCommand.SendFarewell command) {
+        send(command.sidecar(), Frame.newBuilder().setFarewell(Farewell.getDefaultInstance()));
+    }
+
     /**
      * Relays a submission to the entry that owns its claim; the outcome reaches the engine as an event.
      *
@@ -213,6 +223,7 @@
         ProcessId sender = link.peer().process();
         switch (frame.getBodyCase()) {
             case UPSTREAM -> onUpstream(sender, frame.getUpstream());
+            case FAREWELL -> engine.put(new EntryEvent.FarewellReceived(sender));
             case WINDOW ->
                 engine.put(
                         new EntryEvent.WindowChanged(sender, frame.getWindow().getWindow()));
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
@@ -234,6 +234,7 @@
             case EntryCommand.GiveAnswer given -> clients.answered(given);
             case EntryCommand.Publish ignored -> {}
             case EntryCommand.Drained ignored -> {}
+            case EntryCommand.SendFarewell ignored -> {}
         }
     }
 
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/SidecarDaemon.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/SidecarDaemon.java
@@ -23,6 +23,7 @@
  */
 public final class SidecarDaemon {
     private static final System.Logger LOGGER = System.getLogger(SidecarDaemon.class.getName());
+    private static final Duration FAREWELL_TIMEOUT = Duration.ofSeconds(1);
     private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final Kernel kernel;
@@ -90,6 +91,8 @@
                     System.Logger.Level.WARNING,
                     EventLine.of("drain-timed-out").with("name", self.name()).toString());
         }
+        kernel.find(SidecarServices.LINKS).sayFarewell(FAREWELL_TIMEOUT);
+        kernel.find(SidecarServices.MACHINE).awaitHandled(FAREWELL_TIMEOUT);
     }
 
     /** Stops at once; what runs is cut. */
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -18,6 +18,7 @@
 import io.caperturn.wire.message.DispatchBatch;
 import io.caperturn.wire.message.EntryAddress;
 import io.caperturn.wire.message.EntryList;
+import io.caperturn.wire.message.Farewell;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.Role;
 import java.time.Duration;
@@ -26,6 +27,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
@@ -33,11 +36,13 @@
 public final class LinkService implements Service, LinkListener {
     private static final System.Logger LOGGER = System.getLogger(LinkService.class.getName());
     private static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
+    private static final long FAREWELL_POLL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final Pattern ADDRESS = Pattern.compile("[^:]+:[0-9]{1,5}");
 
     private final TableKeeper table;
     private final LinkEndpoint endpoint;
     private final Map<ProcessId, Link> links = new ConcurrentHashMap<>();
+    private final Set<ProcessId> farewells = ConcurrentHashMap.newKeySet();
     private final Set<String> seeds;
     private final Map<String, String> learnt = new HashMap<>();
     private MachineService machine;
@@ -74,6 +79,21 @@
         endpoint.close();
     }
 
+    /**
+     * Tells all entries that nothing is outstanding here, and waits until each has said that it sends no more work.
+     *
+     * <p>Whatever an entry sent before its reply has then been received, and refused or reported.
+     *
+     * @param timeout the longest wait
+     */
+    public void sayFarewell(Duration timeout) {
+        links.values().forEach(link -> link.send(Frame.newBuilder().setFarewell(Farewell.getDefaultInstance())));
+        long end = System.nanoTime() + timeout.toNanos();
+        while (!farewells.containsAll(links.keySet()) && System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(FAREWELL_POLL_NANOSECONDS);
+        }
+    }
+
     /**
      * Sends a frame to an entry.
      *
@@ -136,6 +156,7 @@
                     machine.post(new SidecarEvent.TableChanged(table.table()));
                 }
             }
+            case FAREWELL -> farewells.add(entry);
             case ENTRY_LIST -> follow(frame.getEntryList());
             default ->
                 LOGGER.log(
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/MachineService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/MachineService.java
@@ -20,6 +20,7 @@
 /** The sidecar's decision logic on its own thread, fed by a bounded ring. */
 public final class MachineService implements Service {
     private static final int RING_CAPACITY = 8_192;
+    private static final int BATCHES_TO_PASS = 2;
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
     private static final long FULL_RING_PAUSE_NANOSECONDS = TimeUnit.MICROSECONDS.toNanos(100);
 
@@ -27,6 +28,7 @@
     private final Duty<SidecarEvent> duty;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Queue<SidecarEvent> followUps = new ArrayDeque<>();
+    private volatile long batches;
     private volatile boolean running;
     private volatile Thread machineThread;
     private CommandExecutor executor;
@@ -92,6 +94,19 @@
         }
     }
 
+    /**
+     * Waits until every event that was posted before has been handled and what it brought about was sent.
+     *
+     * @param timeout the longest wait
+     */
+    public void awaitHandled(Duration timeout) {
+        long after = batches + BATCHES_TO_PASS;
+        long end = System.nanoTime() + timeout.toNanos();
+        while (batches < after && System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(FULL_RING_PAUSE_NANOSECONDS);
+        }
+    }
+
     void noteDrained() {
         drained.countDown();
     }
@@ -109,6 +124,7 @@
             }
             executor.flush();
             meters.update(machine.load());
+            batches++;
         }
 
         private void handle(SidecarEvent event, Instant now) {
--- a/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/LinkEndpoint.java
@@ -101,11 +101,12 @@
         }
     }
 
-    /** Closes all links and stops accepting. */
+    /** Sends what is still queued, closes all links and stops accepting. */
     @Override
     public void close() {
         closed = true;
         wanted.clear();
+        pipeline.finish(SHUTDOWN_TIMEOUT_MILLISECONDS);
         network.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(2L * SHUTDOWN_TIMEOUT_MILLISECONDS);
     }
--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
@@ -3,14 +3,19 @@
 import io.caperturn.wire.FrameStamp;
 import io.caperturn.wire.LinkListener;
 import io.caperturn.wire.LinkSettings;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +32,7 @@
     private final LinkListener listener;
     private final Map<String, LinkHandler> accepted = new HashMap<>();
     private final AtomicInteger open = new AtomicInteger();
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile String linkAddress;
 
     /**
@@ -74,6 +80,21 @@
         return initializer(false);
     }
 
+    /**
+     * Sends what is queued on every link and ends its output, then waits until the peers have closed their ends.
+     *
+     * <p>Closing at once could reset a connection on which unread bytes wait, and lose what was sent last.
+     *
+     * @param timeoutMilliseconds the longest wait
+     */
+    public void finish(long timeoutMilliseconds) {
+        for (Channel channel : channels) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(ignored -> ((DuplexChannel) channel).shutdownOutput());
+        }
+        channels.newCloseFuture().awaitUninterruptibly(timeoutMilliseconds);
+    }
+
     LinkSettings settings() {
         return settings;
     }
@@ -98,6 +119,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                channels.add(channel);
                 channel.config()
                         .setWriteBufferWaterMark(
                                 new WriteBufferWaterMark(SEND_BUFFER_LIMIT_BYTES / 2, SEND_BUFFER_LIMIT_BYTES));
--- a/caperturn-wire/src/main/java/io/caperturn/wire/message/Frame.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/message/Frame.java
@@ -75,6 +75,7 @@
     ENTRY_LIST(24),
     FENCE(25),
     FENCED(26),
+    FAREWELL(27),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -109,6 +110,7 @@
         case 24: return ENTRY_LIST;
         case 25: return FENCE;
         case 26: return FENCED;
+        case 27: return FAREWELL;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -688,6 +690,37 @@
     return io.caperturn.wire.message.Fenced.getDefaultInstance();
   }
 
+  public static final int FAREWELL_FIELD_NUMBER = 27;
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   * @return Whether the farewell field is set.
+   */
+  @java.lang.Override
+  public boolean hasFarewell() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   * @return The farewell.
+   */
+  @java.lang.Override
+  public io.caperturn.wire.message.Farewell getFarewell() {
+    if (bodyCase_ == 27) {
+       return (io.caperturn.wire.message.Farewell) body_;
+    }
+    return io.caperturn.wire.message.Farewell.getDefaultInstance();
+  }
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   */
+  @java.lang.Override
+  public io.caperturn.wire.message.FarewellOrBuilder getFarewellOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (io.caperturn.wire.message.Farewell) body_;
+    }
+    return io.caperturn.wire.message.Farewell.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -762,6 +795,9 @@
     if (bodyCase_ == 26) {
       output.writeMessage(26, (io.caperturn.wire.message.Fenced) body_);
     }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (io.caperturn.wire.message.Farewell) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -846,6 +882,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(26, (io.caperturn.wire.message.Fenced) body_);
     }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (io.caperturn.wire.message.Farewell) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -946,6 +986,10 @@
         if (!getFenced()
             .equals(other.getFenced())) return false;
         break;
+      case 27:
+        if (!getFarewell()
+            .equals(other.getFarewell())) return false;
+        break;
       case 0:
       default:
     }
@@ -1037,6 +1081,10 @@
         hash = (37 * hash) + FENCED_FIELD_NUMBER;
         hash = (53 * hash) + getFenced().hashCode();
         break;
+      case 27:
+        hash = (37 * hash) + FAREWELL_FIELD_NUMBER;
+        hash = (53 * hash) + getFarewell().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1229,6 +1277,9 @@
       if (fencedBuilder_ != null) {
         fencedBuilder_.clear();
       }
+      if (farewellBuilder_ != null) {
+        farewellBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1347,6 +1398,10 @@
           fencedBuilder_ != null) {
         result.body_ = fencedBuilder_.build();
       }
+      if (bodyCase_ == 27 &&
+          farewellBuilder_ != null) {
+        result.body_ = farewellBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1439,6 +1494,10 @@
           mergeFenced(other.getFenced());
           break;
         }
+        case FAREWELL: {
+          mergeFarewell(other.getFarewell());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1601,6 +1660,13 @@
               bodyCase_ = 26;
               break;
             } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetFarewellFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4121,6 +4187,146 @@
       return fencedBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.caperturn.wire.message.Farewell, io.caperturn.wire.message.Farewell.Builder, io.caperturn.wire.message.FarewellOrBuilder> farewellBuilder_;
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     * @return Whether the farewell field is set.
+     */
+    @java.lang.Override
+    public boolean hasFarewell() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     * @return The farewell.
+     */
+    @java.lang.Override
+    public io.caperturn.wire.message.Farewell getFarewell() {
+      if (farewellBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (io.caperturn.wire.message.Farewell) body_;
+        }
+        return io.caperturn.wire.message.Farewell.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return farewellBuilder_.getMessage();
+        }
+        return io.caperturn.wire.message.Farewell.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    public Builder setFarewell(io.caperturn.wire.message.Farewell value) {
+      if (farewellBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        farewellBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    public Builder setFarewell(
+        io.caperturn.wire.message.Farewell.Builder builderForValue) {
+      if (farewellBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        farewellBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    public Builder mergeFarewell(io.caperturn.wire.message.Farewell value) {
+      if (farewellBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != io.caperturn.wire.message.Farewell.getDefaultInstance()) {
+          body_ = io.caperturn.wire.message.Farewell.newBuilder((io.caperturn.wire.message.Farewell) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          farewellBuilder_.mergeFrom(value);
+        } else {
+          farewellBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    public Builder clearFarewell() {
+      if (farewellBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        farewellBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    public io.caperturn.wire.message.Farewell.Builder getFarewellBuilder() {
+      return internalGetFarewellFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    @java.lang.Override
+    public io.caperturn.wire.message.FarewellOrBuilder getFarewellOrBuilder() {
+      if ((bodyCase_ == 27) && (farewellBuilder_ != null)) {
+        return farewellBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (io.caperturn.wire.message.Farewell) body_;
+        }
+        return io.caperturn.wire.message.Farewell.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.caperturn.wire.Farewell farewell = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.caperturn.wire.message.Farewell, io.caperturn.wire.message.Farewell.Builder, io.caperturn.wire.message.FarewellOrBuilder> 
+        internalGetFarewellFieldBuilder() {
+      if (farewellBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = io.caperturn.wire.message.Farewell.getDefaultInstance();
+        }
+        farewellBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.caperturn.wire.message.Farewell, io.caperturn.wire.message.Farewell.Builder, io.caperturn.wire.message.FarewellOrBuilder>(
+                (io.caperturn.wire.message.Farewell) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return farewellBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:caperturn.wire.Frame)
   }
 
--- a/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOrBuilder.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOrBuilder.java
@@ -287,5 +287,20 @@
    */
   io.caperturn.wire.message.FencedOrBuilder getFencedOrBuilder();
 
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   * @return Whether the farewell field is set.
+   */
+  boolean hasFarewell();
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   * @return The farewell.
+   */
+  io.caperturn.wire.message.Farewell getFarewell();
+  /**
+   * <code>.caperturn.wire.Farewell farewell = 27;</code>
+   */
+  io.caperturn.wire.message.FarewellOrBuilder getFarewellOrBuilder();
+
   io.caperturn.wire.message.Frame.BodyCase getBodyCase();
 }
--- a/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOuterClass.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOuterClass.java
@@ -201,6 +201,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_caperturn_wire_Fenced_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_caperturn_wire_Farewell_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_caperturn_wire_Farewell_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -210,7 +215,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013frame.proto\022\016caperturn.wire\"\217\007\n\005Frame\022" +
+      "\n\013frame.proto\022\016caperturn.wire\"\275\007\n\005Frame\022" +
       "\030\n\020protocol_version\030\001 \001(\r\022\025\n\rtable_versi" +
       "on\030\002 \001(\004\022.\n&confirmation_age_millisecond" +
       "s_plus_one\030\003 \001(\004\022&\n\005hello\030\n \001(\0132\025.capert" +
@@ -233,96 +238,98 @@
       "erH\000\022/\n\nentry_list\030\030 \001(\0132\031.caperturn.wir" +
       "e.EntryListH\000\022&\n\005fence\030\031 \001(\0132\025.caperturn" +
       ".wire.FenceH\000\022(\n\006fenced\030\032 \001(\0132\026.capertur" +
-      "n.wire.FencedH\000B\006\n\004body\"4\n\017ProcessIdenti" +
-      "ty\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"\216\001" +
-      "\n\005Hello\0220\n\007process\030\001 \001(\0132\037.caperturn.wir" +
-      "e.ProcessIdentity\022\"\n\004role\030\002 \001(\0162\024.capert" +
-      "urn.wire.Role\022\031\n\021availability_zone\030\003 \001(\t" +
-      "\022\024\n\014link_address\030\004 \001(\t\"\013\n\tHeartbeat\"/\n\022S" +
-      "ubmissionIdentity\022\014\n\004team\030\001 \001(\t\022\013\n\003key\030\002" +
-      " \001(\t\"w\n\017AttemptIdentity\0226\n\nsubmission\030\001 " +
-      "\001(\0132\".caperturn.wire.SubmissionIdentity\022" +
-      "\014\n\004task\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\022\017\n\007attempt\030" +
-      "\004 \001(\r\"\231\001\n\010Dispatch\0220\n\007attempt\030\001 \001(\0132\037.ca" +
-      "perturn.wire.AttemptIdentity\022\014\n\004kind\030\002 \001" +
-      "(\t\022\017\n\007payload\030\003 \001(\t\022\036\n\026claim_age_millise" +
-      "conds\030\004 \001(\004\022\034\n\024timeout_milliseconds\030\005 \001(" +
-      "\r\"\201\001\n\rDispatchBatch\0222\n\taddressee\030\001 \001(\0132\037" +
-      ".caperturn.wire.ProcessIdentity\022,\n\ndispa" +
-      "tches\030\002 \003(\0132\030.caperturn.wire.Dispatch\022\016\n" +
-      "\006demand\030\003 \001(\r\"\357\003\n\005State\022.\n\006queued\030\001 \001(\0132" +
-      "\034.caperturn.wire.State.QueuedH\000\0220\n\007runni" +
-      "ng\030\002 \001(\0132\035.caperturn.wire.State.RunningH" +
-      "\000\0224\n\tcompleted\030\003 \001(\0132\037.caperturn.wire.St" +
-      "ate.CompletedH\000\022.\n\006failed\030\004 \001(\0132\034.capert" +
-      "urn.wire.State.FailedH\000\0227\n\013not_started\030\005" +
-      " \001(\0132 .caperturn.wire.State.NotStartedH\000" +
-      "\032\010\n\006Queued\032\t\n\007Running\032>\n\tCompleted\022\016\n\006re" +
-      "sult\030\001 \001(\t\022!\n\031service_time_microseconds\030" +
-      "\002 \001(\r\032i\n\006Failed\022,\n\texecution\030\001 \001(\0162\031.cap" +
-      "erturn.wire.Execution\022\016\n\006reason\030\002 \001(\t\022!\n" +
-      "\031service_time_microseconds\030\003 \001(\r\032\034\n\nNotS" +
-      "tarted\022\016\n\006reason\030\001 \001(\tB\007\n\005state\"`\n\006Repor" +
-      "t\0220\n\007attempt\030\001 \001(\0132\037.caperturn.wire.Atte" +
-      "mptIdentity\022$\n\005state\030\002 \001(\0132\025.caperturn.w" +
-      "ire.State\"F\n\013ReportBatch\022\'\n\007reports\030\001 \003(" +
-      "\0132\026.caperturn.wire.Report\022\016\n\006window\030\002 \001(" +
-      "\r\"o\n\007Resolve\0222\n\taddressee\030\001 \001(\0132\037.capert" +
-      "urn.wire.ProcessIdentity\0220\n\007attempt\030\002 \001(" +
-      "\0132\037.caperturn.wire.AttemptIdentity\"b\n\010Re" +
-      "solved\0220\n\007attempt\030\001 \001(\0132\037.caperturn.wire" +
-      ".AttemptIdentity\022$\n\005state\030\002 \001(\0132\025.capert" +
-      "urn.wire.State\"@\n\013CancelBatch\0221\n\010attempt" +
-      "s\030\001 \003(\0132\037.caperturn.wire.AttemptIdentity" +
-      "\"\030\n\006Window\022\016\n\006window\030\001 \001(\r\"\030\n\006Demand\022\016\n\006" +
-      "demand\030\001 \001(\r\"\245\001\n\010Upstream\022\014\n\004name\030\001 \001(\t\022" +
-      "\r\n\005kinds\030\002 \003(\t\022\r\n\005slots\030\003 \001(\r\022\023\n\013connect" +
-      "ions\030\004 \001(\r\022\016\n\006worker\030\005 \001(\t\022\014\n\004rack\030\006 \001(\t" +
-      "\022\031\n\021availability_zone\030\007 \001(\t\022\017\n\007serving\030\010" +
-      " \001(\010\022\016\n\006window\030\t \001(\r\"4\n\014TableRequest\022\025\n\r" +
-      "known_version\030\001 \001(\004\022\r\n\005kinds\030\002 \003(\t\"\205\001\n\013L" +
-      "imitValues\022\024\n\007running\030\001 \001(\rH\000\210\001\001\022\023\n\006queu" +
-      "ed\030\002 \001(\rH\001\210\001\001\022\036\n\021starts_per_second\030\003 \001(\r" +
-      "H\002\210\001\001B\n\n\010_runningB\t\n\007_queuedB\024\n\022_starts_" +
-      "per_second\"\240\001\n\nKindValues\022\014\n\004kind\030\001 \001(\t\022" +
-      "\016\n\006weight\030\002 \001(\r\022\017\n\007urgency\030\003 \001(\t\022+\n\006limi" +
-      "ts\030\004 \001(\0132\033.caperturn.wire.LimitValues\022!\n" +
-      "\031task_timeout_milliseconds\030\005 \001(\r\022\023\n\013row_" +
-      "version\030\006 \001(\004\"\\\n\nTeamValues\022\014\n\004team\030\001 \001(" +
-      "\t\022+\n\006limits\030\002 \001(\0132\033.caperturn.wire.Limit" +
-      "Values\022\023\n\013row_version\030\003 \001(\004\"r\n\tTableRows" +
-      "\022\017\n\007version\030\001 \001(\004\022)\n\005kinds\030\002 \003(\0132\032.caper" +
-      "turn.wire.KindValues\022)\n\005teams\030\003 \003(\0132\032.ca" +
-      "perturn.wire.TeamValues\"a\n\004Task\022\n\n\002id\030\001 " +
-      "\001(\t\022\"\n\025estimate_milliseconds\030\002 \001(\004H\000\210\001\001\022" +
-      "\017\n\007payload\030\003 \001(\tB\030\n\026_estimate_millisecon" +
-      "ds\"\335\001\n\005Relay\0226\n\nsubmission\030\001 \001(\0132\".caper" +
-      "turn.wire.SubmissionIdentity\022\014\n\004kind\030\002 \001" +
-      "(\t\022\017\n\007urgency\030\003 \001(\t\022\022\n\nidempotent\030\004 \001(\010\022" +
-      "\036\n\026remaining_milliseconds\030\005 \001(\004\022\016\n\006diges" +
-      "t\030\006 \001(\t\022#\n\005tasks\030\007 \003(\0132\024.caperturn.wire." +
-      "Task\022\024\n\014relay_number\030\010 \001(\004\"*\n\nTaskResult" +
-      "\022\014\n\004task\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\"\374\001\n\013Relay" +
-      "Answer\022\024\n\014relay_number\030\001 \001(\004\022\020\n\010complete" +
-      "\030\002 \001(\010\022+\n\007results\030\003 \003(\0132\032.caperturn.wire" +
-      ".TaskResult\022\026\n\016failure_reason\030\004 \001(\t\022,\n\te" +
-      "xecution\030\005 \001(\0162\031.caperturn.wire.Executio" +
-      "n\022\016\n\006detail\030\006 \001(\t\022%\n\030retry_after_millise" +
-      "conds\030\007 \001(\004H\000\210\001\001B\033\n\031_retry_after_millise" +
-      "conds\"M\n\014EntryAddress\022\014\n\004name\030\001 \001(\t\022\024\n\014l" +
-      "ink_address\030\002 \001(\t\022\031\n\021availability_zone\030\003" +
-      " \001(\t\":\n\tEntryList\022-\n\007entries\030\001 \003(\0132\034.cap" +
-      "erturn.wire.EntryAddress\"N\n\005Fence\0226\n\nsub" +
-      "mission\030\001 \001(\0132\".caperturn.wire.Submissio" +
-      "nIdentity\022\r\n\005fence\030\002 \001(\004\"x\n\006Fenced\0226\n\nsu" +
-      "bmission\030\001 \001(\0132\".caperturn.wire.Submissi" +
-      "onIdentity\022\r\n\005fence\030\002 \001(\004\022\'\n\007reports\030\003 \003" +
-      "(\0132\026.caperturn.wire.Report*>\n\004Role\022\024\n\020RO" +
-      "LE_UNSPECIFIED\020\000\022\016\n\nROLE_ENTRY\020\001\022\020\n\014ROLE" +
-      "_SIDECAR\020\002*l\n\tExecution\022\031\n\025EXECUTION_UNS" +
-      "PECIFIED\020\000\022\025\n\021EXECUTION_NOT_RUN\020\001\022\032\n\026EXE" +
-      "CUTION_MAY_HAVE_RUN\020\002\022\021\n\rEXECUTION_RAN\020\003" +
-      "B\035\n\031io.caperturn.wire.messageP\001b\006proto3"
+      "n.wire.FencedH\000\022,\n\010farewell\030\033 \001(\0132\030.cape" +
+      "rturn.wire.FarewellH\000B\006\n\004body\"4\n\017Process" +
+      "Identity\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\006\"\216\001\n\005Hello\0220\n\007process\030\001 \001(\0132\037.capertu" +
+      "rn.wire.ProcessIdentity\022\"\n\004role\030\002 \001(\0162\024." +
+      "caperturn.wire.Role\022\031\n\021availability_zone" +
+      "\030\003 \001(\t\022\024\n\014link_address\030\004 \001(\t\"\013\n\tHeartbea" +
+      "t\"/\n\022SubmissionIdentity\022\014\n\004team\030\001 \001(\t\022\013\n" +
+      "\003key\030\002 \001(\t\"w\n\017AttemptIdentity\0226\n\nsubmiss" +
+      "ion\030\001 \001(\0132\".caperturn.wire.SubmissionIde" +
+      "ntity\022\014\n\004task\030\002 \001(\t\022\r\n\005fence\030\003 \001(\004\022\017\n\007at" +
+      "tempt\030\004 \001(\r\"\231\001\n\010Dispatch\0220\n\007attempt\030\001 \001(" +
+      "\0132\037.caperturn.wire.AttemptIdentity\022\014\n\004ki" +
+      "nd\030\002 \001(\t\022\017\n\007payload\030\003 \001(\t\022\036\n\026claim_age_m" +
+      "illiseconds\030\004 \001(\004\022\034\n\024timeout_millisecond" +
+      "s\030\005 \001(\r\"\201\001\n\rDispatchBatch\0222\n\taddressee\030\001" +
+      " \001(\0132\037.caperturn.wire.ProcessIdentity\022,\n" +
+      "\ndispatches\030\002 \003(\0132\030.caperturn.wire.Dispa" +
+      "tch\022\016\n\006demand\030\003 \001(\r\"\357\003\n\005State\022.\n\006queued\030" +
+      "\001 \001(\0132\034.caperturn.wire.State.QueuedH\000\0220\n" +
+      "\007running\030\002 \001(\0132\035.caperturn.wire.State.Ru" +
+      "nningH\000\0224\n\tcompleted\030\003 \001(\0132\037.caperturn.w" +
+      "ire.State.CompletedH\000\022.\n\006failed\030\004 \001(\0132\034." +
+      "caperturn.wire.State.FailedH\000\0227\n\013not_sta" +
+      "rted\030\005 \001(\0132 .caperturn.wire.State.NotSta" +
+      "rtedH\000\032\010\n\006Queued\032\t\n\007Running\032>\n\tCompleted" +
+      "\022\016\n\006result\030\001 \001(\t\022!\n\031service_time_microse" +
+      "conds\030\002 \001(\r\032i\n\006Failed\022,\n\texecution\030\001 \001(\016" +
+      "2\031.caperturn.wire.Execution\022\016\n\006reason\030\002 " +
+      "\001(\t\022!\n\031service_time_microseconds\030\003 \001(\r\032\034" +
+      "\n\nNotStarted\022\016\n\006reason\030\001 \001(\tB\007\n\005state\"`\n" +
+      "\006Report\0220\n\007attempt\030\001 \001(\0132\037.caperturn.wir" +
+      "e.AttemptIdentity\022$\n\005state\030\002 \001(\0132\025.caper" +
+      "turn.wire.State\"F\n\013ReportBatch\022\'\n\007report" +
+      "s\030\001 \003(\0132\026.caperturn.wire.Report\022\016\n\006windo" +
+      "w\030\002 \001(\r\"o\n\007Resolve\0222\n\taddressee\030\001 \001(\0132\037." +
+      "caperturn.wire.ProcessIdentity\0220\n\007attemp" +
+      "t\030\002 \001(\0132\037.caperturn.wire.AttemptIdentity" +
+      "\"b\n\010Resolved\0220\n\007attempt\030\001 \001(\0132\037.capertur" +
+      "n.wire.AttemptIdentity\022$\n\005state\030\002 \001(\0132\025." +
+      "caperturn.wire.State\"@\n\013CancelBatch\0221\n\010a" +
+      "ttempts\030\001 \003(\0132\037.caperturn.wire.AttemptId" +
+      "entity\"\030\n\006Window\022\016\n\006window\030\001 \001(\r\"\030\n\006Dema" +
+      "nd\022\016\n\006demand\030\001 \001(\r\"\245\001\n\010Upstream\022\014\n\004name\030" +
+      "\001 \001(\t\022\r\n\005kinds\030\002 \003(\t\022\r\n\005slots\030\003 \001(\r\022\023\n\013c" +
+      "onnections\030\004 \001(\r\022\016\n\006worker\030\005 \001(\t\022\014\n\004rack" +
+      "\030\006 \001(\t\022\031\n\021availability_zone\030\007 \001(\t\022\017\n\007ser" +
+      "ving\030\010 \001(\010\022\016\n\006window\030\t \001(\r\"4\n\014TableReque" +
+      "st\022\025\n\rknown_version\030\001 \001(\004\022\r\n\005kinds\030\002 \003(\t" +
+      "\"\205\001\n\013LimitValues\022\024\n\007running\030\001 \001(\rH\000\210\001\001\022\023" +
+      "\n\006queued\030\002 \001(\rH\001\210\001\001\022\036\n\021starts_per_second" +
+      "\030\003 \001(\rH\002\210\001\001B\n\n\010_runningB\t\n\007_queuedB\024\n\022_s" +
+      "tarts_per_second\"\240\001\n\nKindValues\022\014\n\004kind\030" +
+      "\001 \001(\t\022\016\n\006weight\030\002 \001(\r\022\017\n\007urgency\030\003 \001(\t\022+" +
+      "\n\006limits\030\004 \001(\0132\033.caperturn.wire.LimitVal" +
+      "ues\022!\n\031task_timeout_milliseconds\030\005 \001(\r\022\023" +
+      "\n\013row_version\030\006 \001(\004\"\\\n\nTeamValues\022\014\n\004tea" +
+      "m\030\001 \001(\t\022+\n\006limits\030\002 \001(\0132\033.caperturn.wire" +
+      ".LimitValues\022\023\n\013row_version\030\003 \001(\004\"r\n\tTab" +
+      "leRows\022\017\n\007version\030\001 \001(\004\022)\n\005kinds\030\002 \003(\0132\032" +
+      ".caperturn.wire.KindValues\022)\n\005teams\030\003 \003(" +
+      "\0132\032.caperturn.wire.TeamValues\"a\n\004Task\022\n\n" +
+      "\002id\030\001 \001(\t\022\"\n\025estimate_milliseconds\030\002 \001(\004" +
+      "H\000\210\001\001\022\017\n\007payload\030\003 \001(\tB\030\n\026_estimate_mill" +
+      "iseconds\"\335\001\n\005Relay\0226\n\nsubmission\030\001 \001(\0132\"" +
+      ".caperturn.wire.SubmissionIdentity\022\014\n\004ki" +
+      "nd\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\t\022\022\n\nidempotent\030" +
+      "\004 \001(\010\022\036\n\026remaining_milliseconds\030\005 \001(\004\022\016\n" +
+      "\006digest\030\006 \001(\t\022#\n\005tasks\030\007 \003(\0132\024.caperturn" +
+      ".wire.Task\022\024\n\014relay_number\030\010 \001(\004\"*\n\nTask" +
+      "Result\022\014\n\004task\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\"\374\001\n" +
+      "\013RelayAnswer\022\024\n\014relay_number\030\001 \001(\004\022\020\n\010co" +
+      "mplete\030\002 \001(\010\022+\n\007results\030\003 \003(\0132\032.capertur" +
+      "n.wire.TaskResult\022\026\n\016failure_reason\030\004 \001(" +
+      "\t\022,\n\texecution\030\005 \001(\0162\031.caperturn.wire.Ex" +
+      "ecution\022\016\n\006detail\030\006 \001(\t\022%\n\030retry_after_m" +
+      "illiseconds\030\007 \001(\004H\000\210\001\001B\033\n\031_retry_after_m" +
+      "illiseconds\"M\n\014EntryAddress\022\014\n\004name\030\001 \001(" +
+      "\t\022\024\n\014link_address\030\002 \001(\t\022\031\n\021availability_" +
+      "zone\030\003 \001(\t\":\n\tEntryList\022-\n\007entries\030\001 \003(\013" +
+      "2\034.caperturn.wire.EntryAddress\"N\n\005Fence\022" +
+      "6\n\nsubmission\030\001 \001(\0132\".caperturn.wire.Sub" +
+      "missionIdentity\022\r\n\005fence\030\002 \001(\004\"x\n\006Fenced" +
+      "\0226\n\nsubmission\030\001 \001(\0132\".caperturn.wire.Su" +
+      "bmissionIdentity\022\r\n\005fence\030\002 \001(\004\022\'\n\007repor" +
+      "ts\030\003 \003(\0132\026.caperturn.wire.Report\"\n\n\010Fare" +
+      "well*>\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\016\n\nRO" +
+      "LE_ENTRY\020\001\022\020\n\014ROLE_SIDECAR\020\002*l\n\tExecutio" +
+      "n\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\025\n\021EXECUTIO" +
+      "N_NOT_RUN\020\001\022\032\n\026EXECUTION_MAY_HAVE_RUN\020\002\022" +
+      "\021\n\rEXECUTION_RAN\020\003B\035\n\031io.caperturn.wire." +
+      "messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -333,7 +340,7 @@
     internal_static_caperturn_wire_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_caperturn_wire_Frame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "TableVersion", "ConfirmationAgeMillisecondsPlusOne", "Hello", "Heartbeat", "DispatchBatch", "ReportBatch", "Resolve", "Resolved", "CancelBatch", "Window", "Demand", "Upstream", "TableRequest", "TableRows", "Relay", "RelayAnswer", "EntryList", "Fence", "Fenced", "Body", });
+        new java.lang.String[] { "ProtocolVersion", "TableVersion", "ConfirmationAgeMillisecondsPlusOne", "Hello", "Heartbeat", "DispatchBatch", "ReportBatch", "Resolve", "Resolved", "CancelBatch", "Window", "Demand", "Upstream", "TableRequest", "TableRows", "Relay", "RelayAnswer", "EntryList", "Fence", "Fenced", "Farewell", "Body", });
     internal_static_caperturn_wire_ProcessIdentity_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_caperturn_wire_ProcessIdentity_fieldAccessorTable = new
@@ -538,6 +545,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_caperturn_wire_Fenced_descriptor,
         new java.lang.String[] { "Submission", "Fence", "Reports", });
+    internal_static_caperturn_wire_Farewell_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_caperturn_wire_Farewell_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_caperturn_wire_Farewell_descriptor,
+        new java.lang.String[] { });
     descriptor.resolveAllFeaturesImmutable();
   }
 
