--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultScenario.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/FaultScenario.java
@@ -24,6 +24,8 @@
 
     private static final int TASKS = 60;
     private static final int RUN_MILLISECONDS = 100;
+    private static final int DECLARED_TASKS = 4;
+    private static final int DECLARED_RUN_MILLISECONDS = 800;
     private static final int REQUESTS = 4;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration QUIET_TIMEOUT = Duration.ofSeconds(20);
@@ -44,10 +46,8 @@
     FaultOutcome run() throws IOException {
         FaultInjection injection = new FaultInjection(cluster);
         sendFirst();
-        Conditions.await(
-                "the job's first start",
-                START_TIMEOUT,
-                () -> !cluster.records().startsPerTask(job().identity()).isEmpty());
+        awaitStart(declaredJob());
+        awaitStart(job());
         faults.forEach(injection::inject);
         List<CompletableFuture<Exchange>> duringFault = sendDuringFault();
         CompletableFuture.allOf(duringFault.toArray(CompletableFuture[]::new)).join();
@@ -70,6 +70,12 @@
         return new Submission("lab", "job-" + name, "assay", TASKS, RUN_MILLISECONDS, DEADLINE_MILLISECONDS);
     }
 
+    /** A job whose resubmission the client declares; that of {@link #job} it does not. */
+    private Submission declaredJob() {
+        return new Submission(
+                "lab", "declared-" + name, "assay", DECLARED_TASKS, DECLARED_RUN_MILLISECONDS, DEADLINE_MILLISECONDS);
+    }
+
     private Submission other(String key) {
         return new Submission("customs", key + "-" + name, "assay", TASKS / 2, RUN_MILLISECONDS, DEADLINE_MILLISECONDS);
     }
@@ -80,6 +86,7 @@
     }
 
     private void sendFirst() {
+        send(Exchange.Sort.JOB, declaredJob(), 0, Exchange.Stage.BEFORE_FAULT);
         send(Exchange.Sort.JOB, job(), 0, Exchange.Stage.BEFORE_FAULT);
         send(Exchange.Sort.JOB, other("job"), 1, Exchange.Stage.BEFORE_FAULT);
         for (int index = 0; index < REQUESTS; index++) {
@@ -91,7 +98,7 @@
     private List<CompletableFuture<Exchange>> sendDuringFault() {
         List<CompletableFuture<Exchange>> sent = new ArrayList<>();
         sent.add(send(Exchange.Sort.JOB, job(), 1, Exchange.Stage.DURING_FAULT));
-        sent.add(send(Exchange.Sort.JOB_AGAIN, job(), 1, Exchange.Stage.DURING_FAULT));
+        sent.add(send(Exchange.Sort.JOB_AGAIN, declaredJob(), 1, Exchange.Stage.DURING_FAULT));
         sent.add(send(Exchange.Sort.JOB, other("fresh"), 1, Exchange.Stage.DURING_FAULT));
         for (int index = 0; index < REQUESTS; index++) {
             sent.add(send(Exchange.Sort.NON_IDEMPOTENT, request("certificate", index), 1, Exchange.Stage.DURING_FAULT));
@@ -114,6 +121,13 @@
         }
     }
 
+    private void awaitStart(Submission submission) {
+        Conditions.await(
+                "a start of " + submission.identity(),
+                START_TIMEOUT,
+                () -> !cluster.records().startsPerTask(submission.identity()).isEmpty());
+    }
+
     private void awaitEndsAtPausedSidecar() {
         if (faults.contains(Fault.SIDECAR_PAUSED)) {
             exchanges.forEach(CompletableFuture::join);
