--- /dev/null
+++ b/caperturn-replay/src/test/java/io/caperturn/replay/ReplayCommandTest.java
@@ -0,0 +1,82 @@
+package io.caperturn.replay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.replay.trace.Trace;
+import io.caperturn.replay.trace.TraceFile;
+import io.caperturn.replay.trace.TraceGenerator;
+import io.caperturn.replay.trace.TraceName;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class ReplayCommandTest {
+    @TempDir
+    private Path folder;
+
+    private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+
+    private int run(String trace, String deployment) {
+        return new ReplayCommand(1, 5, 2)
+                .run(
+                        trace,
+                        deployment,
+                        Optional.of(folder.resolve("report.json")),
+                        Optional.of(folder.resolve("plot.svg")),
+                        new PrintStream(printed, true, StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void tableHasALineForEachPolicy() {
+        assertEquals(ReplayCommand.SUCCESS, run("steady-60", "metals-lab"));
+        assertEquals(8, printed.toString(StandardCharsets.UTF_8).lines().count());
+    }
+
+    @Test
+    void reportAndPlotAreWritten() throws Exception {
+        run("steady-60", "kalahari");
+        assertTrue(Files.readString(folder.resolve("report.json")).contains("\"percentile99\""));
+        assertTrue(Files.readString(folder.resolve("plot.svg")).contains("<svg"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"no-such-trace, metals-lab", "steady-60, no-such-deployment"})
+    void unknownNamesFail(String trace, String deployment) {
+        assertEquals(ReplayCommand.FAILURE, run(trace, deployment));
+    }
+
+    @Test
+    void malformedLineIsNamed() throws Exception {
+        Path file = folder.resolve("trace.jsonl");
+        Files.writeString(file, "{\"name\":\"x\"}\n{\"type\":\"submission\",\"at\":\"soon\"}\n");
+        assertEquals(ReplayCommand.FAILURE, run(file.toString(), "metals-lab"));
+        assertTrue(printed.toString(StandardCharsets.UTF_8).contains("line 2"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(TraceName.class)
+    void traceSurvivesItsFile(TraceName name) throws Exception {
+        Trace trace = TraceGenerator.generate(name, Deployment.Upstreams.OF_TODAY, 3, 7);
+        Path file = folder.resolve("trace.jsonl");
+        TraceFile.write(trace, file);
+        assertEquals(trace, TraceFile.read(file));
+    }
+
+    @Test
+    void sameSeedGivesTheSameReport() {
+        run("burst", "metals-lab");
+        String first = printed.toString(StandardCharsets.UTF_8);
+        printed.reset();
+        run("burst", "metals-lab");
+        assertEquals(first, printed.toString(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/caperturn-replay/src/test/java/io/caperturn/replay/TraceOutcomesTest.java
@@ -0,0 +1,131 @@
+package io.caperturn.replay;
+
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.replay.policy.ReplayPolicy;
+import io.caperturn.replay.report.Measures;
+import io.caperturn.replay.report.Report;
+import io.caperturn.replay.trace.Trace;
+import io.caperturn.replay.trace.TraceGenerator;
+import io.caperturn.replay.trace.TraceName;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Stated outcomes of the generated traces, in small. */
+class TraceOutcomesTest {
+    private static final long SEED = 1;
+    private static final double LENGTH_SECONDS = 30;
+    private static final double GREATEST_URGENT_RATIO = 1.5;
+    private static final double GREATEST_MESSAGES_PER_TASK = 2.2;
+    private static final double GREATEST_FRAMES_PER_TASK = 2;
+    private static final double GREATEST_UNFAIRNESS = 0.1;
+    private static final double HISTOGRAM_RESOLUTION = 0.001;
+    private static final Map<String, Report> REPORTS = new ConcurrentHashMap<>();
+
+    private static Report replay(TraceName name, String deployment, int entries) {
+        return REPORTS.computeIfAbsent(name + deployment + entries, ignored -> {
+            Deployment chosen = Deployment.find(deployment).orElseThrow().withEntries(entries);
+            Trace trace = TraceGenerator.generate(name, chosen.upstreams(), LENGTH_SECONDS, SEED);
+            return Replay.run(trace, chosen, ReplayPolicy.all(), SEED);
+        });
+    }
+
+    private static Measures product(Report report) {
+        return report.policies().getFirst();
+    }
+
+    private static double best(Report report, ToDoubleFunction<Measures> measure) {
+        List<String> baselines =
+                ReplayPolicy.baselines().stream().map(ReplayPolicy::name).toList();
+        return report.policies().stream()
+                .filter(measures -> baselines.contains(measures.policy()))
+                .map(measure::applyAsDouble)
+                .min(Comparator.naturalOrder())
+                .orElseThrow();
+    }
+
+    private static void assertMedianIsNotWorse(Report report, Function<Measures, Measures.Distribution> work) {
+        double ours = work.apply(product(report)).median();
+        double best = best(report, measures -> work.apply(measures).median());
+        assertTrue(ours <= best * (1 + HISTOGRAM_RESOLUTION), "median " + ours + ", best baseline " + best);
+    }
+
+    private static void assertTailIsHalf(Report report, Function<Measures, Measures.Distribution> work) {
+        double ours = work.apply(product(report)).percentile99();
+        double best = best(report, measures -> work.apply(measures).percentile99());
+        assertTrue(ours <= best / 2, "99th percentile " + ours + ", best baseline " + best);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"metals-lab, 1", "metals-lab, 3", "kalahari, 1", "kalahari, 3"})
+    void urgentWorkAtNinetyPercentLoadStaysNearItsIdeal(String deployment, int entries) {
+        double ratio = product(replay(TraceName.STEADY_90, deployment, entries))
+                .urgent()
+                .percentile99();
+        assertTrue(ratio < GREATEST_URGENT_RATIO, "99th percentile " + ratio);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = TraceName.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"LIMITS", "FAIRNESS"})
+    void medianIsNeverWorseThanTheBestBaseline(TraceName name) {
+        Report report = replay(name, "metals-lab", 3);
+        assertAll(
+                () -> assertMedianIsNotWorse(report, Measures::urgent),
+                () -> assertMedianIsNotWorse(report, Measures::other));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = TraceName.class,
+            names = {"HETEROGENEOUS", "STRAGGLER", "FAILING_WORKER"})
+    void tailIsAtMostHalfThatOfTheBestBaseline(TraceName name) {
+        Report report = replay(name, "metals-lab", 3);
+        assertAll(() -> assertTailIsHalf(report, Measures::urgent), () -> assertTailIsHalf(report, Measures::other));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = TraceName.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"LIMITS"})
+    void messagesForEachTaskStayWithinTheirBound(TraceName name) {
+        double messages = product(replay(name, "kalahari", 3)).traffic().messagesPerTask();
+        assertTrue(messages < GREATEST_MESSAGES_PER_TASK, "messages " + messages);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = TraceName.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"LIMITS"})
+    void framesForEachTaskStayWithinTheirBound(TraceName name) {
+        double frames = product(replay(name, "kalahari", 3)).traffic().framesPerTask();
+        assertTrue(frames < GREATEST_FRAMES_PER_TASK, "frames " + frames);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "3"})
+    void backloggedKindsShareSlotTimeByWeight(int entries) {
+        double unfairness =
+                product(replay(TraceName.FAIRNESS, "metals-lab", entries)).fairnessDeviation();
+        assertTrue(unfairness <= GREATEST_UNFAIRNESS, "deviation " + unfairness);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"metals-lab", "kalahari"})
+    void limitsHoldWithThreeEntriesAndOnePausedAndResumed(String deployment) {
+        assertEquals(0, product(replay(TraceName.LIMITS, deployment, 3)).limitBreaches());
+    }
+}
