Back ends are compared with their common mean, and nothing counts as overdue before times were learned

Cause: while times were unlearned all back ends seemed slow, and expected slot time was charged several times over.

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -17,6 +17,7 @@
 
     private final SchedulerPolicy.Health policy;
     private final SchedulerPolicy.Speed speed;
+    private final SpeedModel.Mean meanSpeed = new SpeedModel.Mean();
     private final Function<String, Optional<KindState>> kinds;
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
@@ -153,7 +154,11 @@
 
     private Backend newBackend(ProcessId sidecar, UpstreamDescription upstream) {
         return new Backend(
-                sidecar, nextSequence++, upstream, firstAllowance(upstream), new SpeedModel.OverallSpeed(speed));
+                sidecar,
+                nextSequence++,
+                upstream,
+                firstAllowance(upstream),
+                new SpeedModel.OverallSpeed(speed, meanSpeed));
     }
 
     private int firstAllowance(UpstreamDescription upstream) {
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SpeedModel.java
@@ -11,6 +11,8 @@
     private static final double MINIMUM_SECONDS = 1e-6;
     private static final double UNLIKELY_DEVIATIONS = 2.5;
     private static final double UNLIKELY_WEIGHT = 0.3;
+    private static final int LEAST_SAMPLES = 20;
+    private static final double UNLEARNED_FACTOR = 12;
     private static final double CHANCE_DEVIATIONS = 2;
 
     private final SchedulerPolicy.Speed policy;
@@ -83,6 +85,9 @@
     /** Returns a service time that few tasks exceed at a back end of mean speed, in seconds. */
     double unlikelySeconds(double estimateSeconds) {
         double variance = !Double.isNaN(estimateSeconds) && ratiosTell() ? ratios.variance : services.variance;
+        if (services.all.count < LEAST_SAMPLES) {
+            return expectedSeconds(estimateSeconds) * UNLEARNED_FACTOR;
+        }
         double spread = Math.exp(UNLIKELY_DEVIATIONS * Math.sqrt(variance) - variance / 2);
         return expectedSeconds(estimateSeconds) * Math.max(policy.overdueFactor(), spread);
     }
@@ -99,14 +104,18 @@
     /** Speed that a back end showed with tasks of any kind. */
     static final class OverallSpeed {
         private final SchedulerPolicy.Speed policy;
+        private final Mean all;
         private final Mean residual = new Mean();
         private double variance;
 
-        OverallSpeed(SchedulerPolicy.Speed policy) {
+        /** Creates the speed of a back end that is compared with others by a mean that they share. */
+        OverallSpeed(SchedulerPolicy.Speed policy, Mean all) {
             this.policy = policy;
+            this.all = all;
         }
 
         private void observe(double logarithm, double weight) {
+            all.observe(logarithm, policy.smoothing());
             double difference = logarithm - residual.mean;
             residual.observe(logarithm, weight);
             variance += Math.max(policy.smoothing(), 1 / residual.count) * (difference * difference - variance);
@@ -121,7 +130,7 @@
     }
 
     /** Mean of logarithms with exponentially fading weights. */
-    private static final class Mean {
+    static final class Mean {
         private double mean;
         private double count;
 
