--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeEntry.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeEntry.java
@@ -150,11 +150,25 @@
         send(Frame.newBuilder()
                 .setDispatchBatch(DispatchBatch.newBuilder()
                         .setAddressee(MessageCodec.toMessage(link.peer().process()))
-                        .addDispatches(Dispatch.newBuilder()
-                                .setAttempt(attempt(task, attempt))
-                                .setKind("assay")
-                                .setPayload("{\"task\":\"" + task + "\"}")
-                                .setTimeoutMilliseconds((int) timeout.toMillis()))));
+                        .addDispatches(dispatchOf(task, attempt, timeout))));
+    }
+
+    /**
+     * Dispatches tasks of a job in one frame.
+     *
+     * @param first the number of the first task
+     * @param count how many tasks
+     * @param demand how many more wait
+     * @param timeout the longest time that each may run
+     */
+    public void dispatchTasks(int first, int count, int demand, Duration timeout) {
+        DispatchBatch.Builder batch = DispatchBatch.newBuilder()
+                .setAddressee(MessageCodec.toMessage(link.peer().process()))
+                .setDemand(demand);
+        for (int task = first; task < first + count; task++) {
+            batch.addDispatches(dispatchOf("task-" + task, 1, timeout));
+        }
+        send(Frame.newBuilder().setDispatchBatch(batch));
     }
 
     /**
@@ -173,6 +187,14 @@
                 .build();
     }
 
+    private static Dispatch.Builder dispatchOf(String task, int attempt, Duration timeout) {
+        return Dispatch.newBuilder()
+                .setAttempt(attempt(task, attempt))
+                .setKind("assay")
+                .setPayload("{\"task\":\"" + task + "\"}")
+                .setTimeoutMilliseconds((int) timeout.toMillis());
+    }
+
     /**
      * Sends a frame to the sidecar.
      *
--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeUpstream.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/FakeUpstream.java
@@ -2,10 +2,14 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -22,8 +26,10 @@
     private final List<String> starts = new CopyOnWriteArrayList<>();
     private final List<String> aborts = new CopyOnWriteArrayList<>();
     private final List<Integer> clientPorts = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor();
     private final Map<String, Runnable> held = new ConcurrentHashMap<>();
     private final AtomicReference<Answer> answer = new AtomicReference<>(Answer.RESULT);
+    private volatile Duration runTime = Duration.ZERO;
 
     /** How it answers a task. */
     public enum Answer {
@@ -71,6 +77,15 @@
         answer.set(next);
     }
 
+    /**
+     * Makes each task run for a time.
+     *
+     * @param time how long
+     */
+    public void runFor(Duration time) {
+        runTime = time;
+    }
+
     /**
      * Returns its record of starts.
      *
@@ -105,6 +120,7 @@
 
     @Override
     public void close() {
+        later.shutdownNow();
         try {
             server.stop();
         } catch (Exception e) {
@@ -133,7 +149,9 @@
 
         private void respond(Request request, Response response, Callback callback, String start, String payload) {
             switch (answer.get()) {
-                case RESULT -> write(response, callback, 200, payload);
+                case RESULT ->
+                    later.schedule(
+                            () -> write(response, callback, 200, payload), runTime.toMillis(), TimeUnit.MILLISECONDS);
                 case REDIRECT -> {
                     response.getHeaders().put("Location", "/v1/tasks");
                     write(response, callback, 307, "");
--- /dev/null
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/measurement/MessagesPerTaskMeasurement.java
@@ -0,0 +1,105 @@
+package io.caperturn.sidecar.measurement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.caperturn.kernel.EventLine;
+import io.caperturn.settings.LinkTimes;
+import io.caperturn.settings.SidecarSettings;
+import io.caperturn.settings.SidecarSettings.UpstreamTreatment;
+import io.caperturn.sidecar.FakeEntry;
+import io.caperturn.sidecar.FakeUpstream;
+import io.caperturn.sidecar.SidecarDaemon;
+import io.caperturn.wire.message.Frame;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Frames between an entry and a sidecar for each task, while one job keeps all slots busy. */
+@Timeout(60)
+class MessagesPerTaskMeasurement {
+    private static final int TASKS = 2_000;
+    private static final UpstreamTreatment TREATMENT = new UpstreamTreatment(60_000, Set.of(), 1, 15_000);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    @ParameterizedTest
+    @CsvSource({"8, 0", "8, 10", "8, 50", "32, 10", "8, 10"})
+    void job(int slots, int taskMilliseconds) throws Exception {
+        try (FakeUpstream upstream = new FakeUpstream();
+                FakeEntry entry = new FakeEntry("entry-1", LinkTimes.DEFAULT)) {
+            upstream.runFor(Duration.ofMillis(taskMilliseconds));
+            SidecarDaemon sidecar = SidecarDaemon.start(new SidecarSettings(
+                    "sidecar-1", "zone-a", "127.0.0.1:0", List.of(entry.address()), TREATMENT, null, null, 0));
+            try {
+                announce(sidecar, upstream, slots);
+                entry.awaitLink();
+                run(entry, slots, taskMilliseconds);
+                assertEquals(TASKS, upstream.starts().size());
+            } finally {
+                sidecar.stop();
+            }
+        }
+    }
+
+    private static void run(FakeEntry entry, int slots, int taskMilliseconds) throws InterruptedException {
+        Map<Frame.BodyCase, Integer> received = new TreeMap<>();
+        long begun = System.nanoTime();
+        int sentFrames = 0;
+        int sent = 0;
+        int ended = 0;
+        int window = 0;
+        while (ended < TASKS) {
+            Frame frame = entry.await(ignored -> true);
+            received.merge(frame.getBodyCase(), 1, Integer::sum);
+            ended += frame.getReportBatch().getReportsCount();
+            window = windowOf(frame, window);
+            int more = Math.min(TASKS - sent, window - (sent - ended));
+            if (more > 0) {
+                entry.dispatchTasks(sent, more, TASKS - sent - more, TIMEOUT);
+                sent += more;
+                sentFrames++;
+            }
+        }
+        int frames = sentFrames
+                + received.values().stream().mapToInt(Integer::intValue).sum();
+        System.out.println(EventLine.of("messages-per-task")
+                .with("slots", slots)
+                .with("taskMilliseconds", taskMilliseconds)
+                .with("framesPerTask", (double) frames / TASKS)
+                .with("dispatchFrames", sentFrames)
+                .with("receivedFrames", received.toString().replace(" ", ""))
+                .with(
+                        "milliseconds",
+                        Duration.ofNanos(System.nanoTime() - begun).toMillis()));
+    }
+
+    private static int windowOf(Frame frame, int earlier) {
+        return switch (frame.getBodyCase()) {
+            case REPORT_BATCH -> frame.getReportBatch().getWindow();
+            case WINDOW -> frame.getWindow().getWindow();
+            case UPSTREAM -> frame.getUpstream().getWindow();
+            default -> earlier;
+        };
+    }
+
+    private static void announce(SidecarDaemon sidecar, FakeUpstream upstream, int slots) throws Exception {
+        String body = """
+                {"name":"upstream-1","kinds":["assay"],"slots":%d,"connections":64,"worker":"worker-1","rack":"rack-1",\
+                "availabilityZone":"zone-a","address":"%s","state":"serving"}""".formatted(slots, upstream.address());
+        try (HttpClient http = HttpClient.newHttpClient()) {
+            http.send(
+                    HttpRequest.newBuilder(URI.create("http://" + sidecar.announceAddress() + "/v1/announcements"))
+                            .POST(HttpRequest.BodyPublishers.ofString(body))
+                            .build(),
+                    HttpResponse.BodyHandlers.discarding());
+        }
+    }
+}
--- a/caperturn-sidecar/src/test/java/io/caperturn/sidecar/measurement/SidecarProcess.java
+++ b/caperturn-sidecar/src/test/java/io/caperturn/sidecar/measurement/SidecarProcess.java
@@ -14,42 +14,40 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /** A sidecar as a process of its own, with what the operating system says of its cost. */
 final class SidecarProcess implements AutoCloseable {
     private static final String ADDRESS_MARK = "announce-address=";
+    private static final String HEAP_MARK = "live-heap-bytes=";
+    private static final String OPTIONS_PROPERTY = "caperturn.measurement.javaOptions";
+    private static final String DEFAULT_OPTIONS = "-XX:+UseSerialGC -Xmx64m";
     private static final int USER_TICKS_FIELD = 11;
     private static final int SYSTEM_TICKS_FIELD = 12;
     private static final int TICKS_PER_SECOND = 100;
 
     private final HttpClient http = HttpClient.newHttpClient();
     private final Process process;
+    private final BufferedReader output;
     private final String announceAddress;
 
     /** Starts a sidecar of the given name that opens links to the given addresses. */
     SidecarProcess(String name, List<String> entries) throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-Xmx64m",
                 "-cp",
-                System.getProperty("java.class.path"),
-                SidecarProcess.class.getName(),
-                name));
+                System.getProperty("java.class.path")));
+        command.addAll(
+                List.of(System.getProperty(OPTIONS_PROPERTY, DEFAULT_OPTIONS).split(" ")));
+        command.addAll(List.of(SidecarProcess.class.getName(), name));
         command.addAll(entries);
         process = new ProcessBuilder(command)
                 .redirectError(ProcessBuilder.Redirect.DISCARD)
                 .start();
-        BufferedReader output = new BufferedReader(new InputStreamReader(process.getInputStream()));
-        String line = output.readLine();
-        while (line != null && !line.startsWith(ADDRESS_MARK)) {
-            line = output.readLine();
-        }
-        if (line == null) {
-            throw new IOException("sidecar did not start");
-        }
-        announceAddress = line.substring(ADDRESS_MARK.length());
+        output = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        announceAddress = await(ADDRESS_MARK);
     }
 
     /** Runs the sidecar; the first argument is its name, the others are addresses of entries. */
@@ -58,7 +56,11 @@
         SidecarDaemon daemon = SidecarDaemon.start(
                 new SidecarSettings(arguments[0], "zone-a", "127.0.0.1:0", seeds, null, null, null, 0));
         System.out.println(ADDRESS_MARK + daemon.announceAddress());
-        new CountDownLatch(1).await();
+        while (System.in.read() >= 0) {
+            System.gc();
+            Runtime runtime = Runtime.getRuntime();
+            System.out.println(HEAP_MARK + (runtime.totalMemory() - runtime.freeMemory()));
+        }
     }
 
     String announceAddress() {
@@ -78,12 +80,34 @@
 
     /** Returns the processor time used so far, user and system, in seconds. */
     double processorSeconds() throws IOException {
-        String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
+        return seconds(Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat")));
+    }
+
+    private static double seconds(String stat) {
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         long ticks = Long.parseLong(fields[USER_TICKS_FIELD]) + Long.parseLong(fields[SYSTEM_TICKS_FIELD]);
         return (double) ticks / TICKS_PER_SECOND;
     }
 
+    /** Returns the processor time of each thread so far, in seconds; threads of one name are added up. */
+    Map<String, Double> processorSecondsOfThreads() throws IOException {
+        Map<String, Double> seconds = new TreeMap<>();
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+            for (Path thread : threads.toList()) {
+                String name = Files.readString(thread.resolve("comm")).strip();
+                seconds.merge(name, seconds(Files.readString(thread.resolve("stat"))), Double::sum);
+            }
+        }
+        return seconds;
+    }
+
+    /** Collects garbage in the sidecar and returns the heap in use after it, in bytes. */
+    long liveHeapBytes() throws IOException {
+        process.getOutputStream().write('\n');
+        process.getOutputStream().flush();
+        return Long.parseLong(await(HEAP_MARK));
+    }
+
     /** Returns the resident memory in kilobytes. */
     long residentKilobytes() throws IOException {
         return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
@@ -93,6 +117,17 @@
                 .orElseThrow();
     }
 
+    private String await(String mark) throws IOException {
+        String line = output.readLine();
+        while (line != null && !line.startsWith(mark)) {
+            line = output.readLine();
+        }
+        if (line == null) {
+            throw new IOException("sidecar ended");
+        }
+        return line.substring(mark.length());
+    }
+
     @Override
     public void close() {
         process.destroy();
