--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/CommandParser.java
@@ -74,6 +74,9 @@
         commands.put("sidecar", new SidecarCommand());
         commands.put("check-settings", new CheckSettingsCommand());
         commands.put("submit", new SubmitCommand());
+        commands.put("explain", new ExplainCommand());
+        commands.put("top", new TopCommand());
+        commands.put("replay", new ReplayTraceCommand());
         return commands;
     }
 
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryEvent.java
@@ -8,6 +8,8 @@
 import io.caperturn.core.model.SubmissionId;
 import io.caperturn.core.model.Table;
 import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.schedule.LimitShare;
+import java.time.Instant;
 import java.util.List;
 
 /** What an {@link EntryMachine} reacts to. */
@@ -17,8 +19,20 @@
      *
      * @param submission the work
      * @param waiter the number under which the answer is returned
+     * @param resubmission true if the client may have submitted it before, here or elsewhere; a refusal then can't say
+     *     that it did not run
      */
-    record SubmissionArrived(Submission submission, long waiter) implements EntryEvent {}
+    record SubmissionArrived(Submission submission, long waiter, boolean resubmission) implements EntryEvent {
+        /**
+         * Creates the event of a first submission.
+         *
+         * @param submission the work
+         * @param waiter the number under which the answer is returned
+         */
+        public SubmissionArrived(Submission submission, long waiter) {
+            this(submission, waiter, false);
+        }
+    }
 
     /**
      * A client asked to cancel a submission.
@@ -144,6 +158,14 @@
      */
     record TableChanged(Table table) implements EntryEvent {}
 
+    /**
+     * This entry's part of the limits was confirmed by the membership.
+     *
+     * @param share the part
+     * @param readAt when the membership was read
+     */
+    record LimitShareConfirmed(LimitShare share, Instant readAt) implements EntryEvent {}
+
     /** A planned stop began: new submissions are refused, accepted ones are finished. */
     record DrainRequested() implements EntryEvent {}
 
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/Backend.java
@@ -8,25 +8,41 @@
 
 /** What the scheduler knows of one sidecar and its upstream. */
 final class Backend {
+    private static final int MAXIMUM_DOUBLINGS = 6;
+    private static final double OVERHEAD_SMOOTHING = 0.1;
+
     private final ProcessId sidecar;
     private final int sequence;
     private final List<KindPool.Seat> seats = new ArrayList<>();
+    private final SpeedModel.OverallSpeed speed;
     private UpstreamDescription upstream;
+    private int overdue;
+    private double overdueFactor = 1;
     private boolean linked;
     private boolean serving;
     private int window;
     private int outstanding;
+    private double overheadSeconds;
     private int allowance;
     private int consecutiveFailures;
     private int ejections;
     private long ejectedUntil = Long.MIN_VALUE;
     private boolean ejected;
+    private boolean full;
+    private long fullUntil = Long.MIN_VALUE;
+    private int refusals;
     private boolean probing;
     private SubmissionId lastFailed;
     private double completions;
     private double failures;
 
-    Backend(ProcessId sidecar, int sequence, UpstreamDescription upstream, int allowance) {
+    Backend(
+            ProcessId sidecar,
+            int sequence,
+            UpstreamDescription upstream,
+            int allowance,
+            SpeedModel.OverallSpeed speed) {
+        this.speed = speed;
         this.sidecar = sidecar;
         this.sequence = sequence;
         this.upstream = upstream;
@@ -75,7 +91,7 @@
 
     /** Returns how many placements may be outstanding here. */
     int capacity() {
-        if (!serving || ejected) {
+        if (!serving || ejected || full) {
             return 0;
         }
         int usable = Math.min(window, Math.min(upstream.slots(), allowance));
@@ -86,8 +102,9 @@
         return outstanding < capacity();
     }
 
+    /** Returns the part of the usable places that one more task would take up. */
     double load() {
-        return (double) outstanding / upstream.slots();
+        return (outstanding + 1.0) / Math.max(1, capacity());
     }
 
     void change(UpstreamDescription newer, boolean nowServing, int newWindow) {
@@ -118,8 +135,41 @@
         outstanding--;
     }
 
+    SpeedModel.OverallSpeed speed() {
+        return speed;
+    }
+
+    /** Returns the largest multiple of its expected time that an overdue task runs here, 1 if there is none. */
+    double overdueFactor() {
+        return overdueFactor;
+    }
+
+    /** Notes that a task here runs for some multiple of its expected time, for the first time or again. */
+    void overdue(boolean first, double factor) {
+        overdue += first ? 1 : 0;
+        overdueFactor = Math.max(overdueFactor, factor);
+    }
+
+    /** Notes that an overdue task ended, after which its measured time counts instead. */
+    void overdueEnded() {
+        overdue--;
+        if (overdue == 0) {
+            overdueFactor = 1;
+        }
+    }
+
+    /** Returns the mean time that a placement spends on links and in the sidecar's queue, in seconds. */
+    double overheadSeconds() {
+        return overheadSeconds;
+    }
+
+    void observeOverhead(double seconds) {
+        overheadSeconds += OVERHEAD_SMOOTHING * (Math.max(0, seconds) - overheadSeconds);
+    }
+
     void succeeded() {
         completions++;
+        refusals = 0;
         consecutiveFailures = 0;
         lastFailed = null;
         if (probing) {
@@ -142,6 +192,18 @@
         return true;
     }
 
+    SchedulerView.BackendView view() {
+        SchedulerView.Treatment treatment = SchedulerView.Treatment.USED;
+        if (ejected()) {
+            treatment = SchedulerView.Treatment.EJECTED;
+        } else if (probing()) {
+            treatment = SchedulerView.Treatment.PROBED;
+        } else if (isFull()) {
+            treatment = SchedulerView.Treatment.FULL;
+        }
+        return new SchedulerView.BackendView(sidecar, treatment, window, outstanding(), consecutiveFailures());
+    }
+
     int consecutiveFailures() {
         return consecutiveFailures;
     }
@@ -167,6 +229,26 @@
         ejectedUntil = now + length;
     }
 
+    boolean isFull() {
+        return full;
+    }
+
+    long fullUntil() {
+        return fullUntil;
+    }
+
+    /** Notes that the sidecar refused a task, after which it is left alone, for longer each time. */
+    void refused(long now, SchedulerPolicy.Health policy) {
+        full = true;
+        fullUntil = now + (policy.refusalPause().toNanos() << Math.min(refusals, MAXIMUM_DOUBLINGS));
+        refusals++;
+    }
+
+    /** Ends the pause after a refusal. */
+    void retry() {
+        full = false;
+    }
+
     /** Ends the ejection; single tasks probe the back end from now on. */
     void probe() {
         ejected = false;
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -5,6 +5,7 @@
 import io.caperturn.core.model.UpstreamDescription;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -16,17 +17,21 @@
     private static final long FORGET_INTERVAL_NANOSECONDS = 5_000_000_000L;
 
     private final SchedulerPolicy.Health policy;
+    private final SchedulerPolicy.Speed speed;
     private final Function<String, Optional<KindState>> kinds;
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
             new PriorityQueue<>(Comparator.comparingLong(Backend::ejectedUntil).thenComparingInt(Backend::sequence));
+    private final PriorityQueue<Backend> full =
+            new PriorityQueue<>(Comparator.comparingLong(Backend::fullUntil).thenComparingInt(Backend::sequence));
     private double completions;
     private double failures;
     private long forgetAt = Long.MIN_VALUE;
     private int nextSequence;
 
-    BackendRegistry(SchedulerPolicy.Health policy, Function<String, Optional<KindState>> kinds) {
-        this.policy = policy;
+    BackendRegistry(SchedulerPolicy policy, Function<String, Optional<KindState>> kinds) {
+        this.policy = policy.health();
+        this.speed = policy.speed();
         this.kinds = kinds;
     }
 
@@ -34,9 +39,12 @@
         return Optional.ofNullable(backends.get(sidecar));
     }
 
+    List<SchedulerView.BackendView> view() {
+        return backends.values().stream().map(Backend::view).toList();
+    }
+
     void changed(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window) {
-        Backend backend = backends.computeIfAbsent(
-                sidecar, id -> new Backend(id, nextSequence++, upstream, firstAllowance(upstream)));
+        Backend backend = backends.computeIfAbsent(sidecar, id -> newBackend(id, upstream));
         boolean sameKinds = backend.upstream().kinds().equals(upstream.kinds());
         backend.change(upstream, serving, window);
         if (!sameKinds || backend.seats().isEmpty()) {
@@ -78,14 +86,27 @@
                 completions++;
             }
             case FAILED -> failed(backend, submission, now);
-            case NOT_STARTED, UNKNOWN -> {}
+            case NOT_STARTED -> refused(backend, now);
+            case UNKNOWN -> {}
         }
         refresh(backend);
         forgetIfGone(backend);
     }
 
-    /** Puts back ends on probation whose ejection is over. */
+    private void refused(Backend backend, long now) {
+        if (!backend.isFull()) {
+            backend.refused(now, policy);
+            full.add(backend);
+        }
+    }
+
+    /** Puts back ends on probation whose ejection is over, and uses those again that refused some time ago. */
     void release(long now) {
+        while (!full.isEmpty() && full.peek().fullUntil() <= now) {
+            Backend backend = full.poll();
+            backend.retry();
+            refresh(backend);
+        }
         while (!ejected.isEmpty() && ejected.peek().ejectedUntil() <= now) {
             Backend backend = ejected.poll();
             backend.probe();
@@ -135,6 +156,11 @@
         return avoided + 1 <= policy.ejectableFraction() * serving;
     }
 
+    private Backend newBackend(ProcessId sidecar, UpstreamDescription upstream) {
+        return new Backend(
+                sidecar, nextSequence++, upstream, firstAllowance(upstream), new SpeedModel.OverallSpeed(speed));
+    }
+
     private int firstAllowance(UpstreamDescription upstream) {
         boolean peersAreProven = upstream.kinds().stream()
                 .map(kinds)
@@ -168,6 +194,7 @@
             backend.seats().forEach(KindPool.Seat::leave);
             backends.remove(backend.sidecar());
             ejected.remove(backend);
+            full.remove(backend);
         }
     }
 }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -72,13 +72,14 @@
      * @param smoothing weight of the newest observation in a mean, within (0, 1]
      * @param priorSamples number of observations that the mean of all back ends counts for
      * @param defaultServiceTime expected service time where nothing was declared or observed
-     * @param overdueFactor multiple of its expected time after which a running task counts as an observation
+     * @param overdueFactor least multiple of its expected time after which a running task makes its back end count as
+     *     slow
      * @param waitMargin part of the time at a free slow back end that waiting for a fast one must stay below
      */
     public record Speed(
             double smoothing, int priorSamples, Duration defaultServiceTime, double overdueFactor, double waitMargin) {
         /** Constants for ordinary use. */
-        public static final Speed DEFAULT = new Speed(0.05, 3, Duration.ofMillis(200), 3, 0.9);
+        public static final Speed DEFAULT = new Speed(0.05, 3, Duration.ofMillis(200), 3, 0.3);
 
         /** Checks the ranges. */
         public Speed {
@@ -98,6 +99,7 @@
      * @param firstEjection how long the first ejection lasts
      * @param longestEjection how long an ejection lasts at most, each being twice as long as the one before
      * @param probePatience how long a probe waits for an idempotent request before it takes any task
+     * @param refusalPause how long a sidecar that refused a task is left alone, doubled at each refusal in a row
      * @param newcomerSlots slots used of a new back end until its first completions
      */
     public record Health(
@@ -107,16 +109,25 @@
             Duration firstEjection,
             Duration longestEjection,
             Duration probePatience,
+            Duration refusalPause,
             int newcomerSlots) {
         /** Constants for ordinary use. */
-        public static final Health DEFAULT =
-                new Health(3, 0.3, 0.5, Duration.ofSeconds(1), Duration.ofSeconds(30), Duration.ofMillis(500), 2);
+        public static final Health DEFAULT = new Health(
+                3,
+                0.3,
+                0.5,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(30),
+                Duration.ofMillis(500),
+                Duration.ofMillis(10),
+                2);
 
         /** Checks the ranges. */
         public Health {
             Objects.requireNonNull(firstEjection, "firstEjection");
             Objects.requireNonNull(longestEjection, "longestEjection");
             Objects.requireNonNull(probePatience, "probePatience");
+            Objects.requireNonNull(refusalPause, "refusalPause");
             if (minimumFailures < 1 || newcomerSlots < 1 || ejectableFraction < 0 || ejectableFraction > 1) {
                 throw new IllegalArgumentException("counts must be at least 1, the fraction within [0, 1]");
             }
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -2,7 +2,9 @@
 
 import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
+import io.caperturn.entry.link.LinkService;
 import io.caperturn.entry.observe.Observer;
+import io.caperturn.entry.table.TableEndpoint;
 import io.caperturn.entry.table.TableService;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.Service;
@@ -17,6 +19,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.VirtualThreads;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -25,6 +28,7 @@
     /** Name under which the service is found. */
     public static final ServiceName<HttpService> NAME = new ServiceName<>("http", HttpService.class);
 
+    private static final long ANSWER_DELIVERY_TIMEOUT_MILLISECONDS = 5_000;
     private static final int MAXIMUM_THREADS = 32;
 
     private final EntrySettings settings;
@@ -60,7 +64,8 @@
         connector.setHost(settings.httpAddress().substring(0, colon));
         connector.setPort(Integer.parseInt(settings.httpAddress().substring(colon + 1)));
         server.addConnector(connector);
-        server.setHandler(new Router(routes(kernel)));
+        server.setHandler(new GracefulHandler(new Router(routes(kernel))));
+        server.setStopTimeout(ANSWER_DELIVERY_TIMEOUT_MILLISECONDS);
         server.setErrorHandler(new ProblemErrorHandler());
         try {
             server.start();
@@ -97,15 +102,38 @@
         Engine engine = kernel.find(Engine.NAME);
         Waiters waiters = kernel.find(Waiters.NAME);
         Observer observer = kernel.find(Observer.NAME);
+        TableEndpoint tableEndpoint = new TableEndpoint(
+                table.editor(), table::refresh, settings.requests().maximumBodyBytes());
         HealthEndpoint health = new HealthEndpoint(this::unreadiness, observer.meters());
         return List.of(
+                new Router.Route("/", new PageEndpoint()),
                 new Router.Route(
                         "/v1/jobs",
-                        new WorkEndpoint(WorkEndpoint.Resource.JOBS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.JOBS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route(
                         "/v1/requests",
-                        new WorkEndpoint(WorkEndpoint.Resource.REQUESTS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.REQUESTS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
+                new Router.Route(TableEndpoint.PATH, tableEndpoint),
+                new Router.Route(TableEndpoint.PATH + "/", tableEndpoint),
+                new Router.Route(
+                        "/v1/status",
+                        new StatusEndpoint(
+                                settings,
+                                new StatusReader(engine, kernel.find(LinkService.NAME), table),
+                                () -> draining)),
                 new Router.Route("/healthz", health),
                 new Router.Route("/readyz", health),
                 new Router.Route("/metrics", health));
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -12,7 +12,7 @@
 import io.caperturn.kernel.Service;
 import io.caperturn.kernel.ServiceName;
 import io.caperturn.kernel.ServiceStartException;
-import io.caperturn.platform.registry.EntryRegistration;
+import io.caperturn.platform.registry.Member;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.LinkEndpoint;
 import io.caperturn.wire.LinkListener;
@@ -111,6 +111,24 @@
         return Map.copyOf(sidecars);
     }
 
+    /**
+     * Returns what the linked sidecars said last of their upstreams.
+     *
+     * @return the upstreams by sidecar
+     */
+    public Map<ProcessId, Upstream> upstreams() {
+        return Map.copyOf(upstreams);
+    }
+
+    /**
+     * Returns the other entries by the last list of the store.
+     *
+     * @return the entries
+     */
+    public List<EntryAddress> entries() {
+        return entryList.getEntriesList();
+    }
+
     /**
      * Sends attempts to a sidecar.
      *
@@ -228,6 +246,7 @@
         if (link.peer().role() == Role.ROLE_SIDECAR) {
             if (sidecars.remove(link.peer().process(), link)) {
                 upstreams.remove(link.peer().process());
+                table.forget(link.peer().process());
                 engine.put(new EntryEvent.SidecarLost(link.peer().process()));
             }
         } else {
@@ -253,7 +272,7 @@
      *
      * @param entries the other entries
      */
-    public void onEntriesListed(List<EntryRegistration> entries) {
+    public void onEntriesListed(List<Member> entries) {
         EntryList.Builder builder = EntryList.newBuilder();
         entries.forEach(entry -> builder.addEntries(EntryAddress.newBuilder()
                 .setName(entry.process().name())
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
@@ -21,7 +21,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -29,8 +28,9 @@
  * Writer of durable claims, one transaction for all claims that wait.
  *
  * <p>While a transaction is in flight the next claims gather. A lost reply is settled by the same conditional write
- * again: the row carries the incarnation and number of the request that wrote it. While the store is known to be down,
- * claims are refused at once and a read probes it.
+ * again: the row carries the incarnation and number of the request that wrote it. Where the store limits writes, fewer
+ * and larger transactions are sent. While the store is known to be down, claims are refused at once and a read probes
+ * it.
  */
 public final class ClaimWriter {
     private static final System.Logger LOGGER = System.getLogger(ClaimWriter.class.getName());
@@ -44,7 +44,7 @@
     private final InstantSource clock;
     private final Duty<PendingClaim> duty;
     private final StoreCircuit circuit = new StoreCircuit();
-    private final AtomicLong requests = new AtomicLong();
+    private final BatchPace pace;
     private final Map<RowKey, PendingClaim> pending = new LinkedHashMap<>();
     private final List<PendingClaim> following = new ArrayList<>();
     private long lastBegin;
@@ -73,6 +73,7 @@
         this.policy = Objects.requireNonNull(policy, "policy");
         this.settled = Objects.requireNonNull(settled, "settled");
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.pace = new BatchPace(policy.batchInterval());
         this.lastBegin = System.nanoTime() - policy.batchInterval().toNanos();
         this.duty = new Duty<>("claim-writer", policy.ringCapacity(), PROBE_INTERVAL, new Duty.Work<>() {
             @Override
@@ -101,27 +102,29 @@
      * Asks for a claim.
      *
      * @param submission the submission
+     * @param request the number of this request, which no other of this incarnation has
      * @return false if the ring is full or the store is known to be down; nothing was or will be written then
      */
-    public boolean request(Submission submission) {
-        return !circuit.isOpen() && duty.offer(claim(submission, Optional.empty()));
+    public boolean request(Submission submission, long request) {
+        return !circuit.isOpen() && duty.offer(claim(submission, request, Optional.empty()));
     }
 
     /**
      * Asks to replace the claim of an owner that is gone; no effect on a claim that has changed hands since.
      *
      * @param submission the submission
+     * @param request the number of this request, which no other of this incarnation has
      * @param held the claim that the owner that is gone held; when it was claimed is kept
      */
-    public void adopt(Submission submission, ClaimResult.HeldByOther held) {
-        if (circuit.isOpen() || !duty.offer(claim(submission, Optional.of(held)))) {
+    public void adopt(Submission submission, long request, ClaimResult.HeldByOther held) {
+        if (circuit.isOpen() || !duty.offer(claim(submission, request, Optional.of(held)))) {
             settle(submission, new ClaimResult.Unavailable("the store is down or too many claims wait"));
         }
     }
 
-    private PendingClaim claim(Submission submission, Optional<ClaimResult.HeldByOther> held) {
+    private PendingClaim claim(Submission submission, long request, Optional<ClaimResult.HeldByOther> held) {
         long deadline = System.nanoTime() + policy.timeout().toNanos();
-        return new PendingClaim(submission, requests.incrementAndGet(), held, deadline);
+        return new PendingClaim(submission, request, held, deadline);
     }
 
     private void gather(List<PendingClaim> batch) {
@@ -132,21 +135,22 @@
                 following.add(claim);
             }
         }
-        waitForInterval();
+        waitForPace();
         if (duty.backlog() == 0 || pending.size() >= policy.maximumBatch()) {
             writePending();
         }
     }
 
-    private void waitForInterval() {
-        long rest = policy.batchInterval().toNanos() - (System.nanoTime() - lastBegin);
-        if (rest > 0 && pending.size() < policy.maximumBatch()) {
+    private void waitForPace() {
+        long rest = pace.interval().toNanos() - (System.nanoTime() - lastBegin);
+        if (rest > 0) {
             LockSupport.parkNanos(this, rest);
         }
     }
 
     private void retry() {
         if (!pending.isEmpty()) {
+            waitForPace();
             writePending();
         } else if (circuit.isOpen() && store.transact(PROBE) instanceof StoreResult.Committed) {
             circuit.succeeded();
@@ -155,7 +159,7 @@
         }
     }
 
-    /** Writes until nothing is pending or the store fails, which leaves claims in doubt to the next interval. */
+    /** Writes until nothing is pending or the store fails; what is left then waits for more claims or the interval. */
     private void writePending() {
         boolean progress = true;
         while (progress && !pending.isEmpty()) {
@@ -176,13 +180,19 @@
         return switch (result) {
             case StoreResult.Committed ignored -> {
                 circuit.succeeded();
-                batch.forEach(claim -> finish(claim, new ClaimResult.Granted(claim.fence(), false)));
+                pace.committed();
+                batch.forEach(claim -> finish(claim, new ClaimResult.Granted(claim.fence(), claim.request())));
                 yield true;
             }
             case StoreResult.Conflict(List<Row> rows) -> {
                 circuit.succeeded();
                 yield judge(batch, rows);
             }
+            case StoreResult.Limited ignored -> {
+                circuit.succeeded();
+                pace.limited();
+                yield false;
+            }
             case StoreResult.Unavailable(String detail) -> {
                 circuit.refused();
                 log("claim-store-unavailable", batch.size(), detail);
--- a/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
+++ b/caperturn-replay/src/main/java/io/caperturn/replay/simulation/Simulation.java
@@ -89,7 +89,8 @@
                 Measures.Distribution.of(responses.urgent()),
                 Measures.Distribution.of(responses.other()),
                 new Measures.Failures(Map.copyOf(responses.failures()), responses.cancellations()),
-                new Measures.Traffic(recorder.starts(), recorder.messages(), recorder.frames()),
+                new Measures.Traffic(
+                        recorder.starts(), recorder.messages(), recorder.frames(), recorder.messagesByType()),
                 recorder.lostSlotShare(),
                 recorder.worstFairnessDeviation(),
                 recorder.limitBreaches());
@@ -122,6 +123,9 @@
                 entry -> entry.on(new EntryEvent.TableChanged(trace.header().table())));
         sidecars.forEach(sidecar -> {
             sidecar.announce();
+            if (policy.sidecarsKnowTable()) {
+                sidecar.on(new SidecarEvent.TableChanged(trace.header().table()));
+            }
             entries.forEach(entry -> sidecar.on(new SidecarEvent.EntryLinked(entry.id())));
         });
         entries.forEach(entry -> every(ENTRY_TICK_MILLISECONDS, entry::tick));
@@ -242,7 +246,7 @@
         SubmissionId submission = request.submission().id();
         EntryNode owner = claims.putIfAbsent(submission, entry);
         ClaimResult result = owner == null || owner == entry
-                ? new ClaimResult.Granted(1, owner != null)
+                ? new ClaimResult.Granted(1, owner == null ? request.request() : 0)
                 : new ClaimResult.HeldByOther(
                         owner.id(), "address", 1, request.submission().digest(), Instant.EPOCH);
         entry.on(new EntryEvent.ClaimSettled(submission, result));
@@ -292,13 +296,13 @@
     }
 
     private void send(EntryNode from, ProcessId to, int messages, SidecarEvent event) {
-        recorder.sent(messages);
+        recorder.sent(event.getClass().getSimpleName(), messages);
         SidecarNode sidecar = sidecarsById.get(to);
         loop.after(deployment.delayMilliseconds(from.number(), sidecar.number()), () -> sidecar.on(event));
     }
 
     private void send(SidecarNode from, ProcessId to, int messages, EntryEvent event) {
-        recorder.sent(messages);
+        recorder.sent(event.getClass().getSimpleName(), messages);
         EntryNode entry = entriesById.get(to);
         loop.after(deployment.delayMilliseconds(entry.number(), from.number()), () -> entry.on(event));
     }
