Refusal told to a later asker holds for that attempt too

Cause: an attempt that asked about a task's earlier attempt was told that attempt's end; where that was not-started, the ledger kept only the earlier attempt's number, so a repeated dispatch of the later one could start after its refusal. Change: the line takes the highest attempt that was told.

--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -284,11 +284,16 @@
         end(line, refused ? notStarted(NotStartedReason.REFUSED_BY_UPSTREAM) : new AttemptState.Done(outcome), now);
     }
 
+    /** Ends an attempt; if it did not start, neither does any later attempt whose asker is told so. */
     private void end(LedgerLine line, AttemptState state, Instant now) {
         ProcessId owner = owners.remove(line);
         outstanding.computeIfPresent(owner, (ignored, count) -> count == 1 ? null : count - 1);
+        LedgerLine highest = line;
         for (LedgerLine.Asker asker : ledger.change(line, state, now)) {
             report(asker.entry(), asker.as(), state);
+            if (line.isNotStarted() && highest.isOlderThan(asker.as())) {
+                highest = ledger.write(asker.as(), state, now);
+            }
         }
     }
 
