--- a/caperturn-settings/src/main/java/io/caperturn/settings/internal/SettingsJson.java
+++ b/caperturn-settings/src/main/java/io/caperturn/settings/internal/SettingsJson.java
@@ -13,6 +13,7 @@
 import io.caperturn.settings.SettingsMistake;
 import io.caperturn.settings.SettingsRole;
 import io.caperturn.settings.SidecarSettings;
+import java.util.regex.Pattern;
 
 /** Steps between the text of settings, its tree and its record. */
 public final class SettingsJson {
@@ -21,6 +22,9 @@
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
 
+    /** Part of the parser's messages that names the text's source, which it does not show. */
+    private static final Pattern START_MARKER = Pattern.compile(" \\(start marker at .*", Pattern.DOTALL);
+
     private SettingsJson() {}
 
     /** What came of parsing text. */
@@ -126,6 +130,7 @@
         String place = location == null
                 ? "malformed text"
                 : "text at line " + location.getLineNr() + ", column " + location.getColumnNr();
-        return new SettingsMistake("", place, "well-formed JSON (" + e.getOriginalMessage() + ")");
+        String cause = START_MARKER.matcher(e.getOriginalMessage()).replaceFirst("");
+        return new SettingsMistake("", place, "well-formed JSON (" + cause + ")");
     }
 }
--- a/caperturn-settings/src/test/java/io/caperturn/settings/SettingsLoaderTest.java
+++ b/caperturn-settings/src/test/java/io/caperturn/settings/SettingsLoaderTest.java
@@ -1,6 +1,7 @@
 package io.caperturn.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -125,6 +126,7 @@
             value = {
                 "{\"name\":\\n  oops} | line 2, column 3",
                 "{} {} | line 1, column 4",
+                "{\"name\": | line 1, column",
                 "{\"name\":1,\"name\":2} | line 1, column",
                 "'' | empty text"
             })
@@ -132,6 +134,7 @@
         List<SettingsMistake> mistakes = mistakes(SettingsLoader.parse(text.replace("\\n", "\n"), EntrySettings.class));
         assertEquals(1, mistakes.size());
         assertTrue(mistakes.getFirst().value().contains(place), mistakes.toString());
+        assertFalse(mistakes.getFirst().allowed().contains("REDACTED"), mistakes.toString());
     }
 
     @Test
