--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/BackendRegistry.java
@@ -17,6 +17,8 @@
     private static final long FORGET_INTERVAL_NANOSECONDS = 5_000_000_000L;
 
     private final SchedulerPolicy.Health policy;
+    private final SchedulerPolicy.Speed speed;
+    private final SpeedModel.Mean meanSpeed = new SpeedModel.Mean();
     private final Function<String, Optional<KindState>> kinds;
     private final Map<ProcessId, Backend> backends = new LinkedHashMap<>();
     private final PriorityQueue<Backend> ejected =
@@ -28,8 +30,9 @@
     private long forgetAt = Long.MIN_VALUE;
     private int nextSequence;
 
-    BackendRegistry(SchedulerPolicy.Health policy, Function<String, Optional<KindState>> kinds) {
-        this.policy = policy;
+    BackendRegistry(SchedulerPolicy policy, Function<String, Optional<KindState>> kinds) {
+        this.policy = policy.health();
+        this.speed = policy.speed();
         this.kinds = kinds;
     }
 
@@ -42,8 +45,7 @@
     }
 
     void changed(ProcessId sidecar, UpstreamDescription upstream, boolean serving, int window) {
-        Backend backend = backends.computeIfAbsent(
-                sidecar, id -> new Backend(id, nextSequence++, upstream, firstAllowance(upstream)));
+        Backend backend = backends.computeIfAbsent(sidecar, id -> newBackend(id, upstream));
         boolean sameKinds = backend.upstream().kinds().equals(upstream.kinds());
         backend.change(upstream, serving, window);
         if (!sameKinds || backend.seats().isEmpty()) {
@@ -155,6 +157,15 @@
         return avoided + 1 <= policy.ejectableFraction() * serving;
     }
 
+    private Backend newBackend(ProcessId sidecar, UpstreamDescription upstream) {
+        return new Backend(
+                sidecar,
+                nextSequence++,
+                upstream,
+                firstAllowance(upstream),
+                new SpeedModel.OverallSpeed(speed, meanSpeed));
+    }
+
     private int firstAllowance(UpstreamDescription upstream) {
         boolean peersAreProven = upstream.kinds().stream()
                 .map(kinds)
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.VirtualThreads;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -27,6 +28,7 @@
     /** Name under which the service is found. */
     public static final ServiceName<HttpService> NAME = new ServiceName<>("http", HttpService.class);
 
+    private static final long ANSWER_DELIVERY_TIMEOUT_MILLISECONDS = 5_000;
     private static final int MAXIMUM_THREADS = 32;
 
     private final EntrySettings settings;
@@ -62,7 +64,8 @@
         connector.setHost(settings.httpAddress().substring(0, colon));
         connector.setPort(Integer.parseInt(settings.httpAddress().substring(colon + 1)));
         server.addConnector(connector);
-        server.setHandler(new Router(routes(kernel)));
+        server.setHandler(new GracefulHandler(new Router(routes(kernel))));
+        server.setStopTimeout(ANSWER_DELIVERY_TIMEOUT_MILLISECONDS);
         server.setErrorHandler(new ProblemErrorHandler());
         try {
             server.start();
@@ -106,10 +109,22 @@
                 new Router.Route("/", new PageEndpoint()),
                 new Router.Route(
                         "/v1/jobs",
-                        new WorkEndpoint(WorkEndpoint.Resource.JOBS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.JOBS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route(
                         "/v1/requests",
-                        new WorkEndpoint(WorkEndpoint.Resource.REQUESTS, engine, waiters, settings.requests(), clock)),
+                        new WorkEndpoint(
+                                WorkEndpoint.Resource.REQUESTS,
+                                engine,
+                                waiters,
+                                settings.requests(),
+                                observer.meters(),
+                                clock)),
                 new Router.Route("/v1/submissions/", new SubmissionEndpoint(engine, observer.history())),
                 new Router.Route(TableEndpoint.PATH, tableEndpoint),
                 new Router.Route(TableEndpoint.PATH + "/", tableEndpoint),
