Claims that wait behind a silent store are refused before the next try

Cause: after a call that lasted its whole timeout the same write was tried again before the waiting claims were looked at, so they were held for two timeouts, though the store was known to be down after the first. Ruled out: a thread of its own for retries; a shorter timeout, which would refuse at a store that is merely slow. Change: no second try at once where the circuit has opened; at the interval, what waits is taken from the ring first. The measurement has outages: the store down, silent, and with every reply lost.

--- a/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/claim/ClaimMeasurement.java
@@ -1,5 +1,6 @@
 package io.caperturn.entry.claim;
 
+import static io.caperturn.testkit.platform.PlatformMode.NORMAL;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -32,6 +33,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Measurement of claims against the stand-in platform, at random arrivals of a fixed seed.
@@ -48,6 +50,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Histogram latencies = new ConcurrentHistogram(3);
+    private final Histogram refusals = new ConcurrentHistogram(3);
     private final Map<SubmissionId, Long> due = new ConcurrentHashMap<>();
     private final AtomicLong granted = new AtomicLong();
     private final AtomicLong refused = new AtomicLong();
@@ -64,7 +67,7 @@
     })
     void measuresOneEntry(int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
             throws Exception {
-        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries);
+        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries, NORMAL);
 
         assertTrue(due.isEmpty());
     }
@@ -79,12 +82,31 @@
     void measuresEntriesThatShareALimit(
             int jobsPerSecond, int seconds, long intervalMilliseconds, int writesPerSecond, int entries)
             throws Exception {
-        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries);
+        run(jobsPerSecond, seconds, Duration.ofMillis(intervalMilliseconds), writesPerSecond, entries, NORMAL);
 
         assertTrue(due.isEmpty());
     }
 
-    private void run(int jobsPerSecond, int seconds, Duration interval, int writesPerSecond, int entries)
+    @ParameterizedTest
+    @EnumSource(
+            value = PlatformMode.class,
+            names = {"DOWN", "DOWN_SILENT", "REPLY_LOST"})
+    void measuresRefusalsInAnOutage(PlatformMode mode) throws Exception {
+        run(100, 16, Duration.ZERO, 500, 1, mode);
+
+        System.out.printf(
+                "mode=%s refusals=%d p50_ms=%.1f p99_ms=%.1f max_ms=%.1f%n",
+                mode,
+                refusals.getTotalCount(),
+                refusals.getValueAtPercentile(50) / 1_000.0,
+                refusals.getValueAtPercentile(99) / 1_000.0,
+                refusals.getMaxValue() / 1_000.0);
+        assertTrue(due.isEmpty());
+    }
+
+    /** Offers claims to a healthy store for the warm-up, and to one in the given mode from then on. */
+    private void run(
+            int jobsPerSecond, int seconds, Duration interval, int writesPerSecond, int entries, PlatformMode mode)
             throws Exception {
         ClaimPolicy policy = new ClaimPolicy(interval, Duration.ofSeconds(2), 500, Duration.ofDays(1), 1 << 14);
         HttpClient client = new HttpClient();
@@ -92,7 +114,7 @@
         try (StandInPlatform platform = new StandInPlatform(io.caperturn.testkit.Endpoint.ANY);
                 HttpPlatformStore store =
                         new HttpPlatformStore(platform.address().toString(), Duration.ofSeconds(1))) {
-            platform.control(new PlatformControl(PlatformMode.NORMAL, 0, writesPerSecond, SYNC_MILLISECONDS));
+            platform.control(new PlatformControl(NORMAL, 0, writesPerSecond, SYNC_MILLISECONDS));
             ClaimWriter[] writers = new ClaimWriter[entries];
             for (int number = 0; number < entries; number++) {
                 ClaimOwner owner = new ClaimOwner(new ProcessId("entry-" + number, 1), "127.0.0.1:1");
@@ -101,6 +123,7 @@
             }
             int warmUp = jobsPerSecond * seconds / WARM_UP_FRACTION;
             offer(writers, jobsPerSecond, 0, warmUp);
+            platform.control(new PlatformControl(mode, 0, writesPerSecond, SYNC_MILLISECONDS));
             JsonNode before = counts(client, platform);
             counting = true;
             offer(writers, jobsPerSecond, warmUp, jobsPerSecond * seconds);
@@ -142,6 +165,7 @@
             latencies.recordValue(Math.max(0, (System.nanoTime() - since) / 1_000));
         } else {
             refused.incrementAndGet();
+            refusals.recordValue(Math.max(0, (System.nanoTime() - since) / 1_000));
         }
     }
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
@@ -149,6 +149,10 @@
     }
 
     private void retry() {
+        if (duty.backlog() > 0) {
+            // Taken first, so that claims which only wait are refused before a call that may last its whole timeout.
+            return;
+        }
         if (!pending.isEmpty()) {
             waitForPace();
             writePending();
@@ -204,7 +208,7 @@
                 circuit.lost(Duration.ofNanos(System.nanoTime() - lastBegin));
                 log("claim-reply-lost", batch.size(), detail);
                 batch.forEach(PendingClaim::doubt);
-                yield first;
+                yield first && !circuit.isOpen();
             }
         };
     }
