--- /dev/null
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/measurement/PeerSidecar.java
@@ -0,0 +1,90 @@
+package io.caperturn.proofs.measurement;
+
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.wire.FrameStamp;
+import io.caperturn.wire.Link;
+import io.caperturn.wire.LinkEndpoint;
+import io.caperturn.wire.LinkListener;
+import io.caperturn.wire.LinkSettings;
+import io.caperturn.wire.MessageCodec;
+import io.caperturn.wire.Peer;
+import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.Role;
+import io.caperturn.wire.message.TableRequest;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A sidecar reduced to its link: it announces an upstream, follows the table and is idle otherwise. */
+final class PeerSidecar implements LinkListener, FrameStamp, AutoCloseable {
+    private static final int MAXIMUM_FRAME_BYTES = 1 << 20;
+    private static final int SLOTS = 8;
+
+    private final UpstreamDescription upstream;
+    private final LinkEndpoint endpoint;
+    private final AtomicLong version = new AtomicLong();
+    private final AtomicLong framesReceived = new AtomicLong();
+
+    PeerSidecar(int number, String entryAddress) {
+        String name = "peer-" + number;
+        upstream = new UpstreamDescription(name, Set.of("assay"), SLOTS, SLOTS, "worker", "rack", "zone-a");
+        endpoint = new LinkEndpoint(
+                new LinkSettings(
+                        new Peer(new ProcessId(name, 1), Role.ROLE_SIDECAR, "zone-a", ""),
+                        Duration.ofSeconds(1),
+                        Duration.ofMillis(3_500),
+                        Duration.ofMillis(250),
+                        MAXIMUM_FRAME_BYTES),
+                this,
+                this);
+        endpoint.connect(entryAddress);
+    }
+
+    long framesReceived() {
+        return framesReceived.get();
+    }
+
+    @Override
+    public void onOpened(Link link) {
+        link.send(Frame.newBuilder().setUpstream(MessageCodec.toMessage(upstream, true, SLOTS)));
+    }
+
+    @Override
+    public void onFrame(Link link, Frame frame) {
+        if (frame.hasTableRows()) {
+            version.accumulateAndGet(frame.getTableRows().getVersion(), Math::max);
+        }
+    }
+
+    @Override
+    public void onClosed(Link link, String reason) {
+        // A measurement in which links are lost shows it by its table versions.
+    }
+
+    @Override
+    public long tableVersion() {
+        return version.get();
+    }
+
+    @Override
+    public long confirmationAgeMilliseconds() {
+        return -1;
+    }
+
+    @Override
+    public void observe(Link link, long tableVersion, long confirmationAgeMilliseconds) {
+        framesReceived.incrementAndGet();
+        if (tableVersion > version.get()) {
+            link.send(Frame.newBuilder()
+                    .setTableRequest(TableRequest.newBuilder()
+                            .setKnownVersion(version.get())
+                            .addAllKinds(upstream.kinds())));
+        }
+    }
+
+    @Override
+    public void close() {
+        endpoint.close();
+    }
+}
