Background work that waits goes before normal work, within its share, sooner than before urgent work

Cause: background work waited 10 s for any share, which made the 99th percentile of other work. Change: after 1 s it gets the overdue share beside normal work, after 10 s beside urgent work too; the share is 0.2 instead of 0.1.

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/SchedulerPolicy.java
@@ -47,19 +47,27 @@
      * How waiting tasks are ordered.
      *
      * @param normalWait how long work of normal urgency may wait before it gets the overdue share
-     * @param backgroundWait how long background work may wait before it gets the overdue share
+     * @param backgroundWait how long background work may wait before it gets the overdue share beside normal work
+     * @param longestBackgroundWait how long background work may wait before it gets that share beside urgent work too
      * @param overdueShare the part of slot time that an overdue class gets before more urgent ones, within (0, 1)
      * @param stretch multiple of a submission's remaining ideal time after its arrival by which it is served at the
      *     latest among the submissions of its team; large values serve small submissions first
      */
-    public record Order(Duration normalWait, Duration backgroundWait, double overdueShare, double stretch) {
+    public record Order(
+            Duration normalWait,
+            Duration backgroundWait,
+            Duration longestBackgroundWait,
+            double overdueShare,
+            double stretch) {
         /** Constants for ordinary use. */
-        public static final Order DEFAULT = new Order(Duration.ofSeconds(5), Duration.ofSeconds(10), 0.1, 10);
+        public static final Order DEFAULT =
+                new Order(Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(10), 0.2, 10);
 
         /** Checks the ranges. */
         public Order {
             Objects.requireNonNull(normalWait, "normalWait");
             Objects.requireNonNull(backgroundWait, "backgroundWait");
+            Objects.requireNonNull(longestBackgroundWait, "longestBackgroundWait");
             if (overdueShare <= 0 || overdueShare >= 1 || stretch < 0) {
                 throw new IllegalArgumentException("overdueShare must be within (0, 1) and stretch not negative");
             }
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/WaitingTasks.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/WaitingTasks.java
@@ -26,11 +26,15 @@
 
     WaitingTasks(SchedulerPolicy policy) {
         this.policy = policy;
-        classes.put(Urgency.URGENT, new UrgencyClass(Long.MAX_VALUE));
-        classes.put(Urgency.NORMAL, new UrgencyClass(policy.order().normalWait().toNanos()));
+        SchedulerPolicy.Order order = policy.order();
+        long normalWait = order.normalWait().toNanos();
+        classes.put(Urgency.URGENT, new UrgencyClass(Long.MAX_VALUE, Long.MAX_VALUE));
+        classes.put(Urgency.NORMAL, new UrgencyClass(normalWait, normalWait));
         classes.put(
                 Urgency.BACKGROUND,
-                new UrgencyClass(policy.order().backgroundWait().toNanos()));
+                new UrgencyClass(
+                        order.backgroundWait().toNanos(),
+                        order.longestBackgroundWait().toNanos()));
     }
 
     /**
@@ -103,22 +107,29 @@
 
     /** Returns the next task in order that a free back end and the limits allow. */
     Optional<Choice> choose(long now) {
-        for (Urgency urgency : List.of(Urgency.BACKGROUND, Urgency.NORMAL)) {
-            if (classes.get(urgency).isDue(now)) {
-                Optional<Choice> choice = choose(classes.get(urgency), new Ahead(), true, now);
-                if (choice.isPresent()) {
-                    return choice;
-                }
-            }
+        UrgencyClass urgent = classes.get(Urgency.URGENT);
+        UrgencyClass normal = classes.get(Urgency.NORMAL);
+        UrgencyClass background = classes.get(Urgency.BACKGROUND);
+        boolean backgroundIsDue = background.isDueBeforeNext(now);
+        boolean normalIsDue = normal.isDueBeforeNext(now);
+        Optional<Choice> choice = Optional.empty();
+        if (background.isDueBeforeAll(now)) {
+            choice = choose(background, new Ahead(), true, now);
+        }
+        if (choice.isEmpty() && normalIsDue) {
+            choice = choose(normal, new Ahead(), true, now);
         }
         Ahead ahead = new Ahead();
-        for (UrgencyClass urgencyClass : classes.values()) {
-            Optional<Choice> choice = choose(urgencyClass, ahead, false, now);
-            if (choice.isPresent()) {
-                return choice;
-            }
+        if (choice.isEmpty()) {
+            choice = choose(urgent, ahead, false, now);
         }
-        return Optional.empty();
+        if (choice.isEmpty() && backgroundIsDue) {
+            choice = choose(background, new Ahead(), true, now);
+        }
+        if (choice.isEmpty()) {
+            choice = choose(normal, ahead, false, now);
+        }
+        return choice.isPresent() ? choice : choose(background, ahead, false, now);
     }
 
     private Optional<Choice> choose(UrgencyClass urgencyClass, Ahead ahead, boolean overdue, long now) {
