--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -11,6 +11,7 @@
 import io.caperturn.core.schedule.Admission;
 import io.caperturn.core.schedule.Placement;
 import io.caperturn.core.schedule.Scheduler;
+import io.caperturn.core.schedule.SchedulerView;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -81,6 +82,15 @@
         return book.open();
     }
 
+    /**
+     * Tells what the scheduler knows now, for operators.
+     *
+     * @return the view
+     */
+    public SchedulerView view() {
+        return scheduler.view();
+    }
+
     private void handle(EntryEvent event, Instant now) {
         switch (event) {
             case EntryEvent.SubmissionArrived arrived -> onArrived(arrived, now);
@@ -92,6 +102,10 @@
             case EntryEvent.SubmissionFenced fenced -> ownership.onFenced(fenced, now);
             case EntryEvent.SidecarChanged changed -> onSidecarChanged(changed, now);
             case EntryEvent.SidecarLost lost -> onSidecarLost(lost.sidecar(), now);
+            case EntryEvent.FarewellReceived(ProcessId sidecar) -> {
+                scheduler.sidecarLost(sidecar);
+                commands.add(new EntryCommand.SendFarewell(sidecar));
+            }
             case EntryEvent.WindowChanged changed -> scheduler.windowChanged(changed.sidecar(), changed.window());
             case EntryEvent.ReportsReceived reports -> onReports(reports, now);
             case EntryEvent.DispatchNotSent notSent -> apply(attempts.notSent(notSent, book.works(), now), now);
@@ -111,7 +125,7 @@
         Submission submission = arrived.submission();
         Work known = book.find(submission.id());
         if (known != null && !known.isAnswered()) {
-            join(known, submission, arrived.waiter());
+            join(known, arrived);
             return;
         }
         Optional<AnswerCache.Kept> kept = book.findAnswer(submission.id());
@@ -141,11 +155,14 @@
         answer(arrived.submission(), arrived.waiter(), book.refusal(reason, before(arrived), detail));
     }
 
-    private void join(Work known, Submission submission, long waiter) {
-        if (known.submission().digest().equals(submission.digest())) {
-            known.addWaiter(waiter);
-        } else {
-            answer(submission, waiter, Failures.digestConflict());
+    private void join(Work known, EntryEvent.SubmissionArrived arrived) {
+        if (!known.submission().digest().equals(arrived.submission().digest())) {
+            answer(arrived.submission(), arrived.waiter(), Failures.digestConflict());
+            return;
+        }
+        known.addWaiter(arrived.waiter());
+        if (known.phase() == Work.Phase.CLAIMING && before(arrived) == Execution.MAY_HAVE_RUN) {
+            known.startIsPossible();
         }
     }
 
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -21,6 +21,7 @@
 import io.caperturn.wire.TableCodec;
 import io.caperturn.wire.message.EntryAddress;
 import io.caperturn.wire.message.EntryList;
+import io.caperturn.wire.message.Farewell;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.Role;
 import io.caperturn.wire.message.Upstream;
@@ -33,6 +34,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Service that holds the links of an entry and turns frames into events of the engine. */
 public final class LinkService implements Service, LinkListener {
@@ -47,6 +49,7 @@
     private final Map<ProcessId, Link> sidecars = new ConcurrentHashMap<>();
     private final Map<ProcessId, Upstream> upstreams = new ConcurrentHashMap<>();
     private final Set<ProcessId> enrolled = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger visits = new AtomicInteger();
     private volatile EntryList entryList = EntryList.getDefaultInstance();
     private RegistryService registry;
     private Engine engine;
@@ -111,6 +114,33 @@
         return Map.copyOf(sidecars);
     }
 
+    /**
+     * Returns what the linked sidecars said last of their upstreams.
+     *
+     * @return the upstreams by sidecar
+     */
+    public Map<ProcessId, Upstream> upstreams() {
+        return Map.copyOf(upstreams);
+    }
+
+    /**
+     * Returns the other entries by the last list of the store.
+     *
+     * @return the entries
+     */
+    public List<EntryAddress> entries() {
+        return entryList.getEntriesList();
+    }
+
+    /** Opens a link to one of the other entries for a while, each time to another one; nothing if none is listed. */
+    public void visitAnotherEntry() {
+        List<EntryAddress> others = entries();
+        if (!others.isEmpty()) {
+            int next = Math.floorMod(visits.getAndIncrement(), others.size());
+            relays.visit(others.get(next).getLinkAddress());
+        }
+    }
+
     /**
      * Sends attempts to a sidecar.
      *
@@ -157,6 +187,15 @@
         send(command.sidecar(), FrameFactory.fence(command));
     }
 
+    /**
+     * Tells a sidecar that stops that no more work is sent to it.
+     *
+     * @param command what to send
+     */
+    public void sendFarewell(EntryCommand.SendFarewell command) {
+        send(command.sidecar(), Frame.newBuilder().setFarewell(Farewell.getDefaultInstance()));
+    }
+
     /**
      * Relays a submission to the entry that owns its claim; the outcome reaches the engine as an event.
      *
@@ -184,6 +223,7 @@
         ProcessId sender = link.peer().process();
         switch (frame.getBodyCase()) {
             case UPSTREAM -> onUpstream(sender, frame.getUpstream());
+            case FAREWELL -> engine.put(new EntryEvent.FarewellReceived(sender));
             case WINDOW ->
                 engine.put(
                         new EntryEvent.WindowChanged(sender, frame.getWindow().getWindow()));
@@ -228,6 +268,7 @@
         if (link.peer().role() == Role.ROLE_SIDECAR) {
             if (sidecars.remove(link.peer().process(), link)) {
                 upstreams.remove(link.peer().process());
+                table.forget(link.peer().process());
                 engine.put(new EntryEvent.SidecarLost(link.peer().process()));
             }
         } else {
