--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -20,6 +20,7 @@
 import io.caperturn.wire.message.EntryList;
 import io.caperturn.wire.message.Frame;
 import io.caperturn.wire.message.Role;
+import io.caperturn.wire.message.TableRows;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -131,11 +132,7 @@
                         entry,
                         MessageCodec.fromMessage(frame.getFence().getSubmission()),
                         frame.getFence().getFence()));
-            case TABLE_ROWS -> {
-                if (table.accept(frame.getTableRows())) {
-                    machine.post(new SidecarEvent.TableChanged(table.table()));
-                }
-            }
+            case TABLE_ROWS -> takeTable(frame.getTableRows());
             case ENTRY_LIST -> follow(frame.getEntryList());
             default ->
                 LOGGER.log(
@@ -147,6 +144,22 @@
         }
     }
 
+    private void takeTable(TableRows rows) {
+        long before = table.tableVersion();
+        if (!table.accept(rows)) {
+            return;
+        }
+        if (rows.getVersion() > before) {
+            LOGGER.log(
+                    System.Logger.Level.INFO,
+                    () -> EventLine.of("table-in-force")
+                            .with("version", rows.getVersion())
+                            .with("kinds", rows.getKindsCount())
+                            .toString());
+        }
+        machine.post(new SidecarEvent.TableChanged(table.table()));
+    }
+
     /** Opens links to entries that have none, and gives up listed addresses that nobody lists or answers any more. */
     private void follow(EntryList list) {
         Set<String> linkedNames = links.keySet().stream().map(ProcessId::name).collect(Collectors.toSet());
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/TableKeeper.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/TableKeeper.java
@@ -1,7 +1,6 @@
 package io.caperturn.sidecar.internal;
 
 import io.caperturn.core.model.Table;
-import io.caperturn.kernel.EventLine;
 import io.caperturn.wire.FrameStamp;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.TableCodec;
@@ -19,7 +18,6 @@
  * The version never goes down.
  */
 public final class TableKeeper implements FrameStamp {
-    private static final System.Logger LOGGER = System.getLogger(TableKeeper.class.getName());
     private static final long REQUEST_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long UNKNOWN_AGE = -1;
 
@@ -61,17 +59,8 @@
         if (rows.getVersion() < table.version()) {
             return false;
         }
-        boolean raised = rows.getVersion() > table.version();
         table = TableCodec.fromMessage(rows);
         rowsMissing = false;
-        if (raised) {
-            LOGGER.log(
-                    System.Logger.Level.INFO,
-                    () -> EventLine.of("table-in-force")
-                            .with("version", rows.getVersion())
-                            .with("kinds", rows.getKindsCount())
-                            .toString());
-        }
         return true;
     }
 
