--- a/caperturn-entry/src/test/java/io/caperturn/entry/table/TableEndpointTest.java
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/table/TableEndpointTest.java
@@ -171,7 +171,7 @@
     @Test
     void acceptsARepeatWithoutEffectAndTellsTheHistory() throws Exception {
         change("c1", false, 0);
-        put("kinds/assay", "\"1\"", "c2", ASSAY);
+        assertEquals(200, put("kinds/assay", "\"1\"", "c2", ASSAY).getStatus());
 
         ContentResponse repeated = change("c1", false, 0);
 
