--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/measurement/IdleEntryMeasurement.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/measurement/IdleEntryMeasurement.java
@@ -12,14 +12,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 
 /**
  * Cost of an idle entry by the number of linked sidecars, and the time until an edit is in force at all of them.
  *
  * <p>Processor time and bytes come from the operating system's account of the entry's process; bytes include its log
- * and its polling of the store. Run by {@code bin/measure idle-entry}.
+ * and its polling of the store. Not run with the tests; {@code bin/build -o test -pl caperturn-proofs -am
+ * -Dtest=IdleEntryMeasurement -Dsurefire.failIfNoSpecifiedTests=false} prints a line for each number.
  */
-public final class IdleEntryMeasurement {
+class IdleEntryMeasurement {
     private static final int[] PEERS = {1, 10, 50, 100};
     private static final Duration SETTLING = Duration.ofSeconds(5);
     private static final Duration MEASURED = Duration.ofSeconds(20);
@@ -31,16 +33,8 @@
 
     private static final ClusterOptions ONE_OF_EACH = new ClusterOptions(1, 1, 8, List.of("assay"), Map.of(), Map.of());
 
-    private IdleEntryMeasurement() {}
-
-    /**
-     * Runs the measurement and prints one line for each number of peers.
-     *
-     * @param arguments none
-     * @throws IOException if the programs can't be started
-     * @throws InterruptedException if it is interrupted
-     */
-    public static void main(String[] arguments) throws IOException, InterruptedException {
+    @Test
+    void measureByPeers() throws IOException, InterruptedException {
         System.out.println(
                 "peers cpuPercent bytesPerSecond residentMegabytes editInForceMilliseconds(each of " + EDITS + ")");
         for (int peers : PEERS) {
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -152,16 +152,8 @@
                         entry,
                         MessageCodec.fromMessage(frame.getFence().getSubmission()),
                         frame.getFence().getFence()));
-<<<<<<< HEAD
-            case TABLE_ROWS -> {
-                if (table.accept(frame.getTableRows())) {
-                    machine.post(new SidecarEvent.TableChanged(table.table()));
-                }
-            }
-            case FAREWELL -> farewells.add(entry);
-=======
             case TABLE_ROWS -> takeTable(frame.getTableRows());
->>>>>>> sidecar
+            case FAREWELL -> farewells.add(entry);
             case ENTRY_LIST -> follow(frame.getEntryList());
             default ->
                 LOGGER.log(
