--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -8,6 +8,7 @@
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.model.Submission;
 import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
 import io.caperturn.core.schedule.Admission;
 import io.caperturn.core.schedule.Placement;
 import io.caperturn.core.schedule.Scheduler;
@@ -110,10 +111,7 @@
             case EntryEvent.ReportsReceived reports -> onReports(reports, now);
             case EntryEvent.DispatchNotSent notSent -> apply(attempts.notSent(notSent, book.works(), now), now);
             case EntryEvent.AttemptResolved resolved -> apply(attempts.resolved(resolved, book.works(), now), now);
-            case EntryEvent.TableChanged changed -> {
-                tableVersion = changed.table().version();
-                scheduler.tableChanged(changed.table(), now);
-            }
+            case EntryEvent.TableChanged changed -> onTableChanged(changed.table(), now);
             case EntryEvent.LimitShareConfirmed confirmed ->
                 scheduler.limitShareConfirmed(confirmed.share(), confirmed.readAt());
             case EntryEvent.DrainRequested() -> draining = true;
@@ -121,6 +119,14 @@
         }
     }
 
+    /** Puts a newer table in force; two sources may hand over their tables in either order. */
+    private void onTableChanged(Table table, Instant now) {
+        if (table.version() > tableVersion) {
+            tableVersion = table.version();
+            scheduler.tableChanged(table, now);
+        }
+    }
+
     private void onArrived(EntryEvent.SubmissionArrived arrived, Instant now) {
         Submission submission = arrived.submission();
         Work known = book.find(submission.id());
--- a/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryFixture.java
@@ -31,9 +31,12 @@
     static final ProcessId SIDECAR = new ProcessId("sidecar-1", 1);
     static final ProcessId OTHER_SIDECAR = new ProcessId("sidecar-2", 1);
 
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
     private final EntryMachine machine = new EntryMachine(new FifoScheduler(), EntryPolicy.DEFAULT);
     private final List<EntryCommand> commands = new ArrayList<>();
-    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private final StringBuilder transcript = new StringBuilder();
+    private Instant now = START;
     private long waiters;
 
     EntryFixture() {
@@ -41,6 +44,11 @@
         send(new EntryEvent.TableChanged(new Table(1, Map.of(KIND, row), Map.of())));
     }
 
+    /** Returns every event with its time and its commands. */
+    String transcript() {
+        return transcript.toString();
+    }
+
     Instant now() {
         return now;
     }
@@ -48,6 +56,12 @@
     List<EntryCommand> send(EntryEvent event) {
         List<EntryCommand> next = machine.on(event, now);
         commands.addAll(next);
+        transcript
+                .append(Duration.between(START, now))
+                .append("  ")
+                .append(event)
+                .append('\n');
+        next.forEach(command -> transcript.append("    ").append(command).append('\n'));
         return next;
     }
 
--- /dev/null
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntrySessionTest.java
@@ -0,0 +1,124 @@
+package io.caperturn.core.entry;
+
+import io.caperturn.core.model.AttemptId;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.NotStartedReason;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TaskKey;
+import io.caperturn.core.model.Urgency;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.approvaltests.Approvals;
+import org.approvaltests.core.Options;
+import org.approvaltests.reporters.QuietReporter;
+import org.junit.jupiter.api.Test;
+
+/** Whole sessions of an entry in virtual time; the approved files hold every event and command. */
+class EntrySessionTest {
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final ProcessId LOST_OWNER = new ProcessId("entry-2", 7);
+
+    private final EntryFixture entry = new EntryFixture();
+
+    @Test
+    void normalJob() {
+        startJob(3);
+        endAll();
+        verify();
+    }
+
+    @Test
+    void resubmission() {
+        startJob(2);
+        entry.resubmit(entry.job(2));
+        endAll();
+        entry.resubmit(entry.job(2));
+        verify();
+    }
+
+    @Test
+    void lostAnswerAndItsResolve() {
+        startJob(2);
+        List<EntryCommand.Dispatch> first = entry.dispatches();
+        entry.send(new EntryEvent.SidecarLost(EntryFixture.SIDECAR));
+        entry.pass(STEP);
+        entry.open(EntryFixture.SIDECAR, 8);
+        entry.send(new EntryEvent.AttemptResolved(
+                EntryFixture.SIDECAR, first.get(0).attempt(), EntryFixture.completed("1")));
+        entry.send(new EntryEvent.AttemptResolved(
+                EntryFixture.SIDECAR, first.get(1).attempt(), new AttemptState.NotStarted(NotStartedReason.FENCED)));
+        entry.report(EntryFixture.SIDECAR, entry.lastAttempt(), EntryFixture.completed("2"));
+        verify();
+    }
+
+    @Test
+    void adoption() {
+        entry.open(EntryFixture.SIDECAR, 8);
+        entry.resubmit(entry.job(2));
+        entry.send(new EntryEvent.ClaimSettled(
+                EntryFixture.ID, new ClaimResult.HeldByOther(LOST_OWNER, "127.0.0.1:1", 1, "digest", entry.now())));
+        entry.send(new EntryEvent.RelaySettled(EntryFixture.ID, new RelayReply.OwnerUnreachable("gone")));
+        entry.send(new EntryEvent.AdoptionSettled(
+                EntryFixture.ID, new AdoptionResult.Adopted(2, entry.now(), Set.of(EntryFixture.SIDECAR))));
+        AttemptId owners = new AttemptId(new TaskKey(EntryFixture.ID, "t1"), 1, 1);
+        entry.send(new EntryEvent.SubmissionFenced(
+                EntryFixture.SIDECAR,
+                EntryFixture.ID,
+                2,
+                List.of(new AttemptReport(owners, EntryFixture.completed("1")))));
+        entry.pass(STEP);
+        entry.report(EntryFixture.SIDECAR, entry.lastAttempt(), EntryFixture.completed("2"));
+        verify();
+    }
+
+    @Test
+    void drain() {
+        startJob(1);
+        entry.send(new EntryEvent.DrainRequested());
+        entry.resubmit(entry.submission(io.caperturn.core.model.Repeatability.IDEMPOTENT, 1, "other"));
+        endAll();
+        verify();
+    }
+
+    @Test
+    void racingEdit() {
+        entry.send(new EntryEvent.TableChanged(table(3)));
+        entry.send(new EntryEvent.TableChanged(table(2)));
+        startJob(1);
+        endAll();
+        verify();
+    }
+
+    private static Table table(long version) {
+        KindRow row =
+                new KindRow(EntryFixture.KIND, 1, Urgency.URGENT, Limits.NONE, Duration.ofSeconds(version), version);
+        return new Table(version, Map.of(EntryFixture.KIND, row), Map.of());
+    }
+
+    private void startJob(int tasks) {
+        entry.open(EntryFixture.SIDECAR, 8);
+        entry.submit(entry.job(tasks));
+        entry.pass(STEP);
+        entry.grantClaim();
+        entry.pass(STEP);
+    }
+
+    private void endAll() {
+        for (EntryCommand.Dispatch dispatch : entry.dispatches()) {
+            entry.report(
+                    EntryFixture.SIDECAR,
+                    dispatch.attempt(),
+                    EntryFixture.completed(dispatch.attempt().key().task()));
+        }
+    }
+
+    private void verify() {
+        Approvals.verify(entry.transcript(), new Options().withReporter(new QuietReporter()));
+    }
+}
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/HttpService.java
@@ -4,6 +4,7 @@
 import io.caperturn.entry.engine.Waiters;
 import io.caperturn.entry.link.LinkService;
 import io.caperturn.entry.observe.Observer;
+import io.caperturn.entry.registry.RegistryService;
 import io.caperturn.entry.table.TableEndpoint;
 import io.caperturn.entry.table.TableService;
 import io.caperturn.kernel.Kernel;
@@ -36,6 +37,7 @@
     private Server server;
     private ServerConnector connector;
     private TableService table;
+    private RegistryService registry;
     private volatile boolean draining;
 
     /**
@@ -52,6 +54,7 @@
     @Override
     public void start(Kernel kernel) throws ServiceStartException {
         table = kernel.find(TableService.NAME);
+        registry = kernel.find(RegistryService.NAME);
         QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS);
         threads.setName("http");
         threads.setVirtualThreadsExecutor(VirtualThreads.getDefaultVirtualThreadsExecutor());
@@ -143,6 +146,9 @@
         if (draining) {
             return Optional.of("draining");
         }
+        if (registry.isClosed()) {
+            return Optional.of("taken for lost by another entry; replace this one");
+        }
         return table.tableVersion() == 0 ? Optional.of("no table is known yet") : Optional.empty();
     }
 }
