--- a/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/sidecar/SidecarMachine.java
@@ -67,6 +67,9 @@
      */
     public List<SidecarCommand> on(SidecarEvent event, Instant now) {
         commands = new ArrayList<>();
+        if (!(event instanceof SidecarEvent.UpstreamAnnounced)) {
+            updateServing(now);
+        }
         switch (event) {
             case SidecarEvent.UpstreamAnnounced announced -> onAnnounced(announced, now);
             case SidecarEvent.EntryLinked(ProcessId entry) -> onLinked(entry, now);
@@ -80,7 +83,7 @@
             case SidecarEvent.RunEnded(AttemptId attempt, TaskOutcome outcome) -> onRunEnded(attempt, outcome, now);
             case SidecarEvent.TableChanged(Table newer) -> table = newer;
             case SidecarEvent.DrainRequested() -> onDrain(now);
-            case SidecarEvent.Tick() -> onTick(now);
+            case SidecarEvent.Tick() -> ledger.evict(now);
         }
         startWaiting(now);
         flush(event instanceof SidecarEvent.Tick, now);
@@ -115,11 +118,6 @@
         }
     }
 
-    private void onTick(Instant now) {
-        updateServing(now);
-        ledger.evict(now);
-    }
-
     private void onDrain(Instant now) {
         draining = true;
         updateServing(now);
@@ -154,7 +152,6 @@
     }
 
     private void onDispatches(SidecarEvent.DispatchReceived received, Instant now) {
-        updateServing(now);
         windows.demanded(received.entry(), received.demand(), now);
         boolean addressed = received.addressee().equals(self);
         for (ReceivedDispatch dispatch : received.dispatches()) {
--- a/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/sidecar/SlotsAndWindowsTest.java
@@ -129,6 +129,23 @@
         assertEquals(List.of(attempt(1, 1, 1)), scenario.started());
     }
 
+    @Test
+    void endOfRunAfterSilenceStartsNothing() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 2);
+        scenario.advance(SidecarScenario.ANNOUNCEMENT_TIMEOUT.plusMillis(1));
+        scenario.end(attempt(1, 1, 1));
+        assertEquals(List.of(attempt(1, 1, 1)), scenario.started());
+    }
+
+    @Test
+    void announcementAfterSilenceKeepsGateOpen() {
+        SidecarScenario scenario = SidecarScenario.serving(1);
+        scenario.dispatchTasks(FIRST_ENTRY, 2);
+        scenario.advance(SidecarScenario.ANNOUNCEMENT_TIMEOUT.plusMillis(1));
+        assertEquals(List.of(), scenario.announce(1, 64));
+    }
+
     @Test
     void repeatedAnnouncementCostsNoMessage() {
         SidecarScenario scenario = SidecarScenario.serving(1);
