--- a/caperturn-core/src/test/java/io/caperturn/core/entry/EntryMachineTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/entry/EntryMachineTest.java
@@ -260,6 +260,18 @@
         assertEquals(1, entry.commands(EntryCommand.Drained.class).size());
     }
 
+    @Test
+    void nothingIsSentToASidecarAfterItsFarewellWasAnswered() {
+        entry.open(EntryFixture.SIDECAR, 8);
+        entry.send(new EntryEvent.FarewellReceived(EntryFixture.SIDECAR));
+        entry.submit(entry.job(1));
+        entry.grantClaim();
+        assertEquals(
+                EntryFixture.SIDECAR,
+                entry.commands(EntryCommand.SendFarewell.class).getFirst().sidecar());
+        assertTrue(entry.dispatches().isEmpty());
+    }
+
     @Test
     void dispatchThatWasNeverWrittenGoesElsewhere() {
         startJob(1);
