A small window is no reason to refuse a job for its deadline

Cause: the ideal time of a job was worked out over the windows of the moment, which grow as soon as there is demand. Change: over the slots of the back ends that serve its kind. A job of 40 tasks of 100 ms with 600 ms left and a window of 1 of 8 slots is admitted (FairSchedulerLimitsTest).

--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/AdmissionCheck.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/AdmissionCheck.java
@@ -72,7 +72,7 @@
 
     private Optional<Admission.Refused> checkDeadline(Submission submission, KindState kind, long now) {
         KindPool pool = kind.pool();
-        if (kind.speeds().samples() < policy.minimumSamples() || pool.totalSlots() == 0) {
+        if (kind.speeds().samples() < policy.minimumSamples() || pool.servingSlots() == 0) {
             return Optional.empty();
         }
         double sum = 0;
@@ -82,7 +82,7 @@
             sum += seconds;
             longest = Math.max(longest, seconds);
         }
-        int slots = Math.max(1, Math.min(pool.totalSlots(), kind.usage().runningShare(now)));
+        int slots = Math.max(1, Math.min(pool.servingSlots(), kind.usage().runningShare(now)));
         double ideal = pool.fastestSlowness() * Math.max(longest, sum / slots);
         double left = TimeUnits.seconds(TimeUnits.nanoseconds(submission.deadline()) - now);
         if (ideal * policy.deadlineSafety() <= left) {
--- a/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/schedule/KindPool.java
@@ -27,6 +27,7 @@
     private long bandsWithFree;
     private int serving;
     private int totalSlots;
+    private int servingSlots;
 
     KindPool(SpeedModel speeds) {
         this.speeds = speeds;
@@ -43,6 +44,7 @@
         private final SpeedModel.Observed observed = new SpeedModel.Observed();
         private int band = MIDDLE;
         private int counted;
+        private int servingSlots;
         private double load;
         private boolean isFree;
         private boolean isServing;
@@ -88,6 +90,11 @@
         return totalSlots;
     }
 
+    /** Returns the slots of the back ends that serve the kind, whatever windows leave of them now. */
+    int servingSlots() {
+        return servingSlots;
+    }
+
     boolean hasFree() {
         return bandsWithFree != 0 || !probes.isEmpty();
     }
@@ -156,6 +163,8 @@
         slots[seat.band] += seat.counted;
         totalSlots += seat.counted;
         serving += seat.isServing ? 1 : 0;
+        seat.servingSlots = seat.isServing ? backend.upstream().slots() : 0;
+        servingSlots += seat.servingSlots;
         if (seat.isFree && seat.isProbe) {
             probes.add(seat);
         } else if (seat.isFree) {
@@ -169,12 +178,14 @@
         seat.counted = 0;
         seat.isFree = false;
         seat.isServing = false;
+        seat.servingSlots = 0;
     }
 
     private void withdraw(Seat seat) {
         slots[seat.band] -= seat.counted;
         totalSlots -= seat.counted;
         serving -= seat.isServing ? 1 : 0;
+        servingSlots -= seat.servingSlots;
         if (seat.isFree && seat.isProbe) {
             probes.remove(seat);
         } else if (seat.isFree) {
--- a/caperturn-core/src/test/java/io/caperturn/core/schedule/FairSchedulerLimitsTest.java
+++ b/caperturn-core/src/test/java/io/caperturn/core/schedule/FairSchedulerLimitsTest.java
@@ -108,6 +108,17 @@
         assertEquals(FailureReason.DEADLINE, refused.reason());
     }
 
+    @Test
+    void smallWindowIsNoReasonToRefuseForTheDeadline() {
+        SchedulerBench bench = bench(false, Limits.NONE);
+        bench.submit("team", "k", "1", 100);
+        bench.runUntil(Duration.ofSeconds(2));
+        bench.scheduler().windowChanged(SchedulerBench.sidecar("b"), 1);
+        Submission submission =
+                bench.submission("team", "k", "2", 40, Repeatability.AT_MOST_ONCE, Duration.ofMillis(600));
+        assertInstanceOf(Admission.Admitted.class, bench.submit(submission));
+    }
+
     @Test
     void kindWithoutUpstreamIsUnservableAfterTheGrace() {
         SchedulerBench bench = new SchedulerBench().kind("k", Urgency.NORMAL);
