--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
@@ -122,6 +122,7 @@
                         .put("Caperturn-Attempt", numberOf(run.attempt()))
                         .put("Caperturn-Kind", headerOf(run.kind())))
                 .body(new StringRequestContent("application/json", run.payload(), StandardCharsets.UTF_8));
+        touchDestination(request);
         AtomicBoolean begun = new AtomicBoolean();
         long startedAt = System.nanoTime();
         request.onRequestBegin(ignored -> begun.set(true)).send(new BufferingResponseListener(MAXIMUM_RESULT_BYTES) {
@@ -151,11 +152,20 @@
                 encode(attempt.key().submission().team()),
                 encode(attempt.key().submission().key()),
                 encode(attempt.key().task()));
-        client.newRequest("http://" + current.address() + "/v1/tasks/" + path)
+        Request request = client.newRequest("http://" + current.address() + "/v1/tasks/" + path)
                 .method(HttpMethod.DELETE)
                 .tag(current)
-                .timeout(CANCEL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
-                .send(ignored -> {});
+                .timeout(CANCEL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        touchDestination(request);
+        request.send(ignored -> {});
+    }
+
+    /**
+     * Makes a request's destination count as used just now. The client takes a new one for idle since the machine's
+     * start until it is looked up again, and may stop it before its first exchange.
+     */
+    private void touchDestination(Request request) {
+        client.resolveDestination(request);
     }
 
     /** Leaves all connections that are older than a time-out: what made one silent may have made them all so. */
