--- /dev/null
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/measurement/EntryMemoryMeasurement.java
@@ -0,0 +1,147 @@
+package io.caperturn.entry.measurement;
+
+import io.caperturn.core.entry.ClaimResult;
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.entry.EntryMachine;
+import io.caperturn.core.entry.EntryOccurrence;
+import io.caperturn.core.entry.EntryPolicy;
+import io.caperturn.core.model.AttemptReport;
+import io.caperturn.core.model.AttemptState;
+import io.caperturn.core.model.Execution;
+import io.caperturn.core.model.KindRow;
+import io.caperturn.core.model.Limits;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.Table;
+import io.caperturn.core.model.TaskOutcome;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.core.model.UpstreamDescription;
+import io.caperturn.core.model.Urgency;
+import io.caperturn.core.schedule.FairScheduler;
+import io.caperturn.core.schedule.SchedulerPolicy;
+import io.caperturn.entry.observe.EntryMeters;
+import io.caperturn.kernel.EventLine;
+import java.lang.ref.Reference;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Heap that an entry takes for each team's histogram, each waiting task and each answer kept.
+ *
+ * <p>Not run with the tests; {@code bin/build -o test -pl caperturn-entry -am -Dtest=EntryMemoryMeasurement
+ * -Dsurefire.failIfNoSpecifiedTests=false} prints a line for each case.
+ */
+class EntryMemoryMeasurement {
+    private static final int COLLECTIONS = 3;
+    private static final int WINDOW = 64;
+    private static final ProcessId SIDECAR = new ProcessId("sidecar-1", 1);
+
+    private Instant now = Instant.EPOCH;
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 710})
+    void teamHistograms(int teams) {
+        EntryMeters meters = new EntryMeters();
+        record(meters, "first");
+        long before = usedHeap();
+        IntStream.range(0, teams).forEach(team -> record(meters, "team-" + team));
+        print("team-histogram", (usedHeap() - before) / teams);
+        Reference.reachabilityFence(meters);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"100, 1800", "5000, 20"})
+    void waitingTasks(int jobs, int tasks) {
+        EntryMachine machine = machine(0);
+        long before = usedHeap();
+        IntStream.range(0, jobs).forEach(job -> claim(machine, job, tasks));
+        print("waiting-task in jobs of " + tasks, (usedHeap() - before) / ((long) jobs * tasks));
+        Reference.reachabilityFence(machine);
+    }
+
+    @Test
+    void keptAnswers() {
+        int jobs = 20_000;
+        EntryMachine machine = machine(WINDOW);
+        long before = usedHeap();
+        for (int job = 0; job < jobs; job++) {
+            List<EntryCommand> commands = claim(machine, job, 1);
+            commands.stream()
+                    .filter(EntryCommand.SendDispatches.class::isInstance)
+                    .map(EntryCommand.SendDispatches.class::cast)
+                    .flatMap(send -> send.dispatches().stream())
+                    .forEach(dispatch -> complete(machine, dispatch));
+        }
+        print("kept-answer of a job of 1 task", (usedHeap() - before) / jobs);
+        Reference.reachabilityFence(machine);
+    }
+
+    private static void record(EntryMeters meters, String team) {
+        meters.record(new EntryOccurrence.Answered(
+                new SubmissionId(team, "key"),
+                "assay",
+                Urgency.NORMAL,
+                Optional.empty(),
+                Execution.RAN,
+                Duration.ofMillis(60)));
+    }
+
+    private EntryMachine machine(int window) {
+        EntryMachine machine = new EntryMachine(new FairScheduler(SchedulerPolicy.DEFAULT), EntryPolicy.DEFAULT);
+        KindRow row = new KindRow("assay", 1, Urgency.NORMAL, Limits.NONE, Duration.ofSeconds(10), 1);
+        machine.on(new EntryEvent.TableChanged(new Table(1, Map.of("assay", row), Map.of())), now);
+        UpstreamDescription upstream =
+                new UpstreamDescription("upstream", Set.of("assay"), WINDOW, WINDOW, "worker", "rack", "zone");
+        machine.on(new EntryEvent.SidecarChanged(SIDECAR, upstream, true, window), now);
+        return machine;
+    }
+
+    private List<EntryCommand> claim(EntryMachine machine, int job, int tasks) {
+        now = now.plusMillis(1);
+        SubmissionId id = new SubmissionId(
+                new String("team-17".toCharArray()), String.format("11111111-2222-3333-4444-%012d", job));
+        List<TaskSpec> specs = IntStream.range(0, tasks)
+                .mapToObj(task -> new TaskSpec("task-" + task, Optional.empty(), new String("{}".toCharArray())))
+                .toList();
+        Submission submission = new Submission(
+                id, "assay", Optional.empty(), Repeatability.AT_MOST_ONCE, now.plusSeconds(600), "digest", specs);
+        long request = machine.on(new EntryEvent.SubmissionArrived(submission, job), now).stream()
+                .filter(EntryCommand.RequestClaim.class::isInstance)
+                .map(EntryCommand.RequestClaim.class::cast)
+                .findFirst()
+                .orElseThrow()
+                .request();
+        return machine.on(new EntryEvent.ClaimSettled(id, new ClaimResult.Granted(1, request)), now);
+    }
+
+    private void complete(EntryMachine machine, EntryCommand.Dispatch dispatch) {
+        AttemptState done = new AttemptState.Done(new TaskOutcome.Completed("{}", Duration.ofMillis(50)));
+        machine.on(
+                new EntryEvent.ReportsReceived(SIDECAR, List.of(new AttemptReport(dispatch.attempt(), done)), WINDOW),
+                now);
+    }
+
+    private static void print(String what, long bytes) {
+        System.out.println(EventLine.of("entry-memory").with("of", what).with("bytes", bytes));
+    }
+
+    private static long usedHeap() {
+        for (int collection = 0; collection < COLLECTIONS; collection++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
