A sidecar with two links to one entry drops both and dials the seed afresh

Cause: where a seed and a listed address lead to one entry, both links could open at once; the entry keeps the one it heard of last, the sidecar the other. When that closed, the sidecar held the living link for closed, never told the entry of its upstream, and the entry refused with no-upstream or waited. Seen in one of two runs of GracefulShutdownTest after the restart of an entry. Ruled out: a lost announcement (the log shows no link in use for 30 s). Change: neither link is used on; the listed address is given up and the seed is dialled again.

--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/LinkService.java
@@ -113,8 +113,11 @@
             link.close();
             return;
         }
-        if (links.put(link.peer().process(), link) != null) {
-            forgetLearnt(link.peer().process().name());
+        Link earlier = links.put(link.peer().process(), link);
+        if (earlier != null && forgetLearnt(link.peer().process().name())) {
+            earlier.close();
+            link.close();
+            return;
         }
         log("link-opened", link, "hello");
         machine.post(new SidecarEvent.EntryLinked(link.peer().process()));
@@ -205,15 +208,22 @@
         });
     }
 
-    /** Gives up the listed address of an entry that a seed leads to as well; two links would replace one another. */
-    private void forgetLearnt(String entry) {
-        learnt.entrySet().removeIf(known -> {
-            boolean same = known.getValue().equals(entry);
-            if (same) {
+    /**
+     * Gives up the listed address of an entry that a seed leads to as well; two links would replace one another.
+     *
+     * <p>The entry keeps the link that it heard of last, which need not be the last one here, so neither is used on;
+     * the seed is dialled afresh.
+     */
+    private boolean forgetLearnt(String entry) {
+        boolean found = false;
+        for (Map.Entry<String, String> known : Map.copyOf(learnt).entrySet()) {
+            if (known.getValue().equals(entry)) {
+                found = true;
+                learnt.remove(known.getKey());
                 endpoint.disconnect(known.getKey());
             }
-            return same;
-        });
+        }
+        return found;
     }
 
     private static SidecarEvent dispatches(ProcessId entry, DispatchBatch batch) {
