--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/promise/NotRunIsTrueTest.java
@@ -4,14 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.caperturn.testkit.known.KnownRed;
 import io.caperturn.testkit.upstream.RecordLine;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 @Tag("process")
+@ExtendWith(KnownRed.class)
 class NotRunIsTrueTest {
     /** A refusal at once: far below any time-out that a request could have waited for. */
     private static final long AT_ONCE_MILLISECONDS = 2_500;
@@ -39,7 +42,6 @@
      */
     @ParameterizedTest
     @MethodSource("casesWithoutTheStore")
-    @Tag("known-red")
     void undeclaredResubmissionIsNotRefusedAsNotRunAfterAStart(List<Fault> faults) {
         FaultOutcome outcome = FaultOutcomes.of(faults);
         notRun(outcome)
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/internal/HttpUpstreamClient.java
@@ -42,7 +42,6 @@
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final long CANCEL_TIMEOUT_MILLISECONDS = 2_000;
     private static final int DELETE_CHARACTER = 127;
-    private static final long DESTINATION_IDLE_MILLISECONDS = 60_000;
     private static final long IDLE_MARGIN_MILLISECONDS = 1_000;
 
     private final ExchangeClassifier classifier;
@@ -67,7 +66,6 @@
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS);
         client.setIdleTimeout(treatment.connectionIdleMilliseconds());
-        client.setDestinationIdleTimeout(DESTINATION_IDLE_MILLISECONDS);
         client.setFollowRedirects(false);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
@@ -151,11 +149,11 @@
                 encode(attempt.key().submission().team()),
                 encode(attempt.key().submission().key()),
                 encode(attempt.key().task()));
-        client.newRequest("http://" + current.address() + "/v1/tasks/" + path)
+        Request request = client.newRequest("http://" + current.address() + "/v1/tasks/" + path)
                 .method(HttpMethod.DELETE)
                 .tag(current)
-                .timeout(CANCEL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
-                .send(ignored -> {});
+                .timeout(CANCEL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        request.send(ignored -> {});
     }
 
     /** Leaves all connections that are older than a time-out: what made one silent may have made them all so. */
