Closing an endpoint ends each link with a heartbeat, not with an empty frame

Cause: the last write before the output ended was an empty buffer, which the length prepender made an empty frame; the peer took it for garbage and logged 'link-garbage' at every planned stop.

Ruled out: a flush without a write (it may be held back, and ending the output then fails what is queued).

Change: the last frame is a heartbeat, and the output ends when it is written.

--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkHandler.java
@@ -13,6 +13,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.timeout.IdleState;
@@ -64,14 +65,26 @@
             closeBecause("send buffer full");
             return false;
         }
+        current.writeAndFlush(encode(frame), current.voidPromise());
+        return true;
+    }
+
+    /** Sends a last heartbeat behind all that is queued, and ends the output once it is written. */
+    void finish() {
+        Channel current = channel;
+        if (current instanceof DuplexChannel duplex && current.isActive()) {
+            current.writeAndFlush(encode(Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance())))
+                    .addListener(ignored -> duplex.shutdownOutput());
+        }
+    }
+
+    private ByteBuf encode(Frame.Builder frame) {
         long age = pipeline.stamp().confirmationAgeMilliseconds();
-        byte[] bytes = frame.setProtocolVersion(PROTOCOL_VERSION)
+        return Unpooled.wrappedBuffer(frame.setProtocolVersion(PROTOCOL_VERSION)
                 .setTableVersion(pipeline.stamp().tableVersion())
                 .setConfirmationAgeMillisecondsPlusOne(age + 1)
                 .build()
-                .toByteArray();
-        current.writeAndFlush(Unpooled.wrappedBuffer(bytes), current.voidPromise());
-        return true;
+                .toByteArray());
     }
 
     @Override
--- a/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/internal/LinkPipeline.java
@@ -3,14 +3,12 @@
 import io.caperturn.wire.FrameStamp;
 import io.caperturn.wire.LinkListener;
 import io.caperturn.wire.LinkSettings;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
@@ -89,8 +87,10 @@
      */
     public void finish(long timeoutMilliseconds) {
         for (Channel channel : channels) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ignored -> ((DuplexChannel) channel).shutdownOutput());
+            LinkHandler handler = channel.pipeline().get(LinkHandler.class);
+            if (handler != null) {
+                handler.finish();
+            }
         }
         channels.newCloseFuture().awaitUninterruptibly(timeoutMilliseconds);
     }
--- a/caperturn-wire/src/test/java/io/caperturn/wire/LinkEndpointTest.java
+++ b/caperturn-wire/src/test/java/io/caperturn/wire/LinkEndpointTest.java
@@ -38,6 +38,7 @@
 class LinkEndpointTest {
     private static final int MAXIMUM_FRAME_BYTES = 1_024;
     private static final int WAIT_SECONDS = 10;
+    private static final int QUEUED_FRAMES = 1_000;
     private static final String LOOPBACK = "127.0.0.1";
 
     private final Recorder recorder = new Recorder();
@@ -196,6 +197,26 @@
         assertEquals(0, client.openLinks());
     }
 
+    @Test
+    void closingDeliversWhatWasQueuedAndNothingElse() throws Exception {
+        Recorder opener = new Recorder();
+        LinkEndpoint client = endpoint("client", opener, Duration.ofMinutes(1));
+        client.connect(LOOPBACK + ":" + address.getPort());
+        opener.next();
+        assertEquals("opened client@1", recorder.next());
+        for (int frame = 0; frame < QUEUED_FRAMES; frame++) {
+            assertTrue(opener.links.getFirst().send(Frame.newBuilder().setDemand(Demand.getDefaultInstance())));
+        }
+
+        client.close();
+
+        for (int frame = 0; frame < QUEUED_FRAMES; frame++) {
+            assertEquals("frame DEMAND", recorder.next());
+        }
+        assertEquals("closed client@1 closed by peer", recorder.next());
+        assertEquals(List.of(), log.lines);
+    }
+
     private LinkEndpoint endpoint(String name, LinkListener listener, Duration silence) {
         Peer self = new Peer(new ProcessId(name, 1), Role.ROLE_ENTRY, "zone", "");
         LinkSettings settings =
