Bad input at an entry: a clear problem, and nothing admitted

Cause: the thin path's bad inputs had no test over HTTP. Change: eighteen kinds of malformed request, a header bomb and a missing key against an entry daemon; none is admitted. Ruled out: testing the reader alone (a header bomb never reaches it).

--- a/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
@@ -89,12 +89,21 @@
                 () -> EventLine.of("listening")
                         .with("role", "entry")
                         .with("process", self)
-                        .with("http", kernel.find(HttpService.NAME).address())
+                        .with("http", daemon.httpAddress())
                         .with("link", kernel.find(LinkService.NAME).address())
                         .toString());
         return daemon;
     }
 
+    /**
+     * Returns where callers and operators reach this entry.
+     *
+     * @return the address as {@code host:port}
+     */
+    public String httpAddress() {
+        return kernel.find(HttpService.NAME).address();
+    }
+
     /** Refuses new work, and waits until all accepted work has its answer or the drain timeout passes. */
     public void drain() {
         kernel.find(HttpService.NAME).beginDrain();
--- /dev/null
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/BadInputTest.java
@@ -0,0 +1,171 @@
+package io.caperturn.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.caperturn.kernel.ServiceStartException;
+import io.caperturn.settings.EntrySettings;
+import io.caperturn.settings.EntrySettings.RequestBounds;
+import io.caperturn.testkit.Endpoint;
+import io.caperturn.testkit.platform.StandInPlatform;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests of an entry against requests that it can't serve: a clear problem, and nothing admitted. */
+class BadInputTest {
+    private static final int MAXIMUM_TASKS = 10;
+    private static final int MAXIMUM_BODY_BYTES = 10_000;
+    private static final int MAXIMUM_HEADER_BYTES = 2_000;
+    private static final int MAXIMUM_DEADLINE_MILLISECONDS = 60_000;
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
+    private static final String TASK = "{\"id\":\"t1\",\"payload\":{}}";
+    private static final String TABLE = "{\"reads\":[],\"writes\":["
+            + "{\"table\":\"kinds\",\"key\":\"assay\",\"expectedVersion\":0,\"value\":\"{\\\"kind\\\":\\\"assay\\\","
+            + "\\\"weight\\\":1,\\\"urgency\\\":\\\"NORMAL\\\",\\\"limits\\\":{},"
+            + "\\\"taskTimeoutMilliseconds\\\":1000,\\\"changeId\\\":\\\"c\\\"}\"},"
+            + "{\"table\":\"versions\",\"key\":\"table\",\"expectedVersion\":0,"
+            + "\"value\":\"{\\\"version\\\":1,\\\"changeId\\\":\\\"c\\\"}\"}]}";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static StandInPlatform platform;
+    private static EntryDaemon entry;
+
+    @BeforeAll
+    static void start() throws IOException, InterruptedException, ServiceStartException {
+        platform = new StandInPlatform(Endpoint.ANY);
+        send("POST", "http://" + platform.address() + "/v1/transact", TABLE);
+        entry = EntryDaemon.start(new EntrySettings(
+                "entry",
+                "zone",
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                platform.address().toString(),
+                new RequestBounds(
+                        MAXIMUM_BODY_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_TASKS, MAXIMUM_DEADLINE_MILLISECONDS),
+                null,
+                null,
+                null,
+                0,
+                0));
+        long end = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (send("GET", url("/readyz"), "").statusCode() != 200) {
+            assertTrue(System.nanoTime() < end, "not ready");
+            Thread.sleep(10);
+        }
+    }
+
+    @AfterAll
+    static void stop() throws IOException {
+        entry.stop();
+        platform.close();
+    }
+
+    static Stream<Arguments> malformed() {
+        return Stream.of(
+                arguments("malformed JSON", "POST", "/v1/jobs", "{\"team\":", 400),
+                arguments("no object", "POST", "/v1/jobs", "[]", 400),
+                arguments("empty body", "POST", "/v1/jobs", "", 400),
+                arguments("unknown kind", "POST", "/v1/jobs", job("lab", "gold", "1000", TASK), 422),
+                arguments("empty job", "POST", "/v1/jobs", job("lab", "assay", "1000", ""), 400),
+                arguments("too many tasks", "POST", "/v1/jobs", job("lab", "assay", "1000", tasks()), 400),
+                arguments("oversized body", "POST", "/v1/jobs", "x".repeat(MAXIMUM_BODY_BYTES + 1), 413),
+                arguments("negative deadline", "POST", "/v1/jobs", job("lab", "assay", "-1", TASK), 400),
+                arguments("zero deadline", "POST", "/v1/jobs", job("lab", "assay", "0", TASK), 400),
+                arguments("absurd deadline", "POST", "/v1/jobs", job("lab", "assay", "1e300", TASK), 400),
+                arguments("too long deadline", "POST", "/v1/jobs", job("lab", "assay", "60001", TASK), 400),
+                arguments("duplicate task", "POST", "/v1/jobs", job("lab", "assay", "1000", TASK + "," + TASK), 400),
+                arguments("blank team", "POST", "/v1/jobs", job(" ", "assay", "1000", TASK), 400),
+                arguments("unknown member", "POST", "/v1/jobs", "{\"colour\":1}", 400),
+                arguments("member twice", "POST", "/v1/jobs", "{\"team\":\"a\",\"team\":\"b\"}", 400),
+                arguments("wrong method", "PUT", "/v1/jobs", job("lab", "assay", "1000", TASK), 405),
+                arguments("wrong path", "POST", "/v1/nothing", "{}", 404),
+                arguments("request without kind", "POST", "/v1/requests", "{\"team\":\"lab\"}", 400));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("malformed")
+    void answersWithAProblemThatSaysNotRun(String name, String method, String path, String body, int status)
+            throws IOException, InterruptedException {
+        HttpResponse<String> response = send(method, url(path), body);
+        JsonNode problem = MAPPER.readTree(response.body());
+        assertEquals(status, response.statusCode());
+        assertEquals(
+                "application/problem+json",
+                response.headers().firstValue("Content-Type").orElse(""));
+        assertEquals("not-run", problem.path("execution").asText());
+        assertFalse(problem.path("detail").asText().isBlank());
+    }
+
+    @Test
+    void refusesAHeaderBomb() throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url("/v1/jobs")))
+                .header("Idempotency-Key", "x".repeat(MAXIMUM_HEADER_BYTES + 1))
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build();
+        HttpResponse<String> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+        assertEquals(431, response.statusCode());
+        assertEquals(
+                "not-run", MAPPER.readTree(response.body()).path("execution").asText());
+    }
+
+    @Test
+    void needsAKeyForWorkThatMustNotRepeat() throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url("/v1/jobs")))
+                .POST(HttpRequest.BodyPublishers.ofString(job("lab", "assay", "1000", TASK)))
+                .build();
+        assertEquals(
+                400, CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).statusCode());
+    }
+
+    @Test
+    void admitsNothingOfIt() throws IOException, InterruptedException {
+        for (Arguments arguments : malformed().toList()) {
+            send((String) arguments.get()[1], url((String) arguments.get()[2]), (String)
+                    arguments.get()[3]);
+        }
+        assertFalse(send("GET", url("/metrics"), "").body().contains("caperturn_admitted_total"));
+    }
+
+    private static String job(String team, String kind, String deadline, String tasks) {
+        return "{\"team\":\"" + team + "\",\"kind\":\"" + kind + "\",\"deadlineMilliseconds\":" + deadline
+                + ",\"tasks\":[" + tasks + "]}";
+    }
+
+    private static String tasks() {
+        return String.join(
+                ",",
+                Stream.iterate(0, number -> number + 1)
+                        .limit(MAXIMUM_TASKS + 1)
+                        .map(number -> TASK.replace("t1", "t" + number))
+                        .toList());
+    }
+
+    private static String url(String path) {
+        return "http://" + entry.httpAddress() + path;
+    }
+
+    private static HttpResponse<String> send(String method, String url, String body)
+            throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url))
+                .header("Idempotency-Key", "key")
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+}
