One source of incarnations; the waiting time's histogram is one timer

Cause: both daemons drew their incarnations with code of their own, and a map by urgency held a single timer under a key that it did not have.

Change: Incarnations in the kernel; a plain field.

Ruled out: one class for all start-up of both daemons (they share little else).

--- a/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
@@ -17,6 +17,7 @@
 import io.caperturn.entry.registry.RegistryService;
 import io.caperturn.entry.table.TableService;
 import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.Incarnations;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.ServiceStartException;
 import io.caperturn.platform.PlatformStore;
@@ -29,7 +30,6 @@
 import io.caperturn.wire.message.Role;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.concurrent.ThreadLocalRandom;
 
 /** The entry as a process: services in a kernel, started in order and stopped in reverse. */
 public final class EntryDaemon {
@@ -37,7 +37,6 @@
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_000);
     private static final int CLAIM_RING_CAPACITY = 1 << 14;
     private static final int MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
-    private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final EntrySettings settings;
     private final ProcessId self;
@@ -60,7 +59,7 @@
      */
     public static EntryDaemon start(EntrySettings settings) throws ServiceStartException {
         Clock clock = Clock.systemUTC();
-        ProcessId self = new ProcessId(settings.name(), drawIncarnation(clock));
+        ProcessId self = new ProcessId(settings.name(), Incarnations.draw(clock));
         PlatformStore store = new HttpPlatformStore(settings.platformAddress(), STORE_TIMEOUT);
         Kernel kernel = new Kernel();
         SchedulerPolicy order =
@@ -128,11 +127,6 @@
         store.close();
     }
 
-    private static long drawIncarnation(Clock clock) {
-        return (clock.millis() << INCARNATION_RANDOM_BITS)
-                | ThreadLocalRandom.current().nextInt(1 << INCARNATION_RANDOM_BITS);
-    }
-
     private static EntryPolicy policy(EntrySettings settings) {
         return new EntryPolicy(
                 Duration.ofMillis(settings.answers().milliseconds()),
--- a/caperturn-entry/src/main/java/io/caperturn/entry/observe/EntryMeters.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/observe/EntryMeters.java
@@ -37,7 +37,7 @@
     };
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Map<Urgency, Timer> waiting = new HashMap<>();
+    private final Timer waiting = timer("caperturn_waiting", "urgency", "all");
     private final Map<Urgency, Timer> response = new HashMap<>();
     private final Map<String, Timer> teamResponse = new HashMap<>();
     private final Set<String> teams = new HashSet<>();
@@ -108,8 +108,7 @@
 
     private void recordDispatch(EntryOccurrence.Dispatched dispatched) {
         registry.counter("caperturn_messages", "type", "dispatch").increment();
-        waiting.computeIfAbsent(Urgency.NORMAL, urgency -> timer("caperturn_waiting", "urgency", "all"))
-                .record(dispatched.waited());
+        waiting.record(dispatched.waited());
     }
 
     private void recordAnswer(EntryOccurrence.Answered answered) {
--- /dev/null
+++ b/caperturn-kernel/src/main/java/io/caperturn/kernel/Incarnations.java
@@ -0,0 +1,21 @@
+package io.caperturn.kernel;
+
+import java.time.Clock;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Source of incarnation numbers, by which the processes that one name has had are told apart. */
+public final class Incarnations {
+    private static final int RANDOM_BITS = 20;
+
+    private Incarnations() {}
+
+    /**
+     * Draws the number of a process that starts now.
+     *
+     * @param clock source of time
+     * @return the milliseconds since the epoch, followed by {@value #RANDOM_BITS} random bits
+     */
+    public static long draw(Clock clock) {
+        return (clock.millis() << RANDOM_BITS) | ThreadLocalRandom.current().nextInt(1 << RANDOM_BITS);
+    }
+}
--- a/caperturn-sidecar/src/main/java/io/caperturn/sidecar/SidecarDaemon.java
+++ b/caperturn-sidecar/src/main/java/io/caperturn/sidecar/SidecarDaemon.java
@@ -3,6 +3,7 @@
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.sidecar.SidecarPolicy;
 import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.Incarnations;
 import io.caperturn.kernel.Kernel;
 import io.caperturn.kernel.ServiceStartException;
 import io.caperturn.settings.SidecarSettings;
@@ -13,8 +14,8 @@
 import io.caperturn.sidecar.internal.SidecarMeters;
 import io.caperturn.sidecar.internal.SidecarServices;
 import io.caperturn.sidecar.internal.TableKeeper;
+import java.time.Clock;
 import java.time.Duration;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * A running sidecar: the one process beside an upstream that starts work there.
@@ -24,7 +25,6 @@
 public final class SidecarDaemon {
     private static final System.Logger LOGGER = System.getLogger(SidecarDaemon.class.getName());
     private static final Duration FAREWELL_TIMEOUT = Duration.ofSeconds(1);
-    private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final Kernel kernel;
     private final ProcessId self;
@@ -44,7 +44,7 @@
      * @throws ServiceStartException if a part can't start; nothing is left running then
      */
     public static SidecarDaemon start(SidecarSettings settings) throws ServiceStartException {
-        ProcessId self = new ProcessId(settings.name(), drawIncarnation());
+        ProcessId self = new ProcessId(settings.name(), Incarnations.draw(Clock.systemUTC()));
         TableKeeper table = new TableKeeper();
         Kernel kernel = new Kernel();
         kernel.register(SidecarServices.METERS, new SidecarMeters());
@@ -108,9 +108,4 @@
                 settings.ledger().maximumLines(),
                 settings.ledger().maximumResultBytes());
     }
-
-    private static long drawIncarnation() {
-        long random = ThreadLocalRandom.current().nextLong(1L << INCARNATION_RANDOM_BITS);
-        return (System.currentTimeMillis() << INCARNATION_RANDOM_BITS) | random;
-    }
 }
