--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -62,11 +62,8 @@
     public List<EntryCommand> on(EntryEvent event, Instant now) {
         handle(event, now);
         place(now);
-        switch (event) {
-            case EntryEvent.SubmissionArrived ignored -> demand.tellNew(attempts.sidecars(), commands, now);
-            case EntryEvent.ClaimSettled ignored -> demand.tellNew(attempts.sidecars(), commands, now);
-            case EntryEvent.Tick() -> demand.tellAgain(attempts.sidecars(), commands, now);
-            default -> {}
+        if (book.open() > 0) {
+            tellDemand(event, now);
         }
         sayDrained();
         List<EntryCommand> decided = List.copyOf(commands);
@@ -285,6 +282,15 @@
         });
     }
 
+    private void tellDemand(EntryEvent event, Instant now) {
+        switch (event) {
+            case EntryEvent.SubmissionArrived ignored -> demand.tellNew(attempts.sidecars(), commands, now);
+            case EntryEvent.ClaimSettled ignored -> demand.tellNew(attempts.sidecars(), commands, now);
+            case EntryEvent.Tick() -> demand.tellAgain(attempts.sidecars(), commands, now);
+            default -> {}
+        }
+    }
+
     private void sayDrained() {
         if (draining && book.open() == 0 && !drainedSaid) {
             drainedSaid = true;
