A relay outlives the link that it was sent on

Cause: a relay whose link closed was reported at once as 'owner unreachable', and the entry adopted the work of an owner that was alive. Links between entries close for other reasons: one opened by the other side is given up there after 10 s of disuse, a half-open connection is closed for its silence. Seen in the process tests under load as 'owner-lost' after about 4 s with the owner alive.

Ruled out: a longer time-out (the link is known to be closed); one link for both directions (both sides may open at once).

Change: all open links to an owner are known; a relay whose link is lost is sent again on another or on a new one, and the owner is given up after one second without any. The service hands events to consumers, so that it can be tested alone.

--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -77,7 +77,7 @@
         table = kernel.find(TableService.NAME);
         registry = kernel.find(RegistryService.NAME);
         endpoint = new LinkEndpoint(settings, table, this);
-        relays = new RelayService(endpoint, engine, kernel.find(Waiters.NAME), clock);
+        relays = new RelayService(endpoint, engine::put, engine::feedBack, kernel.find(Waiters.NAME), clock);
         int colon = bindAddress.lastIndexOf(':');
         String host = bindAddress.substring(0, colon);
         try {
@@ -272,7 +272,7 @@
                 engine.put(new EntryEvent.SidecarLost(link.peer().process()));
             }
         } else {
-            relays.onClosed(link, reason);
+            relays.onClosed(link);
         }
     }
 
--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/RelayService.java
@@ -5,7 +5,6 @@
 import io.caperturn.core.entry.RelayReply;
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.model.Submission;
-import io.caperturn.entry.engine.Engine;
 import io.caperturn.entry.engine.Waiters;
 import io.caperturn.kernel.Duty;
 import io.caperturn.wire.Link;
@@ -16,14 +15,19 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Relays of submissions to the entries that own their claims, and answers to relays from others.
  *
- * <p>A duty of its own holds all state. An owner that can't be reached under the incarnation that holds the claim is
- * reported at once, or after {@link #OPEN_TIMEOUT} where nothing answers at its address.
+ * <p>A duty of its own holds all state. An owner of another incarnation than the one that holds the claim is reported
+ * at once; one at whose address nothing answers, after {@link #OPEN_TIMEOUT}. A link that is lost under a relay is
+ * replaced and the relay sent again, so that a connection gone silent does not make its owner look lost.
  */
 final class RelayService {
     private static final Duration OPEN_TIMEOUT = Duration.ofMillis(1_000);
@@ -32,18 +36,34 @@
     private static final int RING_CAPACITY = 1 << 14;
 
     private final LinkEndpoint endpoint;
-    private final Engine engine;
+    private final Consumer<EntryEvent> events;
+    private final Consumer<EntryEvent> feedback;
     private final Waiters waiters;
     private final Clock clock;
     private final Duty<Step> duty;
     private final Map<Long, Pending> pending = new HashMap<>();
-    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Set<Link>> links = new HashMap<>();
     private final Map<String, Instant> lastUse = new HashMap<>();
     private long lastNumber;
 
-    RelayService(LinkEndpoint endpoint, Engine engine, Waiters waiters, Clock clock) {
+    /**
+     * Creates the service.
+     *
+     * @param endpoint the end of this entry's links
+     * @param events takes events from any thread
+     * @param feedback takes events on the engine's own thread
+     * @param waiters who waits for answers
+     * @param clock source of time
+     */
+    RelayService(
+            LinkEndpoint endpoint,
+            Consumer<EntryEvent> events,
+            Consumer<EntryEvent> feedback,
+            Waiters waiters,
+            Clock clock) {
         this.endpoint = endpoint;
-        this.engine = engine;
+        this.events = events;
+        this.feedback = feedback;
         this.waiters = waiters;
         this.clock = clock;
         this.duty = new Duty<>("relays", RING_CAPACITY, INTERVAL, new Work());
@@ -59,7 +79,7 @@
 
     void relay(EntryCommand.RelayToOwner command) {
         if (!duty.offer(new Step.Begin(command))) {
-            engine.feedBack(new EntryEvent.RelaySettled(
+            feedback.accept(new EntryEvent.RelaySettled(
                     command.submission().id(), new RelayReply.OwnerUnreachable("too many relays wait")));
         }
     }
@@ -73,8 +93,8 @@
         duty.offer(new Step.Opened(link));
     }
 
-    void onClosed(Link link, String reason) {
-        duty.offer(new Step.Closed(link, reason));
+    void onClosed(Link link) {
+        duty.offer(new Step.Closed(link));
     }
 
     void onRelayAnswer(RelayAnswer answer) {
@@ -86,7 +106,7 @@
         Submission submission = FrameFactory.submission(relay, clock.instant());
         long number = relay.getRelayNumber();
         long waiter = waiters.register((ignored, answer) -> link.send(FrameFactory.answer(number, answer)));
-        engine.put(new EntryEvent.SubmissionArrived(submission, waiter, true));
+        events.accept(new EntryEvent.SubmissionArrived(submission, waiter, true));
     }
 
     /** What the duty's ring carries. */
@@ -101,14 +121,18 @@
         record Opened(Link link) implements Step {}
 
         /** A link to another entry closed. */
-        record Closed(Link link, String reason) implements Step {}
+        record Closed(Link link) implements Step {}
 
         /** An owner answered. */
         record Answered(RelayAnswer answer) implements Step {}
     }
 
     /** A relay without an answer yet. */
-    private record Pending(EntryCommand.RelayToOwner command, Instant since, boolean sent) {}
+    private record Pending(EntryCommand.RelayToOwner command, Instant since, Optional<Link> via) {
+        private boolean isSent() {
+            return via.isPresent();
+        }
+    }
 
     private final class Work implements Duty.Work<Step> {
         @Override
@@ -118,7 +142,7 @@
                     case Step.Begin(EntryCommand.RelayToOwner command) -> begin(command);
                     case Step.Visit(String address) -> open(address);
                     case Step.Opened(Link link) -> opened(link);
-                    case Step.Closed(Link link, String reason) -> closed(link, reason);
+                    case Step.Closed(Link link) -> closed(link);
                     case Step.Answered(RelayAnswer answer) -> answered(answer);
                 }
             }
@@ -129,7 +153,7 @@
             Instant now = clock.instant();
             for (Map.Entry<Long, Pending> entry : List.copyOf(pending.entrySet())) {
                 Pending relay = entry.getValue();
-                if (!relay.sent() && !now.isBefore(relay.since().plus(OPEN_TIMEOUT))) {
+                if (!relay.isSent() && !now.isBefore(relay.since().plus(OPEN_TIMEOUT))) {
                     settle(entry.getKey(), new RelayReply.OwnerUnreachable("its owner does not answer"));
                 }
             }
@@ -145,18 +169,22 @@
 
     private void begin(EntryCommand.RelayToOwner command) {
         long number = ++lastNumber;
-        pending.put(number, new Pending(command, clock.instant(), false));
+        pending.put(number, new Pending(command, clock.instant(), Optional.empty()));
         lastUse.put(command.ownerAddress(), clock.instant());
-        Link link = links.get(command.ownerAddress());
-        if (link == null) {
-            endpoint.connect(command.ownerAddress());
+        sendOrConnect(number, command.ownerAddress());
+    }
+
+    private void sendOrConnect(long number, String address) {
+        Optional<Link> link = links.getOrDefault(address, Set.of()).stream().findFirst();
+        if (link.isPresent()) {
+            send(number, link.get());
         } else {
-            send(number, link);
+            endpoint.connect(address);
         }
     }
 
     private void open(String address) {
-        if (!links.containsKey(address)) {
+        if (links.getOrDefault(address, Set.of()).isEmpty()) {
             lastUse.put(address, clock.instant());
             endpoint.connect(address);
         }
@@ -167,10 +195,10 @@
         if (!lastUse.containsKey(address)) {
             return;
         }
-        links.put(address, link);
+        links.computeIfAbsent(address, ignored -> new LinkedHashSet<>()).add(link);
         List.copyOf(pending.keySet()).stream()
                 .filter(number -> isFor(pending.get(number), address))
-                .filter(number -> !pending.get(number).sent())
+                .filter(number -> !pending.get(number).isSent())
                 .forEach(number -> send(number, link));
     }
 
@@ -181,20 +209,23 @@
             settle(number, new RelayReply.OwnerUnreachable("its owner " + owner + " is gone"));
             return;
         }
-        pending.put(number, new Pending(relay.command(), relay.since(), true));
-        if (!link.send(FrameFactory.relay(relay.command().submission(), number, clock.instant()))) {
-            settle(number, new RelayReply.OwnerUnreachable("the link to its owner is closed"));
+        if (link.send(FrameFactory.relay(relay.command().submission(), number, clock.instant()))) {
+            pending.put(number, new Pending(relay.command(), relay.since(), Optional.of(link)));
         }
     }
 
-    private void closed(Link link, String reason) {
+    /** Sends the relays of a lost link again; the owner takes them for further waits for the same submission. */
+    private void closed(Link link) {
         String address = link.peer().linkAddress();
-        if (!links.remove(address, link)) {
+        Set<Link> open = links.getOrDefault(address, Set.of());
+        if (!open.remove(link)) {
             return;
         }
         for (Map.Entry<Long, Pending> entry : List.copyOf(pending.entrySet())) {
-            if (entry.getValue().sent() && isFor(entry.getValue(), address)) {
-                settle(entry.getKey(), new RelayReply.OwnerUnreachable("the link to its owner closed: " + reason));
+            Pending relay = entry.getValue();
+            if (relay.via().filter(link::equals).isPresent()) {
+                pending.put(entry.getKey(), new Pending(relay.command(), clock.instant(), Optional.empty()));
+                sendOrConnect(entry.getKey(), address);
             }
         }
     }
@@ -207,7 +238,7 @@
 
     private void settle(long number, RelayReply reply) {
         Pending relay = pending.remove(number);
-        engine.put(new EntryEvent.RelaySettled(relay.command().submission().id(), reply));
+        events.accept(new EntryEvent.RelaySettled(relay.command().submission().id(), reply));
     }
 
     private static boolean isFor(Pending relay, String address) {
--- /dev/null
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/link/RelayServiceTest.java
@@ -0,0 +1,180 @@
+package io.caperturn.entry.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.caperturn.core.entry.EntryCommand;
+import io.caperturn.core.entry.EntryEvent;
+import io.caperturn.core.entry.RelayReply;
+import io.caperturn.core.model.Answer;
+import io.caperturn.core.model.ProcessId;
+import io.caperturn.core.model.Repeatability;
+import io.caperturn.core.model.Submission;
+import io.caperturn.core.model.SubmissionId;
+import io.caperturn.core.model.TaskResult;
+import io.caperturn.core.model.TaskSpec;
+import io.caperturn.entry.engine.Waiters;
+import io.caperturn.wire.FrameStamp;
+import io.caperturn.wire.Link;
+import io.caperturn.wire.LinkEndpoint;
+import io.caperturn.wire.LinkListener;
+import io.caperturn.wire.LinkSettings;
+import io.caperturn.wire.Peer;
+import io.caperturn.wire.message.Frame;
+import io.caperturn.wire.message.Role;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RelayServiceTest {
+    private static final int WAIT_SECONDS = 10;
+    private static final ProcessId OWNER = new ProcessId("owner", 7);
+    private static final Answer ANSWER = new Answer.Complete(List.of(new TaskResult("t1", "1")));
+
+    private final BlockingQueue<EntryEvent> events = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Link> relayed = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
+    private final Node owner = new Node(OWNER);
+    private final Node self = new Node(new ProcessId("self", 1));
+    private RelayService relays;
+    private String address;
+
+    @BeforeEach
+    void start() throws IOException {
+        owner.frame = (link, frame) -> {
+            frames.add(frame);
+            relayed.add(link);
+        };
+        address = "127.0.0.1:" + owner.endpoint.listen("127.0.0.1", 0).getPort();
+        self.endpoint.listen("127.0.0.1", 0);
+        relays = new RelayService(self.endpoint, events::add, events::add, new Waiters(), Clock.systemUTC());
+        self.opened = relays::onOpened;
+        self.closed = relays::onClosed;
+        self.frame = (link, frame) -> relays.onRelayAnswer(frame.getRelayAnswer());
+        relays.start();
+    }
+
+    @AfterEach
+    void stop() {
+        relays.stop();
+        self.endpoint.close();
+        owner.endpoint.close();
+    }
+
+    @Test
+    void ownersAnswerIsHandedOn() throws InterruptedException {
+        relays.relay(command(OWNER));
+        answer(next(relayed));
+        assertEquals(new RelayReply.Answered(ANSWER), reply());
+    }
+
+    @Test
+    void relayIsSentAgainWhenItsLinkIsLost() throws InterruptedException {
+        relays.relay(command(OWNER));
+        next(relayed).close();
+        answer(next(relayed));
+        assertEquals(new RelayReply.Answered(ANSWER), reply());
+    }
+
+    @Test
+    void anotherIncarnationMeansThatTheOwnerIsGone() throws InterruptedException {
+        relays.relay(command(new ProcessId(OWNER.name(), OWNER.incarnation() - 1)));
+        assertInstanceOf(RelayReply.OwnerUnreachable.class, reply());
+    }
+
+    @Test
+    void ownerThatIsGoneUnderARelayIsReported() throws InterruptedException {
+        relays.relay(command(OWNER));
+        next(relayed);
+        owner.endpoint.close();
+        assertInstanceOf(RelayReply.OwnerUnreachable.class, reply());
+    }
+
+    private void answer(Link link) throws InterruptedException {
+        Frame frame = frames.peek();
+        link.send(FrameFactory.answer(frame.getRelay().getRelayNumber(), ANSWER));
+    }
+
+    private RelayReply reply() throws InterruptedException {
+        return assertInstanceOf(EntryEvent.RelaySettled.class, next(events)).reply();
+    }
+
+    private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T element = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertNotNull(element, "nothing came");
+        return element;
+    }
+
+    private EntryCommand.RelayToOwner command(ProcessId holder) {
+        Submission submission = new Submission(
+                new SubmissionId("lab", "job"),
+                "assay",
+                Optional.empty(),
+                Repeatability.AT_MOST_ONCE,
+                Instant.now().plusSeconds(60),
+                "digest",
+                List.of(new TaskSpec("t1", Optional.empty(), "{}")));
+        return new EntryCommand.RelayToOwner(submission, holder, address);
+    }
+
+    /** An entry reduced to its links. */
+    private static final class Node implements LinkListener, FrameStamp {
+        private final LinkEndpoint endpoint;
+        private Consumer<Link> opened = link -> {};
+        private Consumer<Link> closed = link -> {};
+        private java.util.function.BiConsumer<Link, Frame> frame = (link, ignored) -> {};
+
+        private Node(ProcessId process) {
+            endpoint = new LinkEndpoint(
+                    new LinkSettings(
+                            new Peer(process, Role.ROLE_ENTRY, "zone", ""),
+                            Duration.ofMillis(200),
+                            Duration.ofSeconds(5),
+                            Duration.ofMillis(20),
+                            1 << 20),
+                    this,
+                    this);
+        }
+
+        @Override
+        public void onOpened(Link link) {
+            opened.accept(link);
+        }
+
+        @Override
+        public void onFrame(Link link, Frame received) {
+            frame.accept(link, received);
+        }
+
+        @Override
+        public void onClosed(Link link, String reason) {
+            closed.accept(link);
+        }
+
+        @Override
+        public long tableVersion() {
+            return 0;
+        }
+
+        @Override
+        public long confirmationAgeMilliseconds() {
+            return -1;
+        }
+
+        @Override
+        public void observe(Link link, long tableVersion, long confirmationAgeMilliseconds) {
+            // Tables are not looked at here.
+        }
+    }
+}
