A submission's state no longer holds its answer; bounds are derived from the defaults

Cause: the state of an answered submission kept a reference to its answer that nothing read, and held it in memory while attempts were outstanding; the daemon listed every default of the policy to change two.

Ruled out: merging the commands of the command line that look alike (their options differ), and touching generated messages.

Change: the field goes; EntryPolicy has a method for the two bounds, as SchedulerPolicy has for its own. Behaviour is the same, no test changed.

--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryPolicy.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryPolicy.java
@@ -46,4 +46,23 @@
             throw new IllegalArgumentException("maximumAttempts must be >= 1 and retryRatio within [0, 1]");
         }
     }
+
+    /**
+     * Returns the same bounds with another retention of answers.
+     *
+     * @param retention how long an answer is kept for resubmissions
+     * @param bytes most bytes of answers kept
+     * @return the changed bounds
+     */
+    public EntryPolicy withAnswers(Duration retention, long bytes) {
+        return new EntryPolicy(
+                retention,
+                bytes,
+                doubtTimeout,
+                maximumAttempts,
+                retryAfter,
+                adoptionTimeout,
+                adoptionReach,
+                retryRatio);
+    }
 }
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/SubmissionBook.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/SubmissionBook.java
@@ -106,7 +106,7 @@
     void finish(Work work, Answer answer, Instant now) {
         boolean ranHere =
                 work.phase() == Work.Phase.RUNNING && work.submission().needsClaim();
-        work.answered(answer);
+        work.answered();
         open--;
         Optional<FailureReason> failure = Optional.empty();
         Execution execution = Execution.RAN;
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
@@ -48,7 +48,6 @@
     private boolean superseded;
     private long claimRequest;
     private ClaimResult.HeldByOther held;
-    private Answer answer;
 
     Work(Submission submission, Urgency urgency, Duration taskTimeout, Instant now) {
         this.submission = submission;
@@ -89,10 +88,6 @@
         return claimedAt;
     }
 
-    Answer answer() {
-        return answer;
-    }
-
     Collection<TaskProgress> tasks() {
         return tasks.values();
     }
@@ -211,9 +206,8 @@
         startPossible = true;
     }
 
-    void answered(Answer given) {
+    void answered() {
         phase = Phase.ANSWERED;
-        answer = given;
     }
 
     /**
--- a/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/EntryDaemon.java
@@ -128,15 +128,9 @@
     }
 
     private static EntryPolicy policy(EntrySettings settings) {
-        return new EntryPolicy(
+        return EntryPolicy.DEFAULT.withAnswers(
                 Duration.ofMillis(settings.answers().milliseconds()),
-                settings.answers().maximumBytes(),
-                EntryPolicy.DEFAULT.doubtTimeout(),
-                EntryPolicy.DEFAULT.maximumAttempts(),
-                EntryPolicy.DEFAULT.retryAfter(),
-                EntryPolicy.DEFAULT.adoptionTimeout(),
-                EntryPolicy.DEFAULT.adoptionReach(),
-                EntryPolicy.DEFAULT.retryRatio());
+                settings.answers().maximumBytes());
     }
 
     private static ClaimPolicy claims(EntrySettings settings) {
