--- a/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/link/LinkService.java
@@ -12,7 +12,7 @@
 import io.caperturn.kernel.Service;
 import io.caperturn.kernel.ServiceName;
 import io.caperturn.kernel.ServiceStartException;
-import io.caperturn.platform.registry.Member;
+import io.caperturn.store.registry.Member;
 import io.caperturn.wire.Link;
 import io.caperturn.wire.LinkEndpoint;
 import io.caperturn.wire.LinkListener;
--- a/caperturn-entry/src/main/java/io/caperturn/entry/registry/Membership.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/registry/Membership.java
@@ -2,9 +2,9 @@
 
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.schedule.LimitShare;
-import io.caperturn.platform.registry.Member;
-import io.caperturn.platform.registry.MembershipResult;
-import io.caperturn.platform.registry.MembershipStore;
+import io.caperturn.store.registry.Member;
+import io.caperturn.store.registry.MembershipResult;
+import io.caperturn.store.registry.MembershipStore;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
--- a/caperturn-entry/src/main/java/io/caperturn/entry/table/ChangeReading.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/table/ChangeReading.java
@@ -1,6 +1,6 @@
 package io.caperturn.entry.table;
 
-import io.caperturn.platform.table.TableChange;
+import io.caperturn.store.table.TableChange;
 import java.util.List;
 import java.util.Objects;
 
--- a/caperturn-entry/src/test/java/io/caperturn/entry/table/TableEndpointTest.java
+++ b/caperturn-entry/src/test/java/io/caperturn/entry/table/TableEndpointTest.java
@@ -5,8 +5,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.caperturn.platform.http.HttpPlatformStore;
-import io.caperturn.platform.table.TableEditor;
+import io.caperturn.store.http.HttpPlatformStore;
+import io.caperturn.store.table.TableEditor;
 import io.caperturn.testkit.Endpoint;
 import io.caperturn.testkit.platform.PlatformControl;
 import io.caperturn.testkit.platform.PlatformMode;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/PlatformStore.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/PlatformStore.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform;
+package io.caperturn.store;
 
 /**
  * The platform's transactional table service.
--- a/caperturn-platform/src/main/java/io/caperturn/platform/Write.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/Write.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform;
+package io.caperturn.store;
 
 import java.util.Objects;
 import java.util.Optional;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/BatchPace.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/BatchPace.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import java.time.Duration;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimOwner.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/ClaimOwner.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import io.caperturn.core.model.ProcessId;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimVerdict.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/ClaimVerdict.java
@@ -1,10 +1,10 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import io.caperturn.core.entry.ClaimResult;
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.internal.ClaimRow;
-import io.caperturn.platform.internal.Json;
+import io.caperturn.store.Row;
+import io.caperturn.store.internal.ClaimRow;
+import io.caperturn.store.internal.Json;
 import java.time.Instant;
 import java.util.Optional;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/ClaimWriter.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/ClaimWriter.java
@@ -1,16 +1,16 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import io.caperturn.core.entry.ClaimResult;
 import io.caperturn.core.entry.EntryEvent;
 import io.caperturn.core.model.Submission;
 import io.caperturn.kernel.Duty;
 import io.caperturn.kernel.EventLine;
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/PendingClaim.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/PendingClaim.java
@@ -1,11 +1,11 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import io.caperturn.core.entry.ClaimResult.HeldByOther;
 import io.caperturn.core.model.Submission;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.Write;
-import io.caperturn.platform.internal.ClaimRow;
-import io.caperturn.platform.internal.Json;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.Write;
+import io.caperturn.store.internal.ClaimRow;
+import io.caperturn.store.internal.Json;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/claim/package-info.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/claim/package-info.java
@@ -1,2 +1,2 @@
 /** Durable claims on jobs, written in groups. */
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/DistrustingConnectionPool.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/http/DistrustingConnectionPool.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.http;
+package io.caperturn.store.http;
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/HttpPlatformStore.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/http/HttpPlatformStore.java
@@ -1,11 +1,11 @@
-package io.caperturn.platform.http;
+package io.caperturn.store.http;
 
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.internal.Json;
-import io.caperturn.platform.internal.StoreMessage;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.internal.Json;
+import io.caperturn.store.internal.StoreMessage;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/http/package-info.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** Adapter of the store to HTTP and JSON. */
-package io.caperturn.platform.http;
+package io.caperturn.store.http;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/ChangeRow.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/ChangeRow.java
@@ -1,6 +1,6 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.RowKey;
 import java.util.List;
 import java.util.Objects;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/ClaimRow.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/ClaimRow.java
@@ -1,8 +1,8 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import io.caperturn.core.model.ProcessId;
 import io.caperturn.core.model.SubmissionId;
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.RowKey;
 import java.util.Objects;
 
 /**
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/EnrolmentRow.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/EnrolmentRow.java
@@ -1,7 +1,7 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.RowKey;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/Json.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/Json.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/ProcessValue.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/ProcessValue.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import io.caperturn.core.model.ProcessId;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/StoreMessage.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/StoreMessage.java
@@ -1,9 +1,9 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
 import java.util.List;
 import java.util.Optional;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/TableReader.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/TableReader.java
@@ -1,13 +1,13 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import io.caperturn.core.model.KindRow;
 import io.caperturn.core.model.Table;
 import io.caperturn.core.model.TeamRow;
 import io.caperturn.kernel.EventLine;
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/TableRow.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/TableRow.java
@@ -1,11 +1,11 @@
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.caperturn.core.model.KindRow;
 import io.caperturn.core.model.Limits;
 import io.caperturn.core.model.TeamRow;
 import io.caperturn.core.model.Urgency;
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.RowKey;
 import java.time.Duration;
 import java.util.Objects;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/internal/package-info.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/internal/package-info.java
@@ -1,2 +1,2 @@
 /** Shapes of rows and messages in JSON; no API. */
-package io.caperturn.platform.internal;
+package io.caperturn.store.internal;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/EnrolmentStore.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/EnrolmentStore.java
@@ -1,14 +1,14 @@
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
 
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
-import io.caperturn.platform.internal.EnrolmentRow;
-import io.caperturn.platform.internal.Json;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
+import io.caperturn.store.internal.EnrolmentRow;
+import io.caperturn.store.internal.Json;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/Member.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/Member.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
 
 import io.caperturn.core.model.ProcessId;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipResult.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/MembershipResult.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
 
 import java.util.List;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/MembershipStore.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/MembershipStore.java
@@ -1,15 +1,15 @@
-package io.caperturn.platform.registry;
-
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
-import io.caperturn.platform.internal.Json;
-import io.caperturn.platform.internal.MemberRow;
-import io.caperturn.platform.internal.ProcessValue;
-import io.caperturn.platform.internal.TableReader;
+package io.caperturn.store.registry;
+
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
+import io.caperturn.store.internal.Json;
+import io.caperturn.store.internal.MemberRow;
+import io.caperturn.store.internal.ProcessValue;
+import io.caperturn.store.internal.TableReader;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/registry/package-info.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/package-info.java
@@ -1,2 +1,2 @@
 /** Entries that are registered in the store. */
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/ChangeHistory.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/ChangeHistory.java
@@ -1,6 +1,6 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.RowKey;
 import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/EditResult.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/EditResult.java
@@ -1,6 +1,6 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
-import io.caperturn.platform.Row;
+import io.caperturn.store.Row;
 import java.util.List;
 import java.util.Objects;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/RowEdit.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/RowEdit.java
@@ -1,11 +1,11 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
 import io.caperturn.core.model.KindRow;
 import io.caperturn.core.model.TeamRow;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.Write;
-import io.caperturn.platform.internal.Json;
-import io.caperturn.platform.internal.TableRow;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.Write;
+import io.caperturn.store.internal.Json;
+import io.caperturn.store.internal.TableRow;
 import java.util.Objects;
 import java.util.Optional;
 
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableChange.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/TableChange.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
 import java.util.List;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableEditor.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/TableEditor.java
@@ -1,15 +1,15 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
-import io.caperturn.platform.internal.ChangeRow;
-import io.caperturn.platform.internal.Json;
-import io.caperturn.platform.internal.TableReader;
-import io.caperturn.platform.internal.TableRow;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
+import io.caperturn.store.internal.ChangeRow;
+import io.caperturn.store.internal.Json;
+import io.caperturn.store.internal.TableReader;
+import io.caperturn.store.internal.TableRow;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableReading.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/TableReading.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
 import io.caperturn.core.model.Table;
 import java.util.Objects;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/TableWatcher.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/TableWatcher.java
@@ -1,10 +1,10 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
 import io.caperturn.core.model.Table;
 import io.caperturn.kernel.Duty;
 import io.caperturn.kernel.EventLine;
-import io.caperturn.platform.PlatformStore;
-import io.caperturn.platform.internal.TableReader;
+import io.caperturn.store.PlatformStore;
+import io.caperturn.store.internal.TableReader;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
--- a/caperturn-platform/src/main/java/io/caperturn/platform/table/package-info.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/table/package-info.java
@@ -1,2 +1,2 @@
 /** The table of weights and limits in the store: watched by entries, edited by operators. */
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
--- a/caperturn-platform/src/test/java/io/caperturn/platform/claim/BatchPaceTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/claim/BatchPaceTest.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/caperturn-platform/src/test/java/io/caperturn/platform/claim/ClaimWriterTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/claim/ClaimWriterTest.java
@@ -1,10 +1,10 @@
-package io.caperturn.platform.claim;
+package io.caperturn.store.claim;
 
-import static io.caperturn.platform.FakePlatformStore.Fault.LIMITED;
-import static io.caperturn.platform.FakePlatformStore.Fault.LOST_AFTER;
-import static io.caperturn.platform.FakePlatformStore.Fault.LOST_BEFORE;
-import static io.caperturn.platform.FakePlatformStore.Fault.NONE;
-import static io.caperturn.platform.FakePlatformStore.Fault.REFUSED;
+import static io.caperturn.store.FakePlatformStore.Fault.LIMITED;
+import static io.caperturn.store.FakePlatformStore.Fault.LOST_AFTER;
+import static io.caperturn.store.FakePlatformStore.Fault.LOST_BEFORE;
+import static io.caperturn.store.FakePlatformStore.Fault.NONE;
+import static io.caperturn.store.FakePlatformStore.Fault.REFUSED;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -19,10 +19,10 @@
 import io.caperturn.core.model.Submission;
 import io.caperturn.core.model.SubmissionId;
 import io.caperturn.core.model.TaskSpec;
-import io.caperturn.platform.FakePlatformStore;
-import io.caperturn.platform.FakePlatformStore.Fault;
-import io.caperturn.platform.internal.ClaimRow;
-import io.caperturn.platform.internal.Json;
+import io.caperturn.store.FakePlatformStore;
+import io.caperturn.store.FakePlatformStore.Fault;
+import io.caperturn.store.internal.ClaimRow;
+import io.caperturn.store.internal.Json;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -240,7 +240,7 @@
         }
     }
 
-    private static io.caperturn.platform.RowKey key(String key) {
+    private static io.caperturn.store.RowKey key(String key) {
         return ClaimRow.keyOf(new SubmissionId("team", key));
     }
 
--- a/caperturn-platform/src/test/java/io/caperturn/platform/http/HttpPlatformStoreTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/http/HttpPlatformStoreTest.java
@@ -1,14 +1,14 @@
-package io.caperturn.platform.http;
+package io.caperturn.store.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
-import io.caperturn.platform.Row;
-import io.caperturn.platform.RowKey;
-import io.caperturn.platform.StoreResult;
-import io.caperturn.platform.Transaction;
-import io.caperturn.platform.Write;
+import io.caperturn.store.Row;
+import io.caperturn.store.RowKey;
+import io.caperturn.store.StoreResult;
+import io.caperturn.store.Transaction;
+import io.caperturn.store.Write;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/caperturn-platform/src/test/java/io/caperturn/platform/registry/EnrolmentStoreTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/registry/EnrolmentStoreTest.java
@@ -1,11 +1,11 @@
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.platform.FakePlatformStore;
-import io.caperturn.platform.FakePlatformStore.Fault;
+import io.caperturn.store.FakePlatformStore;
+import io.caperturn.store.FakePlatformStore.Fault;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/caperturn-platform/src/test/java/io/caperturn/platform/registry/MembershipStoreTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/registry/MembershipStoreTest.java
@@ -1,12 +1,12 @@
-package io.caperturn.platform.registry;
+package io.caperturn.store.registry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.caperturn.core.model.ProcessId;
-import io.caperturn.platform.FakePlatformStore;
-import io.caperturn.platform.FakePlatformStore.Fault;
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.FakePlatformStore;
+import io.caperturn.store.FakePlatformStore.Fault;
+import io.caperturn.store.RowKey;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/caperturn-platform/src/test/java/io/caperturn/platform/table/TableWatcherTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/table/TableWatcherTest.java
@@ -1,4 +1,4 @@
-package io.caperturn.platform.table;
+package io.caperturn.store.table;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -6,8 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.caperturn.core.model.Table;
-import io.caperturn.platform.FakePlatformStore;
-import io.caperturn.platform.RowKey;
+import io.caperturn.store.FakePlatformStore;
+import io.caperturn.store.RowKey;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Set;
