--- /dev/null
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/ProcessLoop.java
@@ -0,0 +1,46 @@
+package io.caperturn.fleet;
+
+import io.caperturn.jobs.DecisionLog;
+import io.caperturn.jobs.Loop;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Loop of one process: the thread that does its network work is the one that decides.
+ *
+ * <p>A hand-over between two threads costs a wake-up for each frame, which a sidecar with half a core feels; decisions
+ * take microseconds and never block.
+ */
+final class ProcessLoop implements Loop {
+    private final EventLoop loop;
+    private final DecisionLog log;
+
+    ProcessLoop(EventLoop loop, DecisionLog log) {
+        this.loop = loop;
+        this.log = log;
+    }
+
+    @Override
+    public long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public long timeOfDay() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public void after(long milliseconds, Runnable action) {
+        if (milliseconds == 0) {
+            loop.execute(action);
+        } else {
+            loop.schedule(action, milliseconds, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public DecisionLog log() {
+        return log;
+    }
+}
--- /dev/null
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
@@ -0,0 +1,136 @@
+package io.caperturn.fleet;
+
+import io.caperturn.jobs.message.Frame;
+import io.caperturn.jobs.message.MemberRecord;
+import io.caperturn.jobs.message.ProcessRole;
+import io.caperturn.jobs.owner.Registration;
+import io.caperturn.jobs.record.StoredRecord;
+import io.caperturn.jobs.record.TableFollower;
+import io.caperturn.jobs.upstream.Sidecar;
+import io.caperturn.jobs.upstream.SidecarSettings;
+import io.caperturn.platform.AnnouncementListener;
+import io.caperturn.platform.ExecutorClient;
+import io.caperturn.platform.PlatformSettings;
+import io.caperturn.platform.StoreClient;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** Process of a sidecar. */
+final class SidecarProgram implements LinkHub.Listener, TableFollower.Listener {
+    /** Longest time for running tasks to end after a request to end, in milliseconds; the grace is six seconds. */
+    private static final long LAST_RUNS_MILLISECONDS = 4_500;
+    /** Interval of the look whether all has ended, in milliseconds. */
+    private static final long LOOK_MILLISECONDS = 20;
+
+    private final EventLoop network;
+    private final ProcessLoop loop;
+    private final PlatformSettings settings;
+    private final StoreClient store;
+    private final LinkHub hub;
+    private final Sidecar sidecar;
+    private final MemberRecord self;
+    private final Map<String, String> addresses = new HashMap<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    SidecarProgram(EventLoop network, ProcessLoop loop, PlatformSettings settings, InetSocketAddress upstream) {
+        this.network = network;
+        this.loop = loop;
+        this.settings = settings;
+        this.store = new StoreClient(network, settings.store());
+        this.hub = new LinkHub(network, loop, this);
+        SidecarSettings times = SidecarSettings.forLease(settings.leaseMilliseconds());
+        ExecutorClient executor = new ExecutorClient(network, upstream, times.answerMilliseconds());
+        this.sidecar = new Sidecar(loop, executor, hub, times);
+        this.self = new MemberRecord(ProcessRole.SIDECAR, settings.node(), Main.incarnation(settings.node()), "");
+    }
+
+    /** Binds all addresses. */
+    void listen() {
+        settings.announcements()
+                .ifPresent(address -> AnnouncementListener.listen(network, address, sidecar, loop.log()));
+    }
+
+    /** Starts everything; called on the loop. */
+    void start() {
+        hub.identify(new Frame.Hello(ProcessRole.SIDECAR, self.node(), self.incarnation()));
+        register();
+        sidecar.start();
+        new TableFollower(store, loop, Registration.MEMBER_TABLE, this).start();
+    }
+
+    private void register() {
+        new Registration(store, loop, self, sidecar::registered).start();
+    }
+
+    /** Ends in good order; called on another thread, returns when the process may end. */
+    void stop() {
+        network.execute(() -> {
+            loop.log().event("leaving");
+            sidecar.leave();
+            look(loop.now() + LAST_RUNS_MILLISECONDS);
+        });
+        try {
+            if (!ended.await(settings.graceMilliseconds(), TimeUnit.MILLISECONDS)) {
+                loop.log().event("stop-incomplete", "cause", "grace-over");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void look(long until) {
+        if (sidecar.isIdle() || loop.now() > until) {
+            ended.countDown();
+        } else {
+            loop.after(LOOK_MILLISECONDS, () -> look(until));
+        }
+    }
+
+    @Override
+    public void linked(Frame.Hello peer) {
+        sidecar.linked(peer.incarnation());
+    }
+
+    @Override
+    public void unlinked(Frame.Hello peer) {
+        sidecar.unlinked(peer.incarnation());
+    }
+
+    @Override
+    public void received(Frame.Hello peer, Frame frame) {
+        sidecar.received(peer.incarnation(), frame);
+    }
+
+    @Override
+    public void changed(StoredRecord stored) {
+        try {
+            MemberRecord member = MemberRecord.of(stored.value());
+            if (member.role() == ProcessRole.ENTRY) {
+                String before = addresses.put(stored.key().name(), member.address());
+                if (before != null && !before.equals(member.address())) {
+                    hub.disconnect(before);
+                }
+                hub.connect(member.address());
+            }
+        } catch (IOException e) {
+            loop.log().event("record-unreadable", "member", stored.key().name(), "reason", e.getMessage());
+        }
+    }
+
+    @Override
+    public void removed(String name) {
+        String address = addresses.remove(name);
+        if (address != null) {
+            hub.disconnect(address);
+        }
+        if (name.equals(self.node())) {
+            loop.log().event("registration-lost", "node", name);
+            register();
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Cancellation.java
@@ -0,0 +1,98 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.LinkPort;
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.ClosedRecord;
+import io.caperturn.jobs.message.Frame;
+import io.caperturn.jobs.message.ProcessRole;
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.record.JobWriter;
+import io.caperturn.jobs.record.StoredRecord;
+import java.util.function.Consumer;
+
+/** Cancellation of jobs, whoever owns them. */
+final class Cancellation {
+    /** Interval of the look whether the end of a job is stored, in milliseconds: the time that a write takes. */
+    private static final long LOOK_MILLISECONDS = 5;
+
+    private final Loop loop;
+    private final LinkPort links;
+    private final OwnerSettings settings;
+    private final JobWriter writer;
+    private final JobKeeper jobs;
+    private final Dispatcher dispatcher;
+    private final Membership membership;
+    private final StoredJobs stored;
+
+    Cancellation(
+            Loop loop,
+            LinkPort links,
+            OwnerSettings settings,
+            JobWriter writer,
+            JobKeeper jobs,
+            Dispatcher dispatcher,
+            Membership membership,
+            StoredJobs stored) {
+        this.loop = loop;
+        this.links = links;
+        this.settings = settings;
+        this.writer = writer;
+        this.jobs = jobs;
+        this.dispatcher = dispatcher;
+        this.membership = membership;
+        this.stored = stored;
+    }
+
+    void cancel(String identity, Consumer<Answers.Lookup> receiver) {
+        OwnedJob job = jobs.find(identity);
+        JobState closed = jobs.closedState(identity);
+        if (closed != null) {
+            receiver.accept(new Answers.Lookup.Found(closed));
+        } else if (job != null) {
+            cancelOwned(job, receiver);
+        } else {
+            stored.read(identity, (open, answer) -> {
+                if (open == null) {
+                    receiver.accept(answer);
+                } else {
+                    cancelForeign(identity, open, receiver);
+                }
+            });
+        }
+    }
+
+    private void cancelOwned(OwnedJob job, Consumer<Answers.Lookup> receiver) {
+        loop.log().event("cancel", "job", job.identity());
+        jobs.finish(job, JobState.CANCELLED);
+        dispatcher.withdrawAll(job);
+        awaitClosed(job.identity(), receiver);
+    }
+
+    private void awaitClosed(String identity, Consumer<Answers.Lookup> receiver) {
+        JobState closed = jobs.closedState(identity);
+        if (closed != null) {
+            receiver.accept(new Answers.Lookup.Found(closed));
+        } else if (jobs.find(identity) == null) {
+            receiver.accept(new Answers.Lookup.Unavailable("owner-changed"));
+        } else {
+            loop.after(LOOK_MILLISECONDS, () -> awaitClosed(identity, receiver));
+        }
+    }
+
+    private void cancelForeign(String identity, StoredRecord open, Consumer<Answers.Lookup> receiver) {
+        ClosedRecord end = new ClosedRecord(JobState.CANCELLED, loop.timeOfDay());
+        writer.close(identity, open.version(), end, result -> {
+            if (result instanceof JobWriter.Result.Stored) {
+                loop.log().event("cancelled-foreign", "job", identity, "version", open.version());
+                membership.of(ProcessRole.ENTRY).stream()
+                        .filter(member -> !member.incarnation().equals(settings.incarnation()))
+                        .forEach(member -> links.send(member.incarnation(), new Frame.CancelJob(identity)));
+                receiver.accept(new Answers.Lookup.Found(JobState.CANCELLED));
+            } else if (result instanceof JobWriter.Result.Overtaken overtaken && overtaken.open() != null) {
+                cancelForeign(identity, overtaken.open(), receiver);
+            } else {
+                stored.read(identity, (stored, answer) -> receiver.accept(answer));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -0,0 +1,396 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.LinkPort;
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.Frame;
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.model.StepPlan;
+import io.caperturn.jobs.upstream.SidecarSettings;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Dispatcher of the tasks of an entry's jobs: sends them to sidecars, follows their runs, and sends them again. */
+final class Dispatcher {
+    /** Refusals after which a round of placing ends: those behind are no more likely to fit. */
+    private static final int MOST_REFUSALS = 6;
+    /** Failures of different jobs in a row after which an upstream gets no more tasks. */
+    private static final int FAILURES_TO_EJECT = 3;
+    /** Time until an ejected upstream gets a single task as a probe, in milliseconds. */
+    private static final long EJECTION_MILLISECONDS = 2_000;
+    /** Multiple of its expected duration after which a run counts as standing still; estimates are off by half. */
+    private static final long STALL_FACTOR = 4;
+    /** Least time after which a run counts as standing still, in milliseconds. */
+    private static final long STALL_MILLISECONDS = 400;
+    /** Lease of an upstream, with its drift, the time that a stop takes, and a margin, in milliseconds. */
+    private static final long LAPSE_MILLISECONDS = 1_500;
+    /** Time after the last sign of life to a sidecar after which nothing that it was sent runs, in milliseconds. */
+    static final long WRITE_OFF_MILLISECONDS = SidecarSettings.RUN_AUTHORITY_MILLISECONDS + LAPSE_MILLISECONDS;
+    /** The same for jobs that are not stored. */
+    private static final long TRANSIENT_WRITE_OFF_MILLISECONDS =
+            SidecarSettings.TRANSIENT_AUTHORITY_MILLISECONDS + LAPSE_MILLISECONDS;
+
+    private final Loop loop;
+    private final LinkPort links;
+    private final JobKeeper jobs;
+    private final DurationModel durations = new DurationModel();
+    private final Placement placement = new Placement(durations);
+    private final WaitingTasks waiting = new WaitingTasks();
+    private final Map<String, SidecarView> sidecars = new HashMap<>();
+    private boolean placing;
+
+    Dispatcher(Loop loop, LinkPort links, JobKeeper jobs) {
+        this.loop = loop;
+        this.links = links;
+        this.jobs = jobs;
+    }
+
+    Collection<SidecarView> sidecars() {
+        return sidecars.values();
+    }
+
+    WaitingTasks waiting() {
+        return waiting;
+    }
+
+    void linked(String node, String incarnation) {
+        SidecarView view = sidecars.computeIfAbsent(incarnation, key -> new SidecarView(node, key));
+        view.relinked();
+    }
+
+    void unlinked(String incarnation) {
+        SidecarView view = sidecars.get(incarnation);
+        if (view != null) {
+            view.linked(false);
+        }
+    }
+
+    void status(String incarnation, Frame.Status status, boolean authority) {
+        SidecarView view = sidecars.get(incarnation);
+        if (view == null) {
+            return;
+        }
+        view.update(status, loop.now());
+        links.send(incarnation, new Frame.Lease(status.renewal(), authority));
+        placeSoon();
+    }
+
+    /** Puts the tasks of a job that can start among those that wait. */
+    void ready(OwnedJob job) {
+        for (OwnedTask task : job.tasks()) {
+            if (task.isIn(OwnedTask.Phase.BLOCKED) && job.isReady(task.step())) {
+                waiting.add(task, loop.now());
+            }
+        }
+        place();
+    }
+
+    /** Notes that a run of a recovered job is at a sidecar, and claims it there. */
+    void attach(OwnedTask task, RunIdentity run, String incarnation) {
+        SidecarView view = sidecars.get(incarnation);
+        long expected = durations.predict(
+                task.job().policy().name(), view.node(), task.step().estimatedMilliseconds());
+        task.attach(incarnation, run.number(), loop.now(), expected);
+        send(task, view, expected);
+    }
+
+    /** Sends waiting tasks to where they fit. */
+    void place() {
+        placing = false;
+        if (!waiting.isEmpty()) {
+            waiting.offer(this::dispatch, loop.now(), MOST_REFUSALS);
+        }
+    }
+
+    private void placeSoon() {
+        if (!placing && !waiting.isEmpty()) {
+            placing = true;
+            loop.after(0, this::place);
+        }
+    }
+
+    private boolean dispatch(OwnedTask task) {
+        Optional<Placement.Choice> choice = placement.choose(task, sidecars.values(), loop.now());
+        if (choice.isEmpty()) {
+            return false;
+        }
+        SidecarView view = choice.get().sidecar();
+        if (view.isOnProbation()) {
+            view.probe();
+        }
+        task.send(view.incarnation(), loop.now(), choice.get().expectedMilliseconds());
+        loop.log()
+                .event(
+                        "placed",
+                        "run",
+                        task.currentRun(),
+                        "node",
+                        view.node(),
+                        "free",
+                        view.free().processorMillis(),
+                        "statusAge",
+                        loop.now() - view.lastLease(),
+                        "expected",
+                        task.expected());
+        send(task, view, choice.get().expectedMilliseconds());
+        return true;
+    }
+
+    private void send(OwnedTask task, SidecarView view, long expected) {
+        StepPlan step = task.step();
+        long sequence = view.nextSequence(step.need(), step.need().processorMillis() * expected);
+        long slack = WaitingTasks.latestStart(task, loop.now()) - loop.now();
+        links.send(
+                view.incarnation(),
+                new Frame.Dispatch(
+                        sequence,
+                        task.currentRun(),
+                        task.job().plan().payload(),
+                        step.need(),
+                        expected,
+                        slack,
+                        task.job().policy().urgency(),
+                        task.job().plan().durable()));
+    }
+
+    /** Takes all that a sidecar knows: what it doesn't know of never starts there. */
+    void inventory(String incarnation, Frame.Inventory inventory) {
+        SidecarView view = sidecars.get(incarnation);
+        if (view == null) {
+            return;
+        }
+        Map<RunIdentity, Frame.Report> known = new HashMap<>();
+        inventory.runs().forEach(report -> known.put(report.run(), report));
+        for (OwnedJob job : List.copyOf(jobs.owned())) {
+            for (OwnedTask task : job.tasks()) {
+                if (task.isIn(OwnedTask.Phase.SENT) && isAt(task, view)) {
+                    confirm(task, view, known.remove(task.currentRun()), inventory.complete());
+                }
+            }
+        }
+        known.values().forEach(report -> report(incarnation, report));
+    }
+
+    private boolean isAt(OwnedTask task, SidecarView view) {
+        SidecarView at = sidecars.get(task.sidecar());
+        return task.sidecar().equals(view.incarnation())
+                || at != null && at.node().equals(view.node());
+    }
+
+    private void confirm(OwnedTask task, SidecarView view, Frame.Report report, boolean complete) {
+        if (report == null) {
+            if (complete || task.sidecar().equals(view.incarnation())) {
+                again(task, "not-in-inventory");
+            }
+        } else if (report.outcome().isEnd()) {
+            report(view.incarnation(), report);
+        } else {
+            attach(task, report.run(), view.incarnation());
+        }
+    }
+
+    /** Takes news of a run. */
+    void report(String incarnation, Frame.Report report) {
+        RunIdentity run = report.run();
+        OwnedJob job = jobs.find(run.task().job());
+        OwnedTask task = job == null ? null : job.task(run.task());
+        if (task == null) {
+            if (report.outcome().isLasting() && jobs.closedState(run.task().job()) != null) {
+                links.send(incarnation, new Frame.Settled(run));
+            }
+            return;
+        }
+        SidecarView view = sidecars.get(incarnation);
+        task.sawRun(run.number());
+        boolean current = task.isIn(OwnedTask.Phase.SENT) && run.equals(task.currentRun());
+        switch (report.outcome()) {
+            case QUEUED -> {}
+            case RUNNING -> {
+                job.started();
+                if (current) {
+                    task.started(loop.now());
+                }
+            }
+            case DONE -> done(task, incarnation, report, current);
+            case FAILED -> failed(task, incarnation, report, current);
+            case STOPPED, LAPSED, REFUSED -> {
+                if (view != null) {
+                    view.undecided();
+                }
+                if (current) {
+                    if (report.reason().equals("unhealthy") && view != null) {
+                        countFailure(task, view);
+                    }
+                    again(task, report.outcome() + "-" + report.reason());
+                }
+            }
+        }
+    }
+
+    private void done(OwnedTask task, String incarnation, Frame.Report report, boolean current) {
+        SidecarView view = sidecars.get(incarnation);
+        OwnedJob job = task.job();
+        if (view != null) {
+            view.succeeded();
+            durations.ended(
+                    job.policy().name(), view.node(), task.step().estimatedMilliseconds(), report.runMilliseconds());
+        }
+        job.started();
+        if (task.isIn(OwnedTask.Phase.DONE)) {
+            jobs.ended(job, report.run(), incarnation);
+            return;
+        }
+        if (!current && task.isIn(OwnedTask.Phase.SENT)) {
+            links.send(task.sidecar(), new Frame.Withdraw(task.currentRun()));
+        }
+        task.enter(OwnedTask.Phase.DONE);
+        jobs.ended(job, report.run(), incarnation);
+        if (job.isAllDone()) {
+            jobs.finish(job, JobState.COMPLETED);
+        } else if (!job.isRecovering()) {
+            ready(job);
+        }
+    }
+
+    private void failed(OwnedTask task, String incarnation, Frame.Report report, boolean current) {
+        SidecarView view = sidecars.get(incarnation);
+        OwnedJob job = task.job();
+        job.started();
+        jobs.ended(job, report.run(), incarnation);
+        if (!task.failed(report.run().number(), view == null ? "" : view.node())) {
+            return;
+        }
+        loop.log()
+                .event(
+                        "run-failed",
+                        "run",
+                        report.run(),
+                        "node",
+                        view == null ? "" : view.node(),
+                        "failures",
+                        task.failures(),
+                        "allowed",
+                        job.policy().mostAttempts());
+        if (view != null) {
+            countFailure(task, view);
+        }
+        if (task.failures() >= job.policy().mostAttempts()) {
+            jobs.finish(job, JobState.FAILED);
+            withdrawAll(job);
+        } else if (current) {
+            again(task, "failed");
+        }
+    }
+
+    private void countFailure(OwnedTask task, SidecarView view) {
+        if (view.failed(task.identity().job()) >= FAILURES_TO_EJECT) {
+            view.eject(loop.now() + EJECTION_MILLISECONDS);
+            loop.log()
+                    .event(
+                            "ejected",
+                            "node",
+                            view.node(),
+                            "job",
+                            task.identity().job());
+            loop.log().count("ejected");
+        }
+    }
+
+    private void again(OwnedTask task, String cause) {
+        if (!task.isIn(OwnedTask.Phase.SENT) || task.job().wanted() != null) {
+            return;
+        }
+        loop.log().event("again", "run", task.currentRun(), "cause", cause);
+        loop.log().count("again");
+        waiting.add(task, loop.now());
+        placeSoon();
+    }
+
+    /** Stops all runs of a job. */
+    void withdrawAll(OwnedJob job) {
+        for (OwnedTask task : job.tasks()) {
+            if (task.isIn(OwnedTask.Phase.SENT)) {
+                links.send(task.sidecar(), new Frame.Withdraw(task.currentRun()));
+            }
+        }
+    }
+
+    /** Looks for sidecars that are lost and for runs that stand still. */
+    void tick() {
+        long now = loop.now();
+        for (OwnedJob job : List.copyOf(jobs.owned())) {
+            for (OwnedTask task : job.tasks()) {
+                if (task.isIn(OwnedTask.Phase.SENT)) {
+                    look(task, now);
+                }
+            }
+        }
+        sidecars.values().removeIf(view -> !view.isLinked() && now - view.lastLease() > 4 * WRITE_OFF_MILLISECONDS);
+        place();
+    }
+
+    private void look(OwnedTask task, long now) {
+        SidecarView view = sidecars.get(task.sidecar());
+        long writeOff = task.job().plan().durable() ? WRITE_OFF_MILLISECONDS : TRANSIENT_WRITE_OFF_MILLISECONDS;
+        if (view == null || !view.isLinked() && now - view.lastLease() > writeOff) {
+            again(task, "sidecar-lost");
+        } else if (!task.isWithdrawn()
+                && task.startedAt() > 0
+                && view.isLinked()
+                && now - task.startedAt() > STALL_MILLISECONDS + STALL_FACTOR * task.expected()) {
+            loop.log()
+                    .event(
+                            "stalled",
+                            "run",
+                            task.currentRun(),
+                            "node",
+                            view.node(),
+                            "ran",
+                            now - task.startedAt(),
+                            "expected",
+                            task.expected());
+            loop.log().count("stalled");
+            task.withdraw();
+            task.failedAt().add(view.node());
+            durations.stalled(view.node());
+            countFailure(task, view);
+            links.send(task.sidecar(), new Frame.Withdraw(task.currentRun()));
+        }
+    }
+
+    /** Forgets all tasks, because their jobs belong to others now. */
+    void clear() {
+        waiting.clear();
+        sidecars.clear();
+    }
+
+    /** Predicts when a new job's tasks would end, in milliseconds from now. */
+    long predictEnd(OwnedJob job, int entries) {
+        double room = 0;
+        double work = 0;
+        long free = 0;
+        String service = job.policy().service();
+        for (SidecarView view : sidecars.values()) {
+            if (view.isUsable() && view.status().service().equals(service)) {
+                room += view.status().capacity().processorMillis() * durations.speed(view.node());
+                work += view.waitingWork();
+                free += Math.max(0, view.free().processorMillis());
+            }
+        }
+        if (room == 0) {
+            return Long.MAX_VALUE;
+        }
+        long latest = WaitingTasks.latestStart(job.tasks().getFirst(), loop.now());
+        double ahead = work + (double) entries * waiting.workBefore(latest);
+        long chain = job.plan().chainMilliseconds();
+        long own = job.tasks().stream()
+                .mapToLong(task ->
+                        task.step().need().processorMillis() * task.step().estimatedMilliseconds())
+                .sum();
+        boolean fits = waiting.isEmpty() && free > 0;
+        return chain + (fits ? 0 : Math.round((ahead + own / 2.0) / room));
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
@@ -0,0 +1,352 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.ClosedRecord;
+import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.model.JobPlan;
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.model.QueuePolicy;
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.record.JobWriter;
+import io.caperturn.jobs.record.StoredRecord;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Keeper of the jobs that this entry owns, and of what is stored of them. */
+final class JobKeeper {
+    /** Longest time that a lasting end waits to be stored with others, in milliseconds: a tenth of what is allowed. */
+    private static final long PROGRESS_MILLISECONDS = 300;
+    /** Time after which a job that is sent again gets higher run numbers than before, in milliseconds. */
+    private static final long TRANSIENT_GENERATION_MILLISECONDS = 250;
+    /** Number of such generations before they begin anew: run numbers stay within an integer, for six days. */
+    private static final long TRANSIENT_GENERATIONS = 2_000_000;
+
+    private final Loop loop;
+    private final JobWriter writer;
+    private final String incarnation;
+    private final long keepMilliseconds;
+    private final Listener listener;
+    private final Map<String, OwnedJob> owned = new HashMap<>();
+    private final Map<String, List<Consumer<Answers.Submission>>> inserting = new HashMap<>();
+    private final Map<String, Closed> closed = new LinkedHashMap<>();
+    private final Map<String, List<Consumer<Answers.Submission>>> callers = new HashMap<>();
+
+    JobKeeper(Loop loop, JobWriter writer, OwnerSettings settings, Listener listener) {
+        this.loop = loop;
+        this.writer = writer;
+        this.incarnation = settings.incarnation();
+        this.keepMilliseconds = settings.keepMilliseconds();
+        this.listener = listener;
+    }
+
+    private record Closed(JobState state, long at) {}
+
+    /** Receiver of what becomes of jobs. */
+    interface Listener {
+        /** A job is stored, and its tasks may start. */
+        void stored(OwnedJob job);
+
+        /** A job is over; what is left of it has to be stopped. */
+        void over(OwnedJob job, JobState state);
+
+        /** Lasting ends are stored. */
+        void settled(List<OwnedJob.PendingEnd> ends);
+
+        /** A job was found stored in this entry's name that it doesn't know, or belongs to another entry. */
+        void foreign(String job, StoredRecord open);
+    }
+
+    Collection<OwnedJob> owned() {
+        return owned.values();
+    }
+
+    OwnedJob find(String job) {
+        return owned.get(job);
+    }
+
+    JobState closedState(String job) {
+        Closed found = closed.get(job);
+        return found == null ? null : found.state();
+    }
+
+    boolean isInserting(String job) {
+        return inserting.containsKey(job);
+    }
+
+    void submit(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
+        if (owned.containsKey(identity) || closed.containsKey(identity)) {
+            receiver.accept(new Answers.Submission.Accepted(true));
+            return;
+        }
+        List<Consumer<Answers.Submission>> waiting = inserting.get(identity);
+        if (waiting != null) {
+            waiting.add(receiver);
+            return;
+        }
+        inserting.put(identity, new ArrayList<>(List.of(receiver)));
+        OwnedJob job = new OwnedJob(identity, plan, policy, 0, loop.timeOfDay(), loop.now());
+        writer.insert(identity, job.toRecord(incarnation), result -> inserted(job, result));
+    }
+
+    /** Runs a job that is not stored; the caller waits for its end. */
+    OwnedJob runTransient(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
+        List<Consumer<Answers.Submission>> waiting = callers.get(identity);
+        if (waiting != null) {
+            waiting.add(receiver);
+            return owned.get(identity);
+        }
+        callers.put(identity, new ArrayList<>(List.of(receiver)));
+        int generation = (int) (loop.timeOfDay() / TRANSIENT_GENERATION_MILLISECONDS % TRANSIENT_GENERATIONS);
+        OwnedJob job = new OwnedJob(identity, plan, policy, generation, loop.timeOfDay(), loop.now());
+        owned.put(identity, job);
+        loop.log()
+                .event(
+                        "taken",
+                        "job",
+                        identity,
+                        "queue",
+                        policy.name(),
+                        "tasks",
+                        job.tasks().size(),
+                        "objective",
+                        job.objective());
+        listener.stored(job);
+        return job;
+    }
+
+    /** Gives up a job that is not stored: its caller has gone, or can't wait any longer. */
+    void abandon(String identity, String cause) {
+        OwnedJob job = owned.get(identity);
+        if (job != null && !job.plan().durable()) {
+            loop.log().event("abandoned", "job", identity, "cause", cause, "after", loop.now() - job.arrivedAt());
+            loop.log().count("abandoned-" + cause);
+            job.want(JobState.CANCELLED);
+            close(job, JobState.CANCELLED, List.of());
+        }
+    }
+
+    /** Gives up all jobs that are not stored. */
+    void abandonAll(String cause) {
+        for (String identity : List.copyOf(callers.keySet())) {
+            abandon(identity, cause);
+        }
+    }
+
+    /** Takes a lasting end of a run: it is stored with the job, or counts at once where nothing is stored. */
+    void ended(OwnedJob job, RunIdentity run, String sidecar) {
+        if (job.plan().durable()) {
+            job.addEnd(run, sidecar, loop.now());
+        } else {
+            listener.settled(List.of(new OwnedJob.PendingEnd(run, sidecar)));
+        }
+    }
+
+    private void inserted(OwnedJob job, JobWriter.Result result) {
+        Answers.Submission answer = switch (result) {
+            case JobWriter.Result.Stored stored -> {
+                job.version(stored.version());
+                owned.put(job.identity(), job);
+                loop.log()
+                        .event(
+                                "accepted",
+                                "job",
+                                job.identity(),
+                                "queue",
+                                job.policy().name(),
+                                "tasks",
+                                job.tasks().size(),
+                                "version",
+                                stored.version(),
+                                "took",
+                                loop.now() - job.arrivedAt(),
+                                "objective",
+                                job.objective());
+                yield new Answers.Submission.Accepted(false);
+            }
+            case JobWriter.Result.Overtaken overtaken -> {
+                loop.log().event("joined", "job", job.identity(), "open", overtaken.open() != null);
+                if (overtaken.open() != null) {
+                    listener.foreign(job.identity(), overtaken.open());
+                }
+                yield new Answers.Submission.Accepted(true);
+            }
+            case JobWriter.Result.Refused refused ->
+                new Answers.Submission.Refused("store-" + refused.reason(), Entry.FAULT_RETRY_MILLISECONDS, false);
+        };
+        inserting.remove(job.identity()).forEach(receiver -> receiver.accept(answer));
+        if (result instanceof JobWriter.Result.Stored) {
+            loop.log().duration("accept", loop.now() - job.arrivedAt());
+            listener.stored(job);
+        }
+    }
+
+    /** Takes a job that was stored by an earlier owner, under a new generation. */
+    void adopt(String identity, StoredRecord open, QueuePolicy policy, Consumer<OwnedJob> receiver) {
+        JobRecord before;
+        try {
+            before = JobRecord.of(open.value());
+        } catch (IOException e) {
+            loop.log().event("record-unreadable", "job", identity, "version", open.version(), "reason", e.getMessage());
+            return;
+        }
+        JobRecord after = new JobRecord(
+                incarnation,
+                before.generation() + 1,
+                before.plan(),
+                before.acceptedMilliseconds(),
+                before.started(),
+                before.progress());
+        writer.update(identity, open.version(), after, result -> {
+            if (result instanceof JobWriter.Result.Stored stored && !owned.containsKey(identity)) {
+                long age = Math.max(0, loop.timeOfDay() - before.acceptedMilliseconds());
+                OwnedJob job = OwnedJob.restore(identity, after, policy, loop.now() - Math.min(age, keepMilliseconds));
+                job.version(stored.version());
+                owned.put(identity, job);
+                loop.log()
+                        .event(
+                                "adopted",
+                                "job",
+                                identity,
+                                "from",
+                                before.owner(),
+                                "generation",
+                                after.generation(),
+                                "version",
+                                stored.version());
+                loop.log().count("adopted");
+                receiver.accept(job);
+            }
+        });
+    }
+
+    /** Stores how a job ends, then shows it. */
+    void finish(OwnedJob job, JobState state) {
+        job.want(state);
+        if (job.plan().durable()) {
+            advance(job);
+        } else {
+            close(job, job.wanted(), List.of());
+        }
+    }
+
+    /** Stores ends that have waited long enough. */
+    void tick() {
+        long due = loop.now() - PROGRESS_MILLISECONDS;
+        for (OwnedJob job : List.copyOf(owned.values())) {
+            if (job.dirtySince() <= due) {
+                advance(job);
+            }
+        }
+        long forgotten = loop.now() - keepMilliseconds;
+        Iterator<Closed> oldest = closed.values().iterator();
+        while (oldest.hasNext() && oldest.next().at() < forgotten) {
+            oldest.remove();
+        }
+    }
+
+    /** Forgets everything, because this entry's jobs belong to others now. */
+    void clear() {
+        abandonAll("entry-resigned");
+        owned.clear();
+        closed.clear();
+    }
+
+    private void advance(OwnedJob job) {
+        if (job.isWriting()) {
+            return;
+        }
+        List<OwnedJob.PendingEnd> ends = job.takeEnds();
+        job.writing(true);
+        JobState state = job.wanted();
+        if (state != null) {
+            ClosedRecord end = new ClosedRecord(state, loop.timeOfDay());
+            writer.close(job.identity(), job.version(), end, result -> closed(job, state, ends, result));
+        } else {
+            writer.update(
+                    job.identity(), job.version(), job.toRecord(incarnation), result -> updated(job, ends, result));
+        }
+    }
+
+    private void updated(OwnedJob job, List<OwnedJob.PendingEnd> ends, JobWriter.Result result) {
+        job.writing(false);
+        switch (result) {
+            case JobWriter.Result.Stored stored -> {
+                job.version(stored.version());
+                listener.settled(ends);
+                if (job.wanted() != null) {
+                    advance(job);
+                }
+            }
+            case JobWriter.Result.Overtaken overtaken -> overtaken(job, JobState.CANCELLED, ends, overtaken);
+            case JobWriter.Result.Refused refused -> throw new IllegalStateException("only a new job is refused");
+        }
+    }
+
+    private void closed(OwnedJob job, JobState state, List<OwnedJob.PendingEnd> ends, JobWriter.Result result) {
+        job.writing(false);
+        switch (result) {
+            case JobWriter.Result.Stored stored -> close(job, state, ends);
+            case JobWriter.Result.Overtaken overtaken -> overtaken(job, state, ends, overtaken);
+            case JobWriter.Result.Refused refused -> throw new IllegalStateException("only a new job is refused");
+        }
+    }
+
+    /** Handles a write that came after another's: the job was cancelled elsewhere, or has another owner. */
+    private void overtaken(
+            OwnedJob job, JobState state, List<OwnedJob.PendingEnd> ends, JobWriter.Result.Overtaken overtaken) {
+        if (overtaken.open() == null) {
+            close(job, state, ends);
+            return;
+        }
+        loop.log()
+                .event(
+                        "job-lost",
+                        "job",
+                        job.identity(),
+                        "version",
+                        job.version(),
+                        "stored",
+                        overtaken.open().version());
+        owned.remove(job.identity());
+        listener.over(job, JobState.CANCELLED);
+        listener.foreign(job.identity(), overtaken.open());
+    }
+
+    private void close(OwnedJob job, JobState state, List<OwnedJob.PendingEnd> ends) {
+        owned.remove(job.identity());
+        closed.put(job.identity(), new Closed(state, loop.now()));
+        loop.log()
+                .event(
+                        "shown",
+                        "job",
+                        job.identity(),
+                        "queue",
+                        job.policy().name(),
+                        "state",
+                        state,
+                        "after",
+                        loop.now() - job.arrivedAt(),
+                        "objective",
+                        job.objective());
+        loop.log().count("shown-" + state);
+        loop.log().duration("job", loop.now() - job.arrivedAt());
+        job.want(state);
+        listener.settled(ends);
+        listener.settled(job.takeEnds());
+        listener.over(job, state);
+        List<Consumer<Answers.Submission>> waiting = callers.remove(job.identity());
+        if (waiting != null) {
+            Answers.Submission answer = state == JobState.CANCELLED
+                    ? new Answers.Submission.GivenUp(job.isStarted() || job.wasSent())
+                    : new Answers.Submission.Ended(state);
+            waiting.forEach(receiver -> receiver.accept(answer));
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Placement.java
@@ -0,0 +1,119 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.StepPlan;
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Choice of the upstream on which a task is likely to end first.
+ *
+ * <p>A task goes to a sidecar only if it can start there soon; otherwise it waits at its entry, where it can still go
+ * anywhere.
+ */
+final class Placement {
+    /** Longest wait at a sidecar that a task is sent into, in milliseconds: a few round trips between zones. */
+    static final long LONGEST_WAIT_MILLISECONDS = 25;
+    /** What a full upstream counts for against an empty one, in milliseconds: spreads load where speeds are alike. */
+    private static final double CROWDING_MILLISECONDS = 12;
+
+    private final DurationModel durations;
+
+    Placement(DurationModel durations) {
+        this.durations = durations;
+    }
+
+    /** The upstream chosen, and how long the run is expected to take there, in milliseconds. */
+    record Choice(SidecarView sidecar, long expectedMilliseconds) {}
+
+    Optional<Choice> choose(OwnedTask task, Collection<SidecarView> sidecars, long now) {
+        SidecarView best = null;
+        double bestEnd = Double.MAX_VALUE;
+        for (SidecarView sidecar : sidecars) {
+            if (!suits(task, sidecar, now)) {
+                continue;
+            }
+            double wait = wait(sidecar, task.step().need());
+            if (wait > LONGEST_WAIT_MILLISECONDS) {
+                continue;
+            }
+            double end = wait + predict(task, sidecar) + crowding(sidecar) + distrust(task, sidecar);
+            if (end < bestEnd) {
+                bestEnd = end;
+                best = sidecar;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(new Choice(best, predict(task, best)));
+    }
+
+    /** Tells whether any upstream that is known could ever run a task of a step. */
+    static boolean canEverRun(StepPlan step, String service, Collection<SidecarView> sidecars) {
+        boolean known = false;
+        for (SidecarView sidecar : sidecars) {
+            if (sidecar.status() != null && sidecar.status().service().equals(service)) {
+                known = true;
+                if (sidecar.status().capacity().covers(step.need()) && hasLabel(step, sidecar)) {
+                    return true;
+                }
+            }
+        }
+        return !known;
+    }
+
+    private boolean suits(OwnedTask task, SidecarView sidecar, long now) {
+        if (!sidecar.isUsable() || sidecar.isEjected(now)) {
+            return false;
+        }
+        if (!sidecar.status().service().equals(task.job().policy().service())
+                || !sidecar.status().capacity().covers(task.step().need())
+                || !hasLabel(task.step(), sidecar)) {
+            return false;
+        }
+        if (sidecar.isOnProbation()
+                && task.failures() + 1 >= task.job().policy().mostAttempts()) {
+            return false;
+        }
+        int most = task.step().mostOnOneUpstream();
+        return most == 0 || countThere(task, sidecar) < most;
+    }
+
+    private static boolean hasLabel(StepPlan step, SidecarView sidecar) {
+        return step.requiredLabel().isEmpty() || sidecar.status().labels().contains(step.requiredLabel());
+    }
+
+    private static long countThere(OwnedTask task, SidecarView sidecar) {
+        return task.job().tasks().stream()
+                .filter(other -> other.identity().step() == task.identity().step()
+                        && other.isIn(OwnedTask.Phase.SENT)
+                        && other.sidecar().equals(sidecar.incarnation()))
+                .count();
+    }
+
+    /** Estimates how long a task would wait there, in milliseconds. */
+    private static double wait(SidecarView sidecar, Resources need) {
+        if (sidecar.free().covers(need)) {
+            return 0;
+        }
+        double processors = Math.max(1, sidecar.status().capacity().processorMillis());
+        return LONGEST_WAIT_MILLISECONDS / 2.0 + sidecar.waitingWork() / processors;
+    }
+
+    private long predict(OwnedTask task, SidecarView sidecar) {
+        return durations.predict(
+                task.job().policy().name(), sidecar.node(), task.step().estimatedMilliseconds());
+    }
+
+    private static double crowding(SidecarView sidecar) {
+        double capacity = Math.max(1, sidecar.status().capacity().processorMillis());
+        return CROWDING_MILLISECONDS * (1 - Math.max(0, sidecar.free().processorMillis()) / capacity);
+    }
+
+    /** Keeps second attempts away from where the first failed, and on upstreams that others' tasks have proved. */
+    private double distrust(OwnedTask task, SidecarView sidecar) {
+        if (task.failedAt().isEmpty() && task.failures() == 0) {
+            return 0;
+        }
+        double penalty = predict(task, sidecar);
+        return (task.failedAt().contains(sidecar.node()) ? 10 * penalty : 0) + (sidecar.isProven() ? 0 : 3 * penalty);
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Registration.java
@@ -0,0 +1,104 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.MemberRecord;
+import io.caperturn.jobs.record.RecordKey;
+import io.caperturn.jobs.record.RecordStore;
+import io.caperturn.jobs.record.RecordTransaction;
+import io.caperturn.jobs.record.StoredRecord;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+/** Entry of one process in the table of processes, written under the condition that nobody changed it meanwhile. */
+public final class Registration {
+    /** Table of processes, a record for each instance. */
+    public static final String MEMBER_TABLE = "caperturn-members";
+    /** Pause before another try, in milliseconds: a start waits for this, so it is short. */
+    private static final long RETRY_MILLISECONDS = 60;
+
+    private final RecordStore store;
+    private final Loop loop;
+    private final MemberRecord content;
+    private final byte[] bytes;
+    private final LongConsumer registered;
+    private boolean over;
+
+    /**
+     * Prepares the entry.
+     *
+     * @param store the store
+     * @param loop the loop on which all calls come
+     * @param content what is entered
+     * @param registered receiver of the version of the entry, which no other life of the process has
+     */
+    public Registration(RecordStore store, Loop loop, MemberRecord content, LongConsumer registered) {
+        this.store = store;
+        this.loop = loop;
+        this.content = content;
+        this.bytes = content.toBytes();
+        this.registered = registered;
+    }
+
+    /** Writes the entry, again and again until it stands. */
+    public void start() {
+        write(0);
+    }
+
+    /** Stops trying. */
+    public void stop() {
+        over = true;
+    }
+
+    /**
+     * Removes an entry if nobody changed it since it was read.
+     *
+     * @param store the store
+     * @param entry the entry as it was read
+     * @param receiver told whether it was removed
+     */
+    public static void remove(RecordStore store, StoredRecord entry, Consumer<Boolean> receiver) {
+        store.transact(
+                new RecordTransaction(Map.of(entry.key(), entry.version()), Map.of(), List.of(entry.key())),
+                outcome -> receiver.accept(outcome instanceof RecordStore.WriteOutcome.Committed));
+    }
+
+    private void write(long version) {
+        if (over) {
+            return;
+        }
+        RecordKey key = new RecordKey(MEMBER_TABLE, "", content.node());
+        store.transact(new RecordTransaction(Map.of(key, version), Map.of(key, bytes), List.of()), outcome -> {
+            switch (outcome) {
+                case RecordStore.WriteOutcome.Committed committed -> done(committed.version());
+                case RecordStore.WriteOutcome.Conflicted conflicted -> {
+                    StoredRecord current = conflicted.current().isEmpty()
+                            ? null
+                            : conflicted.current().getFirst();
+                    if (current != null && Arrays.equals(current.value(), bytes)) {
+                        done(current.version());
+                    } else {
+                        write(current == null ? 0 : current.version());
+                    }
+                }
+                case RecordStore.WriteOutcome.Refused refused -> again(version, refused.reason());
+                case RecordStore.WriteOutcome.Doubtful doubtful -> again(version, doubtful.reason());
+            }
+        });
+    }
+
+    private void done(long version) {
+        if (!over) {
+            over = true;
+            loop.log().event("registered", "node", content.node(), "version", version);
+            registered.accept(version);
+        }
+    }
+
+    private void again(long version, String reason) {
+        loop.log().event("register-retry", "node", content.node(), "reason", reason);
+        loop.after(RETRY_MILLISECONDS, () -> write(version));
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobs.java
@@ -0,0 +1,85 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.ClosedRecord;
+import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.record.JobWriter;
+import io.caperturn.jobs.record.RecordStore;
+import io.caperturn.jobs.record.StoredRecord;
+import java.io.IOException;
+import java.util.List;
+
+/** Reader of jobs that this entry doesn't own. */
+final class StoredJobs {
+    private final Loop loop;
+    private final RecordStore store;
+
+    StoredJobs(Loop loop, RecordStore store) {
+        this.loop = loop;
+        this.store = store;
+    }
+
+    /** Receiver of a job's record, if it is not over, and of what a caller is told of it. */
+    interface Receiver {
+        void accept(StoredRecord open, Answers.Lookup answer);
+    }
+
+    /** Reads a job from the store: first among those that are not over, since it can only move from there. */
+    void read(String identity, Receiver receiver) {
+        String part = JobWriter.partOf(identity);
+        String after = identity + '\0';
+        store.read(JobWriter.OPEN_TABLE, part, identity, after, first -> {
+            switch (first) {
+                case RecordStore.ReadOutcome.Failed failed ->
+                    receiver.accept(null, new Answers.Lookup.Unavailable(failed.reason()));
+                case RecordStore.ReadOutcome.Found open
+                when !open.records().isEmpty() -> {
+                    StoredRecord stored = open.records().getFirst();
+                    receiver.accept(stored, stateOf(stored));
+                }
+                case RecordStore.ReadOutcome.Found ignored ->
+                    store.read(JobWriter.CLOSED_TABLE, part, identity, after, second -> {
+                        switch (second) {
+                            case RecordStore.ReadOutcome.Failed failed ->
+                                receiver.accept(null, new Answers.Lookup.Unavailable(failed.reason()));
+                            case RecordStore.ReadOutcome.Found closed -> receiver.accept(null, endOf(closed.records()));
+                        }
+                    });
+            }
+        });
+    }
+
+    private Answers.Lookup stateOf(StoredRecord open) {
+        try {
+            return new Answers.Lookup.Found(JobRecord.of(open.value()).started() ? JobState.RUNNING : JobState.QUEUED);
+        } catch (IOException e) {
+            return unreadable(open, e);
+        }
+    }
+
+    private Answers.Lookup endOf(List<StoredRecord> records) {
+        if (records.isEmpty()) {
+            return new Answers.Lookup.Unknown();
+        }
+        try {
+            return new Answers.Lookup.Found(
+                    ClosedRecord.of(records.getFirst().value()).state());
+        } catch (IOException e) {
+            return unreadable(records.getFirst(), e);
+        }
+    }
+
+    Answers.Lookup unreadable(StoredRecord stored, IOException e) {
+        loop.log()
+                .event(
+                        "record-unreadable",
+                        "job",
+                        stored.key().name(),
+                        "version",
+                        stored.version(),
+                        "reason",
+                        e.getMessage());
+        return new Answers.Lookup.Unavailable("unreadable");
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/RecordKey.java
@@ -0,0 +1,10 @@
+package io.caperturn.jobs.record;
+
+/**
+ * Key of one stored record.
+ *
+ * @param table name of the table
+ * @param part part of the table; all records of a transaction lie in one part
+ * @param name name within the part
+ */
+public record RecordKey(String table, String part, String name) {}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -0,0 +1,153 @@
+package io.caperturn.jobs.upstream;
+
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.model.RunOutcome;
+
+/** One run as its sidecar knows it. */
+final class LocalRun {
+    private final RunIdentity identity;
+    private String owner = "";
+    private String payload = "";
+    private Resources need = Resources.NONE;
+    private long work;
+    private long startBy;
+    private int urgency;
+    private Phase phase = Phase.QUEUED;
+    private RunOutcome outcome = RunOutcome.QUEUED;
+    private String reason = "";
+    private long startedAt;
+    private long endedAt;
+    private long endNumber;
+    private long since;
+    private boolean stopWanted;
+    private boolean durable;
+
+    LocalRun(RunIdentity identity, long since) {
+        this.identity = identity;
+        this.since = since;
+    }
+
+    /** Where a run stands at its sidecar. */
+    enum Phase {
+        QUEUED,
+        STARTING,
+        DOUBTFUL,
+        RUNNING,
+        ENDED
+    }
+
+    RunIdentity identity() {
+        return identity;
+    }
+
+    String owner() {
+        return owner;
+    }
+
+    void ownedBy(String incarnation, long now) {
+        owner = incarnation;
+        since = now;
+    }
+
+    void describe(String text, Resources room, long estimatedMilliseconds, long latestStart, int rank) {
+        payload = text;
+        need = room;
+        work = room.processorMillis() * estimatedMilliseconds;
+        startBy = latestStart;
+        urgency = rank;
+    }
+
+    void durable(boolean stored) {
+        durable = stored;
+    }
+
+    /** Tells whether its job outlives its owner. */
+    boolean isDurable() {
+        return durable;
+    }
+
+    String payload() {
+        return payload;
+    }
+
+    Resources need() {
+        return need;
+    }
+
+    long work() {
+        return work;
+    }
+
+    long startBy() {
+        return startBy;
+    }
+
+    int urgency() {
+        return urgency;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean isIn(Phase wanted) {
+        return phase == wanted;
+    }
+
+    void enter(Phase next) {
+        phase = next;
+        outcome = next == Phase.QUEUED ? RunOutcome.QUEUED : RunOutcome.RUNNING;
+    }
+
+    void starting(long now) {
+        enter(Phase.STARTING);
+        startedAt = now;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    void end(RunOutcome how, String why, long number, long now) {
+        phase = Phase.ENDED;
+        outcome = how;
+        reason = why;
+        endNumber = number;
+        endedAt = now;
+        since = now;
+    }
+
+    RunOutcome outcome() {
+        return outcome;
+    }
+
+    String reason() {
+        return reason;
+    }
+
+    long endNumber() {
+        return endNumber;
+    }
+
+    /** Tells how long it ran in milliseconds, 0 if that is not known. */
+    long runMilliseconds() {
+        return startedAt == 0 || phase != Phase.ENDED ? 0 : endedAt - startedAt;
+    }
+
+    long since() {
+        return since;
+    }
+
+    boolean holdsRoom() {
+        return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
+    }
+
+    void wantStop() {
+        stopWanted = true;
+    }
+
+    boolean isStopWanted() {
+        return stopWanted;
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -0,0 +1,384 @@
+package io.caperturn.jobs.upstream;
+
+import io.caperturn.jobs.LinkPort;
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.message.Frame;
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.upstream.LocalRun.Phase;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Sidecar of one upstream: takes runs from entries, has them kept at the upstream, and reports to their owners.
+ *
+ * <p>An owner's authority is a lease: it counts from the moment at which this sidecar asked for it, so it always ends
+ * here before the owner, or whoever adopts its jobs, takes it for ended.
+ */
+public final class Sidecar {
+    /** Delay within which changes are gathered into one status, in milliseconds: short against a task of 50 ms. */
+    private static final long STATUS_DELAY_MILLISECONDS = 3;
+    /** Interval of the look at leases, in milliseconds: a tenth of the shortest authority. */
+    private static final long TICK_MILLISECONDS = 100;
+    /** Time after which runs that no entry claims are asked about, in milliseconds: an adoption takes less. */
+    private static final long UNCLAIMED_MILLISECONDS = 600;
+
+    private final Loop loop;
+    private final LinkPort links;
+    private final SidecarSettings settings;
+    private final RunBook book = new RunBook();
+    private final UpstreamKeeper keeper;
+    private final Map<String, OwnerLease> owners = new HashMap<>();
+    private final Set<String> fenced = new HashSet<>();
+    private boolean statusDue;
+    private long renewal;
+    private long lastStatus;
+    private long lastUnclaimed;
+
+    /**
+     * Creates a sidecar that knows nothing yet.
+     *
+     * @param loop the loop on which all calls come
+     * @param upstream port to the upstream
+     * @param links port to the entries
+     * @param settings times to keep to
+     */
+    public Sidecar(Loop loop, UpstreamPort upstream, LinkPort links, SidecarSettings settings) {
+        this.loop = loop;
+        this.links = links;
+        this.settings = settings;
+        this.keeper = new UpstreamKeeper(upstream, loop, settings, book, new Reporter());
+    }
+
+    /** Begins to look after leases. */
+    public void start() {
+        loop.after(TICK_MILLISECONDS, this::tick);
+    }
+
+    /**
+     * Takes a fencing base: a number that the store gave to no other life of this sidecar.
+     *
+     * @param registration the number
+     */
+    public void registered(long registration) {
+        keeper.registered(registration);
+    }
+
+    /**
+     * Takes what the upstream says of itself.
+     *
+     * @param news the announcement
+     */
+    public void announced(Announcement news) {
+        keeper.announced(news);
+    }
+
+    /**
+     * Takes the upstream's last word.
+     *
+     * @param identity its name
+     */
+    public void departed(String identity) {
+        keeper.departed(identity);
+    }
+
+    /** Takes nothing new from now on, gives waiting runs back, and lets running ones end. */
+    public void leave() {
+        keeper.leave();
+    }
+
+    /**
+     * Tells whether anything runs, or has ended without its owner's word.
+     *
+     * @return true if this process can end without loss
+     */
+    public boolean isIdle() {
+        return book.holdingCount() == 0 && book.acknowledgeable() == book.acknowledged();
+    }
+
+    /**
+     * Takes an opened link to an entry.
+     *
+     * @param incarnation the entry
+     */
+    public void linked(String incarnation) {
+        owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, settings))
+                .reset(loop.now());
+        links.send(incarnation, inventory(""));
+        sendStatus(incarnation);
+    }
+
+    /**
+     * Takes the loss of a link; the entry's authority runs on until its time is over.
+     *
+     * @param incarnation the entry
+     */
+    public void unlinked(String incarnation) {
+        OwnerLease owner = owners.get(incarnation);
+        if (owner != null) {
+            owner.unlinked();
+        }
+    }
+
+    /**
+     * Takes a frame from an entry.
+     *
+     * @param incarnation the entry
+     * @param frame the frame
+     */
+    public void received(String incarnation, Frame frame) {
+        OwnerLease owner = owners.get(incarnation);
+        if (owner == null) {
+            return;
+        }
+        switch (frame) {
+            case Frame.Lease lease -> {
+                if (owner.renewed(lease)) {
+                    keeper.startNext();
+                }
+            }
+            case Frame.Dispatch dispatch -> dispatched(owner, dispatch);
+            case Frame.Withdraw withdraw -> withdrawn(incarnation, withdraw.run());
+            case Frame.Settled settled -> settled(settled.run());
+            case Frame.FenceOwner fence -> fence(incarnation, fence.incarnation());
+            case Frame.JobOver over -> jobOver(over.job());
+            default -> loop.log().event("frame-unexpected", "from", incarnation, "frame", frame);
+        }
+    }
+
+    private void dispatched(OwnerLease owner, Frame.Dispatch dispatch) {
+        owner.saw(dispatch.sequence());
+        RunIdentity identity = dispatch.run();
+        if (fenced.contains(owner.incarnation())) {
+            loop.log().event("dispatch-fenced", "run", identity, "owner", owner.incarnation());
+            return;
+        }
+        long now = loop.now();
+        long startBy = now + dispatch.slackMilliseconds();
+        LocalRun known = book.find(identity);
+        if (known != null) {
+            known.ownedBy(owner.incarnation(), now);
+            known.durable(dispatch.durable());
+            if (!known.isIn(Phase.ENDED)) {
+                book.describe(known, dispatch, startBy);
+            }
+            report(known);
+            return;
+        }
+        LocalRun run = new LocalRun(identity, now);
+        run.ownedBy(owner.incarnation(), now);
+        run.durable(dispatch.durable());
+        run.describe(
+                dispatch.payload(), dispatch.need(), dispatch.estimatedMilliseconds(), startBy, dispatch.urgency());
+        String refusal = refusal(run);
+        if (!refusal.isEmpty()) {
+            loop.log().event("dispatch-refused", "run", identity, "owner", owner.incarnation(), "reason", refusal);
+            links.send(owner.incarnation(), new Frame.Report(identity, RunOutcome.REFUSED, 0, refusal));
+            statusSoon();
+            return;
+        }
+        book.enqueue(run);
+        statusSoon();
+        keeper.startNext();
+    }
+
+    private String refusal(LocalRun run) {
+        if (!keeper.isUsable()) {
+            return "upstream-unusable";
+        }
+        if (!keeper.state().capacity().covers(run.need())) {
+            return "larger-than-upstream";
+        }
+        return book.hasOtherRun(run.identity()) ? "other-run" : "";
+    }
+
+    private void withdrawn(String incarnation, RunIdentity identity) {
+        LocalRun run = book.find(identity);
+        if (run == null) {
+            links.send(incarnation, new Frame.Report(identity, RunOutcome.STOPPED, 0, "unknown"));
+        } else {
+            keeper.withdraw(run, "withdrawn");
+        }
+    }
+
+    private void settled(RunIdentity identity) {
+        LocalRun run = book.find(identity);
+        if (run != null && run.isIn(Phase.ENDED)) {
+            keeper.settled(run);
+        }
+    }
+
+    private void fence(String adopter, String lost) {
+        if (fenced.add(lost)) {
+            loop.log().event("owner-fenced", "owner", lost, "adopter", adopter);
+        }
+        for (LocalRun run : List.copyOf(book.queue())) {
+            if (run.owner().equals(lost)) {
+                book.end(run, RunOutcome.REFUSED, "owner-lost", 0, loop.now());
+            }
+        }
+        for (LocalRun run : book.all()) {
+            if (run.owner().equals(lost)) {
+                run.ownedBy("", loop.now());
+            }
+        }
+        links.send(adopter, inventory(lost));
+        statusSoon();
+    }
+
+    private void jobOver(String job) {
+        for (LocalRun run : List.copyOf(book.all())) {
+            if (run.identity().task().job().equals(job) && run.owner().isEmpty()) {
+                if (run.isIn(Phase.ENDED)) {
+                    keeper.settled(run);
+                } else {
+                    keeper.withdraw(run, "job-over");
+                }
+            }
+        }
+    }
+
+    private Frame.Inventory inventory(String lost) {
+        List<Frame.Report> reports = new ArrayList<>();
+        for (LocalRun run : book.all()) {
+            reports.add(new Frame.Report(run.identity(), run.outcome(), run.runMilliseconds(), run.reason()));
+        }
+        return new Frame.Inventory(lost, keeper.state().isListed(), reports);
+    }
+
+    private void tick() {
+        loop.after(TICK_MILLISECONDS, this::tick);
+        expireOwners();
+        keeper.tick();
+        askUnclaimed();
+        if (loop.now() - lastStatus >= settings.renewalMilliseconds()) {
+            sendStatuses();
+        }
+    }
+
+    private void expireOwners() {
+        long now = loop.now();
+        for (LocalRun run : List.copyOf(book.all())) {
+            OwnerLease owner = owners.get(run.owner());
+            if (owner == null || run.isIn(Phase.ENDED)) {
+                continue;
+            }
+            if (now <= owner.authorityOver(run)) {
+                continue;
+            }
+            if (run.isIn(Phase.QUEUED)) {
+                loop.log().event("run-dropped", "run", run.identity(), "owner", run.owner(), "cause", "owner-silent");
+                book.end(run, RunOutcome.REFUSED, "owner-silent", 0, now);
+                report(run);
+                statusSoon();
+            } else if (run.holdsRoom() && !run.isStopWanted()) {
+                keeper.withdraw(run, "owner-silent");
+            }
+        }
+        owners.values()
+                .removeIf(
+                        owner -> !owner.isLinked() && now > owner.heardAt() + 2 * settings.runAuthorityMilliseconds());
+    }
+
+    private void askUnclaimed() {
+        long now = loop.now();
+        if (now - lastUnclaimed < UNCLAIMED_MILLISECONDS / 2) {
+            return;
+        }
+        lastUnclaimed = now;
+        Set<String> jobs = new LinkedHashSet<>();
+        for (LocalRun run : book.all()) {
+            boolean unclaimed = run.owner().isEmpty() || !owners.containsKey(run.owner());
+            if (unclaimed && now - run.since() > UNCLAIMED_MILLISECONDS) {
+                run.ownedBy("", run.since());
+                jobs.add(run.identity().task().job());
+            }
+        }
+        if (!jobs.isEmpty()) {
+            owners.values().stream()
+                    .filter(owner -> owner.isLinked())
+                    .findFirst()
+                    .ifPresent(owner -> links.send(owner.incarnation(), new Frame.Unclaimed(List.copyOf(jobs))));
+        }
+    }
+
+    private void statusSoon() {
+        if (!statusDue) {
+            statusDue = true;
+            loop.after(STATUS_DELAY_MILLISECONDS, this::sendStatuses);
+        }
+    }
+
+    private void sendStatuses() {
+        statusDue = false;
+        lastStatus = loop.now();
+        owners.values().stream().filter(owner -> owner.isLinked()).forEach(owner -> sendStatus(owner.incarnation()));
+    }
+
+    private void sendStatus(String incarnation) {
+        OwnerLease owner = owners.get(incarnation);
+        renewal++;
+        owner.asked(renewal, loop.now());
+        Resources free = keeper.state().capacity().minus(book.used()).minus(book.waitingNeed());
+        links.send(
+                incarnation,
+                new Frame.Status(
+                        keeper.isUsable(),
+                        keeper.state().service(),
+                        keeper.state().capacity(),
+                        free,
+                        book.waitingWork(),
+                        book.holdingCount(),
+                        keeper.state().labels(),
+                        owner.dispatchesSeen(),
+                        renewal));
+    }
+
+    private void report(LocalRun run) {
+        if (!run.owner().isEmpty()) {
+            links.send(
+                    run.owner(), new Frame.Report(run.identity(), run.outcome(), run.runMilliseconds(), run.reason()));
+        }
+    }
+
+    private final class Reporter implements RunListener {
+        @Override
+        public void started(LocalRun run) {
+            report(run);
+        }
+
+        @Override
+        public void ended(LocalRun run) {
+            report(run);
+        }
+
+        @Override
+        public void changed() {
+            statusSoon();
+        }
+
+        @Override
+        public void listed() {
+            owners.values().stream()
+                    .filter(owner -> owner.isLinked())
+                    .forEach(owner -> links.send(owner.incarnation(), inventory("")));
+        }
+
+        @Override
+        public void suspended() {
+            owners.values().forEach(OwnerLease::distrust);
+        }
+
+        @Override
+        public boolean mayStart(LocalRun run) {
+            OwnerLease owner = owners.get(run.owner());
+            return owner != null && owner.mayStart(run, loop.now());
+        }
+    }
+}
--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -0,0 +1,143 @@
+package io.caperturn.jobs.upstream;
+
+import io.caperturn.jobs.Loop;
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.upstream.UpstreamPort.Order;
+import java.util.List;
+
+/** What a sidecar believes of its upstream: which life of it answers, its clock, and the fencing number in force. */
+final class UpstreamState {
+    /** Room for fencing numbers that this process gives itself between two that the store gave. */
+    private static final long FENCES_FOR_EACH_REGISTRATION = 1_000;
+
+    private final Loop loop;
+    private final long leaseMilliseconds;
+    private final UpstreamClock clock = new UpstreamClock();
+    private Announcement announcement;
+    private String identity = "";
+    private long born;
+    private boolean anyLife;
+    private long fence;
+    private long listedFence;
+
+    UpstreamState(Loop loop, long leaseMilliseconds) {
+        this.loop = loop;
+        this.leaseMilliseconds = leaseMilliseconds;
+    }
+
+    /** Takes a number that the store has given to no other life of this sidecar; gives false if it changes nothing. */
+    boolean registered(long registration) {
+        long next = registration * FENCES_FOR_EACH_REGISTRATION;
+        if (next <= fence) {
+            return false;
+        }
+        fence = next;
+        loop.log().event("fence", "number", fence, "cause", "registered");
+        return true;
+    }
+
+    void raiseFence(String cause) {
+        fence++;
+        loop.log().event("fence", "number", fence, "cause", cause);
+    }
+
+    long fence() {
+        return fence;
+    }
+
+    /** Tells whether the upstream's own list under the present fencing number is known. */
+    boolean isListed() {
+        return fence > 0 && listedFence == fence;
+    }
+
+    /** Notes a listing; gives true if it is the first under its fencing number. */
+    boolean listed(long number) {
+        boolean first = listedFence != number;
+        listedFence = number;
+        return first;
+    }
+
+    boolean wasEverListed() {
+        return listedFence != 0;
+    }
+
+    Announcement announcement() {
+        return announcement;
+    }
+
+    void announcement(Announcement news) {
+        announcement = news;
+    }
+
+    boolean isWilling() {
+        return announcement != null && !announcement.leaving() && isListed();
+    }
+
+    String service() {
+        return announcement == null ? "" : announcement.service();
+    }
+
+    List<String> labels() {
+        return announcement == null ? List.of() : announcement.labels();
+    }
+
+    Resources capacity() {
+        return announcement == null ? Resources.NONE : announcement.capacity();
+    }
+
+    String identity() {
+        return identity;
+    }
+
+    /** Notes that another upstream, or another life of it, answered an order that was meant for the known one. */
+    void mistaken() {
+        anyLife = true;
+        listedFence = 0;
+    }
+
+    /** Notes which life answers; gives true if it took the place of a known one, whose runs are over. */
+    boolean answeredBy(String who, long when) {
+        anyLife = false;
+        String name = who.isEmpty() ? identity : who;
+        if (name.equals(identity) && (when == 0 || born == 0 || when == born)) {
+            born = Math.max(born, when);
+            return false;
+        }
+        boolean known = !identity.isEmpty();
+        loop.log().event("upstream-life", "identity", name, "born", when, "before", identity, "bornBefore", born);
+        identity = name;
+        born = when;
+        if (known) {
+            clock.forget();
+            if (fence > 0) {
+                raiseFence("upstream-reborn");
+            }
+            listedFence = 0;
+        }
+        return known;
+    }
+
+    boolean isClockKnown() {
+        return clock.isKnown();
+    }
+
+    /** Takes a reading of the upstream's clock; gives true if this process must have been suspended. */
+    boolean readClock(long reading) {
+        boolean jumped = clock.read(reading, loop.now());
+        if (jumped) {
+            loop.log().event("suspended", "clock", reading);
+        }
+        return jumped;
+    }
+
+    /** Gives what an order carries that also extends the lease. */
+    Order order() {
+        long until = clock.isKnown() ? clock.estimate(loop.now()) + leaseMilliseconds : 0;
+        return new Order(anyLife ? "" : identity, fence, until);
+    }
+
+    /** Gives what an order carries that extends nothing. */
+    Order orderWithoutLease() {
+        return new Order(anyLife ? "" : identity, fence, 0);
+    }
+}
