An inventory tells up to which dispatch it is valid; runs that stand still are told by their progress

Ruled out: late orders at the upstream (its record shows both starts answered at once). Also found by the simulation of the fleet: after a rebirth of an upstream, runs that the new life had accepted already were taken for lapsed; an entry that had resigned went on following. Change: inventories carry the number of the last dispatch that they include; after a rebirth the next listing decides; standing still is judged from the progress that the upstream reports instead of the elapsed time.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/Frame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/Frame.java
@@ -116,16 +116,20 @@
      * @param runMilliseconds how long it ran, in milliseconds; 0 if that is not known
      * @param reason what an end without success was put down to; empty if nothing is known
      */
-    record Report(RunIdentity run, RunOutcome outcome, long runMilliseconds, String reason) implements Frame {}
+    record Report(RunIdentity run, RunOutcome outcome, long runMilliseconds, String reason) implements Frame {
+        /** Reason given with a run that is at work but has not moved for longer than its size explains. */
+        public static final String STANDS_STILL = "stands-still";
+    }
 
     /**
      * All that a sidecar knows of runs, sent first on each link and in answer to {@link FenceOwner}.
      *
      * @param fenced incarnation of an entry from which no order will be taken any more; empty on a new link
      * @param complete whether the upstream's own list is in it: a run that is missing will then never start
+     * @param dispatchesSeen highest number of a dispatch that had come over this link; later ones are not in it
      * @param runs the runs, each as a report
      */
-    record Inventory(String fenced, boolean complete, List<Report> runs) implements Frame {
+    record Inventory(String fenced, boolean complete, long dispatchesSeen, List<Report> runs) implements Frame {
         /** Copies the list. */
         public Inventory {
             runs = List.copyOf(runs);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FrameCodec.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FrameCodec.java
@@ -55,7 +55,7 @@
             case Frame.Settled settled -> writeRun(writer, settled.run());
             case Frame.Report report -> writeReport(writer, report);
             case Frame.Inventory inventory -> {
-                writer.text(1, inventory.fenced()).flag(2, inventory.complete());
+                writer.text(1, inventory.fenced()).flag(2, inventory.complete()).number(4, inventory.dispatchesSeen());
                 inventory.runs().forEach(run -> writer.message(3, nested -> writeReport(nested, run)));
             }
             case Frame.FenceOwner fence -> writer.text(1, fence.incarnation());
@@ -226,16 +226,18 @@
     private static Frame readInventory(FieldReader reader) throws IOException {
         String fenced = "";
         boolean complete = false;
+        long seen = 0;
         List<Frame.Report> runs = new ArrayList<>();
         for (int field = reader.next(); field != 0; field = reader.next()) {
             switch (field) {
                 case 1 -> fenced = reader.text();
                 case 2 -> complete = reader.flag();
                 case 3 -> runs.add(readReport(reader.message()));
+                case 4 -> seen = reader.number();
                 default -> reader.skip();
             }
         }
-        return new Frame.Inventory(fenced, complete, runs);
+        return new Frame.Inventory(fenced, complete, seen, runs);
     }
 
     private static Frame readHello(FieldReader reader) throws IOException {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -21,10 +21,6 @@
     private static final int FAILURES_TO_EJECT = 3;
     /** Time until an ejected upstream gets a single task as a probe, in milliseconds. */
     private static final long EJECTION_MILLISECONDS = 2_000;
-    /** Multiple of its expected duration after which a run counts as standing still; estimates are off by half. */
-    private static final long STALL_FACTOR = 4;
-    /** Least time after which a run counts as standing still, in milliseconds. */
-    private static final long STALL_MILLISECONDS = 400;
     /** Lease of an upstream, with its drift, the time that a stop takes, and a margin, in milliseconds. */
     private static final long LAPSE_MILLISECONDS = 1_500;
     /** Time after the last sign of life to a sidecar after which nothing that it was sent runs, in milliseconds. */
@@ -143,6 +139,7 @@
         StepPlan step = task.step();
         long sequence = view.nextSequence(step.need(), step.need().processorMillis() * expected);
         long slack = WaitingTasks.latestStart(task, loop.now()) - loop.now();
+        task.sentAs(view.links(), sequence);
         links.send(
                 view.incarnation(),
                 new Frame.Dispatch(
@@ -167,7 +164,7 @@
         for (OwnedJob job : List.copyOf(jobs.owned())) {
             for (OwnedTask task : job.tasks()) {
                 if (task.isIn(OwnedTask.Phase.SENT) && isAt(task, view)) {
-                    confirm(task, view, known.remove(task.currentRun()), inventory.complete());
+                    confirm(task, view, known.remove(task.currentRun()), inventory);
                 }
             }
         }
@@ -180,9 +177,10 @@
                 || at != null && at.node().equals(view.node());
     }
 
-    private void confirm(OwnedTask task, SidecarView view, Frame.Report report, boolean complete) {
+    private void confirm(OwnedTask task, SidecarView view, Frame.Report report, Frame.Inventory inventory) {
         if (report == null) {
-            if (complete || task.sidecar().equals(view.incarnation())) {
+            boolean sameLife = task.sidecar().equals(view.incarnation());
+            if (sameLife ? task.wasSentBy(view.links(), inventory.dispatchesSeen()) : inventory.complete()) {
                 again(task, "not-in-inventory");
             }
         } else if (report.outcome().isEnd()) {
@@ -210,8 +208,8 @@
             case QUEUED -> {}
             case RUNNING -> {
                 job.started();
-                if (current) {
-                    task.started(loop.now());
+                if (current && report.reason().equals(Frame.Report.STANDS_STILL)) {
+                    standsStill(task, view);
                 }
             }
             case DONE -> done(task, incarnation, report, current);
@@ -285,6 +283,18 @@
         }
     }
 
+    private void standsStill(OwnedTask task, SidecarView view) {
+        if (view == null || task.isWithdrawn()) {
+            return;
+        }
+        loop.log().event("stalled", "run", task.currentRun(), "node", view.node(), "ran", loop.now() - task.sentAt());
+        loop.log().count("stalled");
+        task.withdraw();
+        task.failedAt().add(view.node());
+        countFailure(task, view);
+        links.send(task.sidecar(), new Frame.Withdraw(task.currentRun()));
+    }
+
     private void countFailure(OwnedTask task, SidecarView view) {
         if (view.failed(task.identity().job()) >= FAILURES_TO_EJECT) {
             view.eject(loop.now() + EJECTION_MILLISECONDS);
@@ -337,27 +347,6 @@
         long writeOff = task.job().plan().durable() ? WRITE_OFF_MILLISECONDS : TRANSIENT_WRITE_OFF_MILLISECONDS;
         if (view == null || !view.isLinked() && now - view.lastLease() > writeOff) {
             again(task, "sidecar-lost");
-        } else if (!task.isWithdrawn()
-                && task.startedAt() > 0
-                && view.isLinked()
-                && now - task.startedAt() > STALL_MILLISECONDS + STALL_FACTOR * task.expected()) {
-            loop.log()
-                    .event(
-                            "stalled",
-                            "run",
-                            task.currentRun(),
-                            "node",
-                            view.node(),
-                            "ran",
-                            now - task.startedAt(),
-                            "expected",
-                            task.expected());
-            loop.log().count("stalled");
-            task.withdraw();
-            task.failedAt().add(view.node());
-            durations.stalled(view.node());
-            countFailure(task, view);
-            links.send(task.sidecar(), new Frame.Withdraw(task.currentRun()));
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/DurationModel.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/DurationModel.java
@@ -34,11 +34,6 @@
         queueFactors.merge(queue, seenFactor, (old, seen) -> old + QUEUE_WEIGHT * (seen - old));
     }
 
-    /** Notes a run that took far longer than expected. */
-    void stalled(String node) {
-        speeds.merge(node, LEAST, (old, seen) -> Math.max(LEAST, old / 2));
-    }
-
     double speed(String node) {
         return speeds.getOrDefault(node, 1.0);
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
@@ -387,6 +387,7 @@
         public void resigned() {
             over = true;
             adoption.stop();
+            membership.stop();
             loop.log().event("resigned", "incarnation", settings.incarnation());
             jobs.clear();
             dispatcher.clear();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
@@ -83,6 +83,12 @@
                 .start();
     }
 
+    /** Follows the table no longer. */
+    void stop() {
+        leaving = true;
+        follower.stop();
+    }
+
     boolean isRegistered() {
         return registered && members.containsKey(settings.node());
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -17,8 +17,9 @@
     private int run;
     private String sidecar = "";
     private long sentAt;
-    private long startedAt;
     private long expected;
+    private int sentOverLink;
+    private long sentSequence;
     private int failures;
     private int lastFailure;
     private boolean withdrawn;
@@ -96,7 +97,6 @@
         run = Math.max(run, runNumber);
         sidecar = incarnation;
         sentAt = now;
-        startedAt = 0;
         expected = expectedMilliseconds;
         withdrawn = false;
         phase = Phase.SENT;
@@ -110,18 +110,19 @@
         return sentAt;
     }
 
-    void started(long now) {
-        if (startedAt == 0) {
-            startedAt = now;
-        }
+    long expected() {
+        return expected;
     }
 
-    long startedAt() {
-        return startedAt;
+    /** Notes over which link to its sidecar it was sent, and as which dispatch there. */
+    void sentAs(int link, long sequence) {
+        sentOverLink = link;
+        sentSequence = sequence;
     }
 
-    long expected() {
-        return expected;
+    /** Tells whether a sidecar's word about dispatches of a link up to a number is also about this task. */
+    boolean wasSentBy(int link, long sequence) {
+        return sentOverLink < link || sentOverLink == link && sentSequence <= sequence;
     }
 
     boolean isWithdrawn() {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -14,6 +14,7 @@
     private boolean linked = true;
     private long lastLease;
     private long sequence;
+    private int links;
     private int failuresInRow;
     private long successes;
     private long ejectedUntil;
@@ -68,10 +69,20 @@
     /** Begins to count dispatches anew, with a new link. */
     void relinked() {
         linked = true;
+        links++;
         sequence = 0;
         unseen.clear();
     }
 
+    /** Counts the links that there have been. */
+    int links() {
+        return links;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
     boolean isUsable() {
         return linked && status != null && status.usable();
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
@@ -24,6 +24,7 @@
     private final Map<String, StoredRecord> records = new HashMap<>();
     private long version;
     private boolean reached;
+    private boolean stopped;
     private long confirmedAt = Long.MIN_VALUE;
 
     /**
@@ -64,8 +65,16 @@
         return confirmedAt;
     }
 
+    /** Follows no longer. */
+    public void stop() {
+        stopped = true;
+    }
+
     private void readWhole(String from, Map<String, StoredRecord> found) {
         store.read(table, "", from, "", outcome -> {
+            if (stopped) {
+                return;
+            }
             switch (outcome) {
                 case RecordStore.ReadOutcome.Found page -> {
                     page.records().forEach(stored -> found.put(stored.key().name(), stored));
@@ -105,6 +114,9 @@
 
     private void follow() {
         store.follow(table, version, outcome -> {
+            if (stopped) {
+                return;
+            }
             switch (outcome) {
                 case RecordStore.FollowOutcome.Changed changed -> {
                     regained(changed.version());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -21,6 +21,8 @@
     private static final int MISSED_HOLDS = 2;
     /** An upstream's clock may be this much slower than ours, in percent. */
     private static final long CLOCK_DRIFT_PERCENT = 2;
+    /** Least time without a move after which a run stands still, in milliseconds: more than a wait of a hold. */
+    private static final long STILL_MILLISECONDS = 300;
     /** Margin on top of a lease for what timers add, in milliseconds. */
     private static final long LEASE_MARGIN_MILLISECONDS = 150;
 
@@ -55,6 +57,9 @@
         /** An order without an answer was carried out after all. */
         void confirmed(LocalRun run);
 
+        /** A run has not moved for longer than its size explains. */
+        void standsStill(LocalRun run);
+
         /** A run is over. */
         void ended(LocalRun run);
 
@@ -194,6 +199,9 @@
             } else if (known.isIn(Phase.DOUBTFUL)) {
                 known.enter(Phase.RUNNING);
                 handler.confirmed(known);
+            } else if (known.standsStill(entry.percent(), now, STILL_MILLISECONDS)) {
+                loop.log().event("stands-still", "run", entry.run(), "percent", entry.percent());
+                handler.standsStill(known);
             }
         }
         endMissing(running, order, sent);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -6,6 +6,9 @@
 
 /** One run as its sidecar knows it. */
 final class LocalRun {
+    /** A run that is this many times slower than expected still moves a hundredth of its way in the time allowed. */
+    private static final long STILL_SHARE = 6;
+
     private final RunIdentity identity;
     private String owner = "";
     private String payload = "";
@@ -21,6 +24,9 @@
     private long endNumber;
     private long since;
     private boolean stopWanted;
+    private long percent = -1;
+    private long movedAt;
+    private boolean toldStill;
     private boolean durable;
 
     LocalRun(RunIdentity identity, long since) {
@@ -139,6 +145,21 @@
         return since;
     }
 
+    /** Notes how far it is; gives true once if it has not moved for too long. */
+    boolean standsStill(long seen, long now, long patience) {
+        if (seen != percent) {
+            percent = seen;
+            movedAt = now;
+        }
+        boolean still = !toldStill && startedAt > 0 && now - movedAt > Math.max(patience, estimate() / STILL_SHARE);
+        toldStill |= still;
+        return still;
+    }
+
+    private long estimate() {
+        return need.processorMillis() == 0 ? 0 : work / need.processorMillis();
+    }
+
     boolean holdsRoom() {
         return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
@@ -5,6 +5,9 @@
     /** A run is at work. */
     void started(LocalRun run);
 
+    /** A run has not moved for longer than its size explains. */
+    void standsStill(LocalRun run);
+
     /** A run is over, or was never begun. */
     void ended(LocalRun run);
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -110,7 +110,7 @@
     public void linked(String incarnation) {
         owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, settings))
                 .reset(loop.now());
-        links.send(incarnation, inventory(""));
+        links.send(incarnation, inventory(owners.get(incarnation), ""));
         sendStatus(incarnation);
     }
 
@@ -228,7 +228,7 @@
                 run.ownedBy("", loop.now());
             }
         }
-        links.send(adopter, inventory(lost));
+        links.send(adopter, inventory(owners.get(adopter), lost));
         statusSoon();
     }
 
@@ -244,12 +244,12 @@
         }
     }
 
-    private Frame.Inventory inventory(String lost) {
+    private Frame.Inventory inventory(OwnerLease asking, String lost) {
         List<Frame.Report> reports = new ArrayList<>();
         for (LocalRun run : book.all()) {
             reports.add(new Frame.Report(run.identity(), run.outcome(), run.runMilliseconds(), run.reason()));
         }
-        return new Frame.Inventory(lost, keeper.state().isListed(), reports);
+        return new Frame.Inventory(lost, keeper.state().isListed(), asking.dispatchesSeen(), reports);
     }
 
     private void tick() {
@@ -353,6 +353,11 @@
             report(run);
         }
 
+        @Override
+        public void standsStill(LocalRun run) {
+            links.send(run.owner(), new Frame.Report(run.identity(), RunOutcome.RUNNING, 0, Frame.Report.STANDS_STILL));
+        }
+
         @Override
         public void ended(LocalRun run) {
             report(run);
@@ -367,7 +372,7 @@
         public void listed() {
             owners.values().stream()
                     .filter(owner -> owner.isLinked())
-                    .forEach(owner -> links.send(owner.incarnation(), inventory("")));
+                    .forEach(owner -> links.send(owner.incarnation(), inventory(owner, "")));
         }
 
         @Override
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
@@ -300,6 +300,11 @@
         listener.ended(run);
     }
 
+    @Override
+    public void standsStill(LocalRun run) {
+        listener.standsStill(run);
+    }
+
     @Override
     public void news(boolean firstListing) {
         roomInDoubt = false;
@@ -313,7 +318,8 @@
     @Override
     public void reborn() {
         book.restartNumbers();
-        endAll(LocalRun::holdsRoom, "upstream-reborn");
+        // An order may have reached the new life before this process knew of it, so the next listing decides.
+        book.all().stream().filter(LocalRun::holdsRoom).forEach(run -> run.enter(Phase.DOUBTFUL));
     }
 
     @Override
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -0,0 +1,278 @@
+package io.caperturn.jobs.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.owner.Answers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Stored jobs under faults: each ends once, and none of its tasks runs twice, by the upstreams' own record. */
+class FleetFaultsTest {
+    private static final int TASKS = 6;
+
+    /** Faults that strike while jobs run, each ended within some seconds. */
+    enum Strike {
+        NOTHING(fleet -> {}),
+        ENTRY_KILLED(fleet -> fleet.kill("entry-0")),
+        ENTRY_RESTARTED(fleet -> {
+            fleet.kill("entry-0");
+            fleet.time().after(1_500, () -> fleet.restart("entry-0"));
+        }),
+        ENTRY_FROZEN(fleet -> {
+            fleet.loop("entry-0").freeze();
+            fleet.time().after(5_000, () -> fleet.loop("entry-0").thaw(false));
+        }),
+        ENTRY_SUSPENDED(fleet -> {
+            fleet.loop("entry-0").freeze();
+            fleet.time().after(5_000, () -> fleet.loop("entry-0").thaw(true));
+        }),
+        ENTRY_CUT(fleet -> {
+            fleet.cut("entry-0");
+            fleet.time().after(6_000, () -> fleet.heal("entry-0"));
+        }),
+        SIDECAR_RESTARTED_AT_ONCE(fleet -> {
+            fleet.kill("sidecar-0");
+            fleet.time().after(300, () -> fleet.restart("sidecar-0"));
+        }),
+        SIDECAR_RESTARTED_LATE(fleet -> {
+            fleet.kill("sidecar-0");
+            fleet.time().after(3_000, () -> fleet.restart("sidecar-0"));
+        }),
+        SIDECAR_LOST(fleet -> fleet.kill("sidecar-0")),
+        SIDECAR_FROZEN(fleet -> {
+            fleet.loop("sidecar-0").freeze();
+            fleet.time().after(5_000, () -> fleet.loop("sidecar-0").thaw(false));
+        }),
+        SIDECAR_SUSPENDED(fleet -> {
+            fleet.loop("sidecar-0").freeze();
+            fleet.time().after(5_000, () -> fleet.loop("sidecar-0").thaw(true));
+        }),
+        SIDECAR_CUT(fleet -> {
+            fleet.cut("sidecar-0");
+            fleet.time().after(8_000, () -> fleet.heal("sidecar-0"));
+        }),
+        LINKS_RESET(fleet -> {
+            for (int number = 0; number < 20; number++) {
+                fleet.time().after(61L * number, () -> fleet.resetLinks("sidecar-0"));
+            }
+        }),
+        UPSTREAM_REBORN(fleet -> fleet.upstream(0).rebirth()),
+        ORDERS_LATE(fleet -> {
+            fleet.upstream(0).lateBy(3_000);
+            fleet.time().after(2_000, () -> fleet.upstream(0).lateBy(0));
+        }),
+        ORDERS_LATE_AND_UPSTREAM_REBORN(fleet -> {
+            fleet.upstream(0).lateBy(3_000);
+            fleet.time().after(200, () -> fleet.upstream(0).rebirth());
+            fleet.time().after(2_000, () -> fleet.upstream(0).lateBy(0));
+        }),
+        STORE_BUSY(fleet -> storeFault(fleet, MemoryStore.Fault.BUSY)),
+        STORE_SILENT(fleet -> storeFault(fleet, MemoryStore.Fault.SILENT)),
+        STORE_ANSWERS_LOST(fleet -> storeFault(fleet, MemoryStore.Fault.ANSWERS_LOST)),
+        STORE_LATE(fleet -> storeFault(fleet, MemoryStore.Fault.LATE)),
+        ALL_KILLED(fleet -> {
+            for (String node : List.of("entry-0", "entry-1", "sidecar-0", "sidecar-1", "sidecar-2")) {
+                fleet.kill(node);
+                fleet.time().after(1_200, () -> fleet.restart(node));
+            }
+        });
+
+        private final Consumer<SimulatedFleet> action;
+
+        Strike(Consumer<SimulatedFleet> action) {
+            this.action = action;
+        }
+
+        private static void storeFault(SimulatedFleet fleet, MemoryStore.Fault fault) {
+            fleet.store().fault(fault);
+            fleet.time().after(2_500, () -> fleet.store().fault(MemoryStore.Fault.NONE));
+        }
+    }
+
+    private static SimulatedFleet fleet() {
+        return new SimulatedFleet(2, 3, task -> 150 + 40L * task.index());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Strike.class)
+    void acceptedJobsEndOnceAndNoTaskRunsTwice(Strike strike) {
+        SimulatedFleet fleet = fleet();
+        List<String> accepted = new ArrayList<>();
+        List<List<Answers.Submission>> answers = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            accepted.add("job-" + number);
+            answers.add(fleet.submit(number % 2, "job-" + number, SimulatedFleet.plan(TASKS, true)));
+            fleet.time().runUntil(fleet.time().now() + 20);
+        }
+        strike.action.accept(fleet);
+        fleet.time().runUntil(fleet.time().now() + 25_000);
+
+        assertEquals(List.of(), fleet.record().breaches(), fleet::lines);
+        for (int number = 0; number < accepted.size(); number++) {
+            assertInstanceOf(
+                    Answers.Submission.Accepted.class, answers.get(number).getFirst(), accepted.get(number));
+            assertEquals(
+                    new Answers.Lookup.Found(JobState.COMPLETED),
+                    fleet.lookUp(1, accepted.get(number)),
+                    () -> accepted + "\n" + fleet.lines());
+        }
+        assertEquals(accepted.size() * TASKS, fleet.record().doneCount());
+    }
+
+    static List<Long> seeds() {
+        return java.util.stream.LongStream.rangeClosed(1, 60).boxed().toList();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void overlappingFaultsLoseNoJobAndRunNoTaskTwice(long seed) {
+        Random random = new Random(seed);
+        SimulatedFleet fleet = fleet();
+        List<String> jobs = new ArrayList<>();
+        List<List<Answers.Submission>> answers = new ArrayList<>();
+        Strike[] strikes = Strike.values();
+        Strike first = strikes[random.nextInt(strikes.length)];
+        Strike second = strikes[random.nextInt(strikes.length)];
+        fleet.time().after(random.nextInt(1_500), () -> first.action.accept(fleet));
+        fleet.time().after(random.nextInt(3_000), () -> second.action.accept(fleet));
+        for (int number = 0; number < 12; number++) {
+            jobs.add("job-" + number);
+            answers.add(fleet.submit(random.nextInt(2), "job-" + number, SimulatedFleet.plan(TASKS, true)));
+            fleet.time().runUntil(fleet.time().now() + random.nextInt(250));
+        }
+        fleet.time().runUntil(fleet.time().now() + 30_000);
+
+        String story = first + " and " + second;
+        assertEquals(List.of(), fleet.record().breaches(), () -> story + "\n" + fleet.lines());
+        for (int number = 0; number < jobs.size(); number++) {
+            String job = jobs.get(number);
+            if (answers.get(number).stream().anyMatch(Answers.Submission.Accepted.class::isInstance)) {
+                assertEquals(
+                        new Answers.Lookup.Found(JobState.COMPLETED),
+                        fleet.lookUp(1, job),
+                        () -> story + ": " + job + "\n" + fleet.lines());
+            } else if (answers.get(number).stream().anyMatch(Answers.Submission.Refused.class::isInstance)) {
+                assertEquals(new Answers.Lookup.Unknown(), fleet.lookUp(1, job), () -> story + ": " + job);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(MemoryStore.Fault.class)
+    void oneIdentityHandedInAtTwoEntriesAtOnceIsOneJob(MemoryStore.Fault fault) {
+        SimulatedFleet fleet = fleet();
+        fleet.store().fault(fault);
+        fleet.time().after(600, () -> fleet.store().fault(MemoryStore.Fault.NONE));
+        fleet.submit(0, "same", SimulatedFleet.plan(TASKS, true));
+        fleet.submit(1, "same", SimulatedFleet.plan(TASKS, true));
+        fleet.time().runUntil(fleet.time().now() + 12_000);
+
+        assertEquals(List.of(), fleet.record().breaches(), fleet::lines);
+        if (fault == MemoryStore.Fault.BUSY) {
+            assertEquals(0, fleet.record().starts(), "both were refused as never to run");
+        } else {
+            assertEquals(TASKS, fleet.record().doneCount(), fleet::lines);
+            assertEquals(1, fleet.store().count("caperturn-closed"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void cancelledJobStopsWhicheverEntryIsAsked(int asked) {
+        SimulatedFleet fleet = new SimulatedFleet(2, 3, task -> 4_000);
+        fleet.submit(0, "long", SimulatedFleet.plan(TASKS, true));
+        fleet.time().runUntil(fleet.time().now() + 500);
+        List<Answers.Lookup> answers = new ArrayList<>();
+        fleet.entry(asked).cancel("long", answers::add);
+        fleet.time().runUntil(fleet.time().now() + 500);
+
+        assertEquals(List.of(new Answers.Lookup.Found(JobState.CANCELLED)), answers);
+        int running = fleet.upstream(0).runningCount()
+                + fleet.upstream(1).runningCount()
+                + fleet.upstream(2).runningCount();
+        assertEquals(0, running, fleet::lines);
+    }
+
+    @Test
+    void taskThatFailsAsOftenAsAllowedFailsItsJob() {
+        SimulatedFleet fleet = fleet();
+        for (int number = 0; number < 3; number++) {
+            fleet.upstream(number).outcome(RunOutcome.FAILED);
+        }
+        fleet.submit(0, "hopeless", SimulatedFleet.plan(1, true));
+        fleet.time().runUntil(fleet.time().now() + 5_000);
+
+        assertEquals(new Answers.Lookup.Found(JobState.FAILED), fleet.lookUp(1, "hopeless"), fleet::lines);
+        assertEquals(SimulatedFleet.QUEUE.mostAttempts(), fleet.record().starts());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Strike.class,
+            names = {"ENTRY_KILLED", "ENTRY_FROZEN", "ENTRY_SUSPENDED", "ENTRY_CUT"})
+    void waitedForJobIsStoppedBeforeItsCallerSendsItAgain(Strike strike) {
+        SimulatedFleet fleet = new SimulatedFleet(2, 3, task -> 3_000);
+        fleet.submit(0, "waited", SimulatedFleet.plan(TASKS, false, 3_000));
+        fleet.time().runUntil(fleet.time().now() + 400);
+        strike.action.accept(fleet);
+        fleet.time().runUntil(fleet.time().now() + 1_300);
+        fleet.submit(1, "waited", SimulatedFleet.plan(TASKS, false, 3_000));
+        fleet.time().runUntil(fleet.time().now() + 10_000);
+
+        assertEquals(List.of(), fleet.record().breaches(), fleet::lines);
+        assertTrue(fleet.record().doneCount() >= TASKS, fleet::lines);
+    }
+
+    @Test
+    void taskThatStandsStillIsRunElsewhere() {
+        SimulatedFleet fleet = fleet();
+        fleet.upstream(0).standStill(true);
+        List<Answers.Submission> answers = fleet.submit(0, "waited", SimulatedFleet.plan(TASKS, false));
+        fleet.time().runUntil(fleet.time().now() + 3_000);
+
+        assertEquals(List.of(), fleet.record().breaches(), fleet::lines);
+        assertEquals(List.of(new Answers.Submission.Ended(JobState.COMPLETED)), answers, fleet::lines);
+    }
+
+    @Test
+    void taskThatMovesIsLeftAloneHoweverLongItTakes() {
+        SimulatedFleet fleet = new SimulatedFleet(1, 2, task -> 6_000);
+        List<Answers.Submission> answers = fleet.submit(0, "waited", SimulatedFleet.plan(TASKS, false, 200));
+        fleet.time().runUntil(fleet.time().now() + 7_000);
+
+        assertEquals(List.of(new Answers.Submission.Ended(JobState.COMPLETED)), answers, fleet::lines);
+        assertEquals(TASKS, fleet.record().starts(), fleet::lines);
+    }
+
+    @Test
+    void waitedForJobIsAnsweredWithItsEnd() {
+        SimulatedFleet fleet = fleet();
+        List<Answers.Submission> answers = fleet.submit(0, "waited", SimulatedFleet.plan(TASKS, false));
+        fleet.time().runUntil(fleet.time().now() + 3_000);
+
+        assertEquals(List.of(new Answers.Submission.Ended(JobState.COMPLETED)), answers, fleet::lines);
+        assertEquals(0, fleet.store().count("caperturn-closed"));
+    }
+
+    @Test
+    void waitedForJobWhoseCallerLeavesIsStopped() {
+        SimulatedFleet fleet = new SimulatedFleet(1, 2, task -> 3_000);
+        fleet.submit(0, "waited", SimulatedFleet.plan(TASKS, false, 3_000));
+        fleet.time().runUntil(fleet.time().now() + 300);
+        fleet.entry(0).abandon("waited", "caller-gone");
+        fleet.time().runUntil(fleet.time().now() + 300);
+
+        assertEquals(0, fleet.upstream(0).runningCount() + fleet.upstream(1).runningCount(), fleet::lines);
+    }
+}
