SIGHUP reads the settings again instead of ending the process

Ruled out: memory (peaks of 45 MB) and failures (each log ends with leaving and stop). Change: a handler re-reads the settings file, tells what has changed, and the file is also looked at every two seconds. Also: the stored end of a job lost a state of ordinal 0; found by the round trip of its test.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
@@ -52,6 +52,7 @@
             default -> throw new IOException("unknown role '" + arguments[0] + "'");
         }
         log.event("listening", "role", arguments[0]);
+        new SettingsWatch(loop, PlatformSettings.path(), settings).start();
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
--- /dev/null
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/EventLogTest.java
@@ -0,0 +1,85 @@
+package io.caperturn.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventLogTest {
+    @Test
+    void lineHoldsEventTimeNodeAndPairs() {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        try (EventLog log = new EventLog("node-1", written)) {
+            log.event("refused", "job", "a1", "reason", "no upstream");
+        }
+        String line = written.toString(StandardCharsets.UTF_8);
+        assertTrue(line.matches("event=refused time=\\d+ at=node-1 job=a1 reason=\"no upstream\"\n"), line);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 5_000})
+    void linesOfOneEventAreBoundedAndTheRestIsCounted(int events) throws InterruptedException {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        try (EventLog log = new EventLog("node-1", written)) {
+            for (int number = 0; number < events; number++) {
+                log.event("placed", "number", number);
+            }
+            Thread.sleep(1_100);
+            log.event("placed", "number", "last");
+        }
+        String text = written.toString(StandardCharsets.UTF_8);
+        long lines =
+                text.lines().filter(line -> line.startsWith("event=placed")).count();
+        assertTrue(lines < 2 * 250 + 2, "lines: " + lines);
+        long omitted = text.lines()
+                .filter(line -> line.startsWith("event=lines-omitted"))
+                .mapToLong(line -> Long.parseLong(line.substring(line.lastIndexOf('=') + 1)))
+                .sum();
+        assertEquals(events + 1, lines + omitted);
+    }
+
+    @Test
+    @Timeout(10)
+    void stalledStreamStopsNobody() {
+        CountDownLatch forever = new CountDownLatch(1);
+        OutputStream stalled = new OutputStream() {
+            @Override
+            public void write(int single) throws IOException {
+                try {
+                    forever.await();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        };
+        EventLog log = new EventLog("node-1", stalled);
+        for (int event = 0; event < 100; event++) {
+            for (int line = 0; line < 200; line++) {
+                log.event("event-" + event, "line", line);
+            }
+        }
+        assertTrue(log.metrics().contains("caperturn_log_lines_dropped_total "));
+        forever.countDown();
+        log.close();
+    }
+
+    @Test
+    void metricsHoldCountersAndQuantiles() {
+        EventLog log = new EventLog("node-1", new ByteArrayOutputStream());
+        log.count("refused-load");
+        log.count("refused-load");
+        log.duration("accept", 12);
+        String text = log.metrics();
+        assertTrue(text.contains("caperturn_events_total{event=\"refused-load\"} 2\n"), text);
+        assertTrue(text.contains("caperturn_duration_milliseconds{of=\"accept\",quantile=\"0.5\"} 12\n"), text);
+        log.close();
+    }
+}
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/ClosedRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/ClosedRecord.java
@@ -17,7 +17,7 @@
      */
     public byte[] toBytes() {
         return new FieldWriter()
-                .number(1, state.ordinal())
+                .number(1, state.ordinal() + 1L)
                 .number(2, closedMilliseconds)
                 .toBytes();
     }
@@ -31,7 +31,7 @@
      */
     public static ClosedRecord of(byte[] bytes) throws IOException {
         FieldReader reader = new FieldReader(bytes);
-        int state = -1;
+        int state = 0;
         long closed = 0;
         for (int field = reader.next(); field != 0; field = reader.next()) {
             switch (field) {
@@ -41,7 +41,7 @@
             }
         }
         try {
-            return new ClosedRecord(JobState.of(state), closed);
+            return new ClosedRecord(JobState.of(state - 1), closed);
         } catch (IllegalArgumentException e) {
             throw new IOException("stored end can't be: " + e.getMessage(), e);
         }
