Overload serves what can be in time; restarts cost less; a sidecar recalls its upstream

Change: tasks that can only be late queue behind those that can be in time; a job is taken if it is expected to end within its objective; one that has not begun and can't end in useful time is answered at once; an entry that stops takes jobs that end before those that it has; what a sidecar knows of its upstream is kept in its record and used again by its next life if the upstream still lives; jobs are taken while sidecars have just come.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryProgram.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryProgram.java
@@ -24,7 +24,7 @@
     /** Interval of the look whether all jobs are over, in milliseconds. */
     private static final long LOOK_MILLISECONDS = 25;
     /** Time for answers on their way before the process ends, in milliseconds. */
-    private static final long LAST_ANSWERS_MILLISECONDS = 300;
+    private static final long LAST_ANSWERS_MILLISECONDS = 60;
 
     private final EventLoop network;
     private final ProcessLoop loop;
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.message.Frame;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.message.ProcessRole;
+import io.caperturn.jobs.model.UpstreamDescription;
 import io.caperturn.jobs.owner.Registration;
 import io.caperturn.jobs.record.StoredRecord;
 import io.caperturn.jobs.record.TableFollower;
@@ -17,6 +18,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -27,14 +29,18 @@
     /** Interval of the look whether all has ended, in milliseconds. */
     private static final long LOOK_MILLISECONDS = 20;
 
+    /** Interval of the look whether the upstream has begun a new life, in milliseconds. */
+    private static final long UPSTREAM_LOOK_MILLISECONDS = 500;
+
     private final EventLoop network;
     private final ProcessLoop loop;
     private final PlatformSettings settings;
     private final StoreClient store;
     private final LinkHub hub;
     private final Sidecar sidecar;
-    private final MemberRecord self;
+    private final String incarnation;
     private final Map<String, String> addresses = new HashMap<>();
+    private Optional<UpstreamDescription> recorded = Optional.empty();
     private final CountDownLatch ended = new CountDownLatch(1);
 
     SidecarProgram(EventLoop network, ProcessLoop loop, PlatformSettings settings, InetSocketAddress upstream) {
@@ -46,7 +52,7 @@
         SidecarSettings times = SidecarSettings.forLease(settings.leaseMilliseconds());
         ExecutorClient executor = new ExecutorClient(network, upstream, times.answerMilliseconds());
         this.sidecar = new Sidecar(loop, executor, hub, times);
-        this.self = new MemberRecord(ProcessRole.SIDECAR, settings.node(), Main.incarnation(settings.node()), "");
+        this.incarnation = Main.incarnation(settings.node());
     }
 
     /** Binds all addresses. */
@@ -57,14 +63,32 @@
 
     /** Starts everything; called on the loop. */
     void start() {
-        hub.identify(new Frame.Hello(ProcessRole.SIDECAR, self.node(), self.incarnation()));
+        hub.identify(new Frame.Hello(ProcessRole.SIDECAR, settings.node(), incarnation));
         register();
         sidecar.start();
+        loop.after(UPSTREAM_LOOK_MILLISECONDS, this::lookAtUpstream);
         new TableFollower(store, loop, Registration.MEMBER_TABLE, this).start();
     }
 
     private void register() {
-        new Registration(store, loop, self, sidecar::registered).start();
+        new Registration(store, loop, settings.node(), this::entry, sidecar::registered).start();
+    }
+
+    /** Works out this sidecar's entry; what an earlier life knew of the upstream stays in it until more is known. */
+    private MemberRecord entry(Optional<MemberRecord> before) {
+        Optional<UpstreamDescription> earlier = before.flatMap(MemberRecord::upstream);
+        earlier.ifPresent(sidecar::remember);
+        recorded = sidecar.upstream().or(() -> earlier);
+        return new MemberRecord(ProcessRole.SIDECAR, settings.node(), incarnation, "", recorded);
+    }
+
+    /** Enters what is known of the upstream once it has begun a new life. */
+    private void lookAtUpstream() {
+        if (sidecar.upstream().isPresent() && !sidecar.upstream().equals(recorded)) {
+            recorded = sidecar.upstream();
+            register();
+        }
+        loop.after(UPSTREAM_LOOK_MILLISECONDS, this::lookAtUpstream);
     }
 
     /** Ends in good order; called on another thread, returns when the process may end. */
@@ -128,7 +152,7 @@
         if (address != null) {
             hub.disconnect(address);
         }
-        if (name.equals(self.node())) {
+        if (name.equals(settings.node())) {
             loop.log().event("registration-lost", "node", name);
             register();
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
@@ -1,7 +1,12 @@
 package io.caperturn.jobs.message;
 
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.UpstreamDescription;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Stored form of a process that takes part.
@@ -10,14 +15,17 @@
  * @param node name of its instance
  * @param incarnation identity of this life of the process
  * @param address where it takes links, as {@code host:port}; empty if it takes none
+ * @param upstream what a sidecar knows of its upstream, for its next life
  */
-public record MemberRecord(ProcessRole role, String node, String incarnation, String address) {
+public record MemberRecord(
+        ProcessRole role, String node, String incarnation, String address, Optional<UpstreamDescription> upstream) {
     /** Checks that nothing is missing. */
     public MemberRecord {
         Objects.requireNonNull(role, "role");
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(incarnation, "incarnation");
         Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(upstream, "upstream");
     }
 
     /**
@@ -26,12 +34,13 @@
      * @return its bytes
      */
     public byte[] toBytes() {
-        return new FieldWriter()
+        FieldWriter writer = new FieldWriter()
                 .number(1, role.ordinal())
                 .text(2, node)
                 .text(3, incarnation)
-                .text(4, address)
-                .toBytes();
+                .text(4, address);
+        upstream.ifPresent(known -> writer.message(5, nested -> write(nested, known)));
+        return writer.toBytes();
     }
 
     /**
@@ -47,15 +56,49 @@
         String node = "";
         String incarnation = "";
         String address = "";
+        UpstreamDescription upstream = null;
         for (int field = reader.next(); field != 0; field = reader.next()) {
             switch (field) {
                 case 1 -> role = reader.small();
                 case 2 -> node = reader.text();
                 case 3 -> incarnation = reader.text();
                 case 4 -> address = reader.text();
+                case 5 -> upstream = read(reader.message());
                 default -> reader.skip();
             }
         }
-        return new MemberRecord(role == 0 ? ProcessRole.ENTRY : ProcessRole.SIDECAR, node, incarnation, address);
+        return new MemberRecord(
+                role == 0 ? ProcessRole.ENTRY : ProcessRole.SIDECAR,
+                node,
+                incarnation,
+                address,
+                Optional.ofNullable(upstream));
+    }
+
+    private static void write(FieldWriter writer, UpstreamDescription known) {
+        writer.text(1, known.identity())
+                .number(2, known.born())
+                .text(3, known.service())
+                .message(4, nested -> FrameCodec.writeResources(nested, known.capacity()));
+        known.labels().forEach(label -> writer.text(5, label));
+    }
+
+    private static UpstreamDescription read(FieldReader reader) throws IOException {
+        String identity = "";
+        long born = 0;
+        String service = "";
+        Resources capacity = Resources.NONE;
+        List<String> labels = new ArrayList<>();
+        for (int field = reader.next(); field != 0; field = reader.next()) {
+            switch (field) {
+                case 1 -> identity = reader.text();
+                case 2 -> born = reader.number();
+                case 3 -> service = reader.text();
+                case 4 -> capacity = FrameCodec.readResources(reader.message());
+                case 5 -> labels.add(reader.text());
+                default -> reader.skip();
+            }
+        }
+        return new UpstreamDescription(identity, born, service, capacity, labels);
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
@@ -9,23 +9,46 @@
 
 /** Decision whether a new job is taken: it is refused at once if it can't be stored, run, or ended in time. */
 final class Admission {
-    /** A job is taken if it is expected to end within this multiple of its objective: estimates are off by half. */
-    private static final double OBJECTIVE_FACTOR = 1.5;
+    /**
+     * Time in which sidecars that have just been heard of take tasks, in milliseconds: most of a restart is over then.
+     */
+    private static final long STARTING_MILLISECONDS = 400;
 
     private final Loop loop;
     private final JobWriter writer;
     private final Dispatcher dispatcher;
     private final Membership membership;
+    private final JobKeeper jobs;
+    private final LoadForecast forecast;
+    private boolean closing;
 
-    Admission(Loop loop, JobWriter writer, Dispatcher dispatcher, Membership membership) {
+    Admission(Loop loop, JobWriter writer, Dispatcher dispatcher, Membership membership, JobKeeper jobs) {
         this.loop = loop;
         this.writer = writer;
         this.dispatcher = dispatcher;
         this.membership = membership;
+        this.jobs = jobs;
+        this.forecast = new LoadForecast(loop, dispatcher);
+    }
+
+    /** Refuses jobs from now on that would end later than those that were taken before. */
+    void close() {
+        closing = true;
+    }
+
+    private boolean outlasts(JobPlan plan) {
+        long last = jobs.owned().stream()
+                .mapToLong(job -> job.arrivedAt() + job.plan().chainMilliseconds())
+                .max()
+                .orElse(0);
+        return plan.durable() || loop.now() + plan.chainMilliseconds() >= last;
     }
 
     /** Gives the reason to refuse a job, or null if it is taken. */
     Answers.Submission.Refused refusal(String identity, JobPlan plan, QueuePolicy policy) {
+        if (closing && outlasts(plan)) {
+            return new Answers.Submission.Refused("stopping", Entry.FAULT_RETRY_MILLISECONDS, false);
+        }
         if (plan.durable() && !membership.isRegistered()) {
             return new Answers.Submission.Refused("starting", Entry.FAULT_RETRY_MILLISECONDS, false);
         }
@@ -39,11 +62,15 @@
         }
         OwnedJob job = new OwnedJob(identity, plan, policy, 0, loop.timeOfDay(), loop.now());
         int entries = Math.max(1, membership.of(ProcessRole.ENTRY).size());
-        long end = dispatcher.predictEnd(job, entries);
+        long end = forecast.predictEnd(job, entries);
+        long allowed = job.objective();
         if (end == Long.MAX_VALUE) {
-            return new Answers.Submission.Refused("no-upstream", Entry.FAULT_RETRY_MILLISECONDS, false);
+            if (!forecast.expectsSidecars()) {
+                return new Answers.Submission.Refused("no-upstream", Entry.FAULT_RETRY_MILLISECONDS, false);
+            }
+            end = plan.chainMilliseconds() + STARTING_MILLISECONDS;
+            allowed = OwnedJob.LATE_FACTOR * job.objective();
         }
-        long allowed = Math.round(job.objective() * OBJECTIVE_FACTOR);
         return end > allowed ? new Answers.Submission.Refused("load", Math.max(1, end - allowed), true) : null;
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -37,23 +37,37 @@
     private final WaitingTasks waiting = new WaitingTasks();
     private final Map<String, SidecarView> sidecars = new HashMap<>();
     private boolean placing;
+    private long lastNewSidecar;
 
     Dispatcher(Loop loop, LinkPort links, JobKeeper jobs) {
         this.loop = loop;
         this.links = links;
         this.jobs = jobs;
+        this.lastNewSidecar = loop.now();
     }
 
     Collection<SidecarView> sidecars() {
         return sidecars.values();
     }
 
+    DurationModel durations() {
+        return durations;
+    }
+
+    /** Tells when a sidecar that was not known before last came. */
+    long lastNewSidecar() {
+        return lastNewSidecar;
+    }
+
     WaitingTasks waiting() {
         return waiting;
     }
 
     void linked(String node, String incarnation) {
-        SidecarView view = sidecars.computeIfAbsent(incarnation, key -> new SidecarView(node, key));
+        SidecarView view = sidecars.computeIfAbsent(incarnation, key -> {
+            lastNewSidecar = loop.now();
+            return new SidecarView(node, key);
+        });
         view.relinked();
     }
 
@@ -338,10 +352,21 @@
                 }
             }
         }
+        giveUpHopeless(now);
         sidecars.values().removeIf(view -> !view.isLinked() && now - view.lastLease() > 4 * WRITE_OFF_MILLISECONDS);
         place();
     }
 
+    /** Answers callers at once whose job has not begun and can't end in any useful time. */
+    private void giveUpHopeless(long now) {
+        for (OwnedJob job : List.copyOf(jobs.owned())) {
+            long useless = job.arrivedAt() + OwnedJob.LATE_FACTOR * job.objective();
+            if (!job.plan().durable() && !job.wasSent() && now + job.plan().chainMilliseconds() > useless) {
+                jobs.abandon(job.identity(), "too-late");
+            }
+        }
+    }
+
     private void look(OwnedTask task, long now) {
         SidecarView view = sidecars.get(task.sidecar());
         long writeOff = task.job().plan().durable() ? WRITE_OFF_MILLISECONDS : TRANSIENT_WRITE_OFF_MILLISECONDS;
@@ -355,31 +380,4 @@
         waiting.clear();
         sidecars.clear();
     }
-
-    /** Predicts when a new job's tasks would end, in milliseconds from now. */
-    long predictEnd(OwnedJob job, int entries) {
-        double room = 0;
-        double work = 0;
-        long free = 0;
-        String service = job.policy().service();
-        for (SidecarView view : sidecars.values()) {
-            if (view.isUsable() && view.status().service().equals(service)) {
-                room += view.status().capacity().processorMillis() * durations.speed(view.node());
-                work += view.waitingWork();
-                free += Math.max(0, view.free().processorMillis());
-            }
-        }
-        if (room == 0) {
-            return Long.MAX_VALUE;
-        }
-        long latest = WaitingTasks.latestStart(job.tasks().getFirst(), loop.now());
-        double ahead = work + (double) entries * waiting.workBefore(latest);
-        long chain = job.plan().chainMilliseconds();
-        long own = job.tasks().stream()
-                .mapToLong(task ->
-                        task.step().need().processorMillis() * task.step().estimatedMilliseconds())
-                .sum();
-        boolean fits = waiting.isEmpty() && free > 0;
-        return chain + (fits ? 0 : Math.round((ahead + own / 2.0) / room));
-    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
@@ -41,7 +41,6 @@
     private final WaitingCounts waitingCounts;
     private RoutingTable table;
     private boolean leaving;
-    private boolean closing;
     private boolean over;
     private long lastPeerFrame;
 
@@ -67,7 +66,7 @@
         this.membership = new Membership(loop, store, settings, new Changes());
         this.stored = new StoredJobs(loop, store);
         this.cancellation = new Cancellation(loop, links, settings, writer, jobs, dispatcher, membership, stored);
-        this.admission = new Admission(loop, writer, dispatcher, membership);
+        this.admission = new Admission(loop, writer, dispatcher, membership, jobs);
         this.adoption = new Adoption(
                 loop,
                 store,
@@ -158,7 +157,7 @@
         boolean known = jobs.find(identity) != null
                 || plan.durable() && (jobs.closedState(identity) != null || jobs.isInserting(identity));
         if (!known) {
-            Answers.Submission.Refused refusal = over || closing
+            Answers.Submission.Refused refusal = over
                     ? new Answers.Submission.Refused("stopping", FAULT_RETRY_MILLISECONDS, false)
                     : admission.refusal(identity, plan, policy);
             if (refusal != null) {
@@ -241,9 +240,9 @@
         loop.log().event("leaving", "jobs", jobs.owned().size());
     }
 
-    /** Refuses new jobs; those that were taken go on. */
+    /** Refuses new jobs that would end later than those that were taken before. */
     public void close() {
-        closing = true;
+        admission.close();
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -61,7 +62,7 @@
 
     private static final class Member {
         private final MemberRecord content;
-        private final StoredRecord stored;
+        private StoredRecord stored;
         private long heardAt;
         private boolean linked;
 
@@ -77,8 +78,13 @@
         new Registration(
                         store,
                         loop,
-                        new MemberRecord(
-                                ProcessRole.ENTRY, settings.node(), settings.incarnation(), settings.address()),
+                        settings.node(),
+                        before -> new MemberRecord(
+                                ProcessRole.ENTRY,
+                                settings.node(),
+                                settings.incarnation(),
+                                settings.address(),
+                                Optional.empty()),
                         version -> registered = true)
                 .start();
     }
@@ -115,6 +121,7 @@
         }
         Member before = members.get(content.node());
         if (before != null && before.content.incarnation().equals(content.incarnation())) {
+            before.stored = stored;
             return;
         }
         members.put(content.node(), new Member(content, stored, loop.now()));
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Registration.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Registration.java
@@ -6,10 +6,13 @@
 import io.caperturn.jobs.record.RecordStore;
 import io.caperturn.jobs.record.RecordTransaction;
 import io.caperturn.jobs.record.StoredRecord;
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 
 /** Entry of one process in the table of processes, written under the condition that nobody changed it meanwhile. */
@@ -21,8 +24,9 @@
 
     private final RecordStore store;
     private final Loop loop;
-    private final MemberRecord content;
-    private final byte[] bytes;
+    private final String node;
+    private final Function<Optional<MemberRecord>, MemberRecord> content;
+    private byte[] bytes = new byte[0];
     private final LongConsumer registered;
     private boolean over;
 
@@ -31,20 +35,26 @@
      *
      * @param store the store
      * @param loop the loop on which all calls come
-     * @param content what is entered
+     * @param node name of the instance
+     * @param content what is entered, worked out from what was entered there before, if there was anything
      * @param registered receiver of the version of the entry, which no other life of the process has
      */
-    public Registration(RecordStore store, Loop loop, MemberRecord content, LongConsumer registered) {
+    public Registration(
+            RecordStore store,
+            Loop loop,
+            String node,
+            Function<Optional<MemberRecord>, MemberRecord> content,
+            LongConsumer registered) {
         this.store = store;
         this.loop = loop;
+        this.node = node;
         this.content = content;
-        this.bytes = content.toBytes();
         this.registered = registered;
     }
 
     /** Writes the entry, again and again until it stands. */
     public void start() {
-        write(0);
+        write(0, Optional.empty());
     }
 
     /** Stops trying. */
@@ -65,11 +75,12 @@
                 outcome -> receiver.accept(outcome instanceof RecordStore.WriteOutcome.Committed));
     }
 
-    private void write(long version) {
+    private void write(long version, Optional<MemberRecord> before) {
         if (over) {
             return;
         }
-        RecordKey key = new RecordKey(MEMBER_TABLE, "", content.node());
+        RecordKey key = new RecordKey(MEMBER_TABLE, "", node);
+        bytes = content.apply(before).toBytes();
         store.transact(new RecordTransaction(Map.of(key, version), Map.of(key, bytes), List.of()), outcome -> {
             switch (outcome) {
                 case RecordStore.WriteOutcome.Committed committed -> done(committed.version());
@@ -80,11 +91,11 @@
                     if (current != null && Arrays.equals(current.value(), bytes)) {
                         done(current.version());
                     } else {
-                        write(current == null ? 0 : current.version());
+                        write(current == null ? 0 : current.version(), read(current));
                     }
                 }
-                case RecordStore.WriteOutcome.Refused refused -> again(version, refused.reason());
-                case RecordStore.WriteOutcome.Doubtful doubtful -> again(version, doubtful.reason());
+                case RecordStore.WriteOutcome.Refused refused -> again(version, before, refused.reason());
+                case RecordStore.WriteOutcome.Doubtful doubtful -> again(version, before, doubtful.reason());
             }
         });
     }
@@ -92,13 +103,22 @@
     private void done(long version) {
         if (!over) {
             over = true;
-            loop.log().event("registered", "node", content.node(), "version", version);
+            loop.log().event("registered", "node", node, "version", version);
             registered.accept(version);
         }
     }
 
-    private void again(long version, String reason) {
-        loop.log().event("register-retry", "node", content.node(), "reason", reason);
-        loop.after(RETRY_MILLISECONDS, () -> write(version));
+    private void again(long version, Optional<MemberRecord> before, String reason) {
+        loop.log().event("register-retry", "node", node, "reason", reason);
+        loop.after(RETRY_MILLISECONDS, () -> write(version, before));
+    }
+
+    private Optional<MemberRecord> read(StoredRecord current) {
+        try {
+            return current == null ? Optional.empty() : Optional.of(MemberRecord.of(current.value()));
+        } catch (IOException e) {
+            loop.log().event("record-unreadable", "member", node, "reason", e.getMessage());
+            return Optional.empty();
+        }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/WaitingTasks.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/WaitingTasks.java
@@ -8,8 +8,9 @@
 /**
  * Tasks that wait for room, in the order in which they should start.
  *
- * <p>First come those that must start soonest to end in time. A task that can no longer be in time moves back to the
- * place at which it must start to be only late; after that it moves back by a bounded wait each time.
+ * <p>First come tasks that can still be in time, those that must start soonest before the others. Behind them come
+ * tasks that can only be late: under overload they would take the room of those that can be in time. A task that is too
+ * late for either gets a bounded wait, after which it counts as urgent.
  */
 final class WaitingTasks {
     /** How far a task that nobody waits for any more moves back, in milliseconds: bounds its wait. */
@@ -19,10 +20,14 @@
     private long counter;
 
     /** A task's place in the order. */
-    private record Place(long latestStart, int urgency, long number, OwnedTask task) implements Comparable<Place> {
+    private record Place(boolean late, long latestStart, int urgency, long number, OwnedTask task)
+            implements Comparable<Place> {
         @Override
         public int compareTo(Place other) {
-            int order = Long.compare(latestStart, other.latestStart);
+            int order = Boolean.compare(late, other.late);
+            if (order == 0) {
+                order = Long.compare(latestStart, other.latestStart);
+            }
             if (order == 0) {
                 order = Integer.compare(urgency, other.urgency);
             }
@@ -32,13 +37,25 @@
 
     void add(OwnedTask task, long now) {
         task.enter(OwnedTask.Phase.WAITING);
-        places.add(new Place(latestStart(task, now), task.job().policy().urgency(), counter++, task));
+        places.add(new Place(
+                isLate(task, now), latestStart(task, now), task.job().policy().urgency(), counter++, task));
+    }
+
+    /** Tells whether a task can no longer be in time, but still end within the multiple that counts as late. */
+    private static boolean isLate(OwnedTask task, long now) {
+        return latestStart(task, now) - inTimeStart(task)
+                == (OwnedJob.LATE_FACTOR - 1) * task.job().objective();
+    }
+
+    private static long inTimeStart(OwnedTask task) {
+        OwnedJob job = task.job();
+        return job.arrivedAt() + job.objective() - task.step().estimatedMilliseconds();
     }
 
     /** Gives the time at which a task should start at the latest. */
     static long latestStart(OwnedTask task, long now) {
         OwnedJob job = task.job();
-        long inTime = job.arrivedAt() + job.objective() - task.step().estimatedMilliseconds();
+        long inTime = inTimeStart(task);
         if (inTime >= now) {
             return inTime;
         }
@@ -58,7 +75,7 @@
     long workBefore(long latestStart) {
         long work = 0;
         for (Place place : places) {
-            if (place.latestStart() > latestStart) {
+            if (place.late() || place.latestStart() > latestStart) {
                 break;
             }
             work += place.task().step().need().processorMillis()
@@ -78,7 +95,7 @@
                 over.add(place);
             } else if (place.latestStart() < now && latestStart(task, now) > place.latestStart()) {
                 over.add(place);
-                moved.add(new Place(latestStart(task, now), place.urgency(), place.number(), task));
+                moved.add(new Place(isLate(task, now), latestStart(task, now), place.urgency(), place.number(), task));
             } else if (taker.test(task)) {
                 over.add(place);
             } else if (++refusals >= mostRefusals) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -6,13 +6,14 @@
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.model.UpstreamDescription;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -26,8 +27,6 @@
     private static final long STATUS_DELAY_MILLISECONDS = 3;
     /** Interval of the look at leases, in milliseconds: a tenth of the shortest authority. */
     private static final long TICK_MILLISECONDS = 100;
-    /** Time after which runs that no entry claims are asked about, in milliseconds: an adoption takes less. */
-    private static final long UNCLAIMED_MILLISECONDS = 600;
 
     private final Loop loop;
     private final LinkPort links;
@@ -35,11 +34,11 @@
     private final RunBook book = new RunBook();
     private final UpstreamKeeper keeper;
     private final Map<String, OwnerLease> owners = new HashMap<>();
+    private final UnclaimedRuns unclaimed;
     private final Set<String> fenced = new HashSet<>();
     private boolean statusDue;
     private long renewal;
     private long lastStatus;
-    private long lastUnclaimed;
 
     /**
      * Creates a sidecar that knows nothing yet.
@@ -53,6 +52,7 @@
         this.loop = loop;
         this.links = links;
         this.settings = settings;
+        this.unclaimed = new UnclaimedRuns(loop, links, book, owners);
         this.keeper = new UpstreamKeeper(upstream, loop, settings, book, new Reporter());
     }
 
@@ -70,6 +70,24 @@
         keeper.registered(registration);
     }
 
+    /**
+     * Takes what an earlier life of this sidecar knew of its upstream.
+     *
+     * @param earlier the description; it is used if that life of the upstream still lasts
+     */
+    public void remember(UpstreamDescription earlier) {
+        keeper.state().remember(earlier);
+    }
+
+    /**
+     * Gives what is known of the upstream.
+     *
+     * @return the description, or nothing while there is none
+     */
+    public Optional<UpstreamDescription> upstream() {
+        return Optional.ofNullable(keeper.state().announcement()).map(Announcement::description);
+    }
+
     /**
      * Takes what the upstream says of itself.
      *
@@ -256,7 +274,7 @@
         loop.after(TICK_MILLISECONDS, this::tick);
         expireOwners();
         keeper.tick();
-        askUnclaimed();
+        unclaimed.ask();
         if (loop.now() - lastStatus >= settings.renewalMilliseconds()) {
             sendStatuses();
         }
@@ -286,28 +304,6 @@
                         owner -> !owner.isLinked() && now > owner.heardAt() + 2 * settings.runAuthorityMilliseconds());
     }
 
-    private void askUnclaimed() {
-        long now = loop.now();
-        if (now - lastUnclaimed < UNCLAIMED_MILLISECONDS / 2) {
-            return;
-        }
-        lastUnclaimed = now;
-        Set<String> jobs = new LinkedHashSet<>();
-        for (LocalRun run : book.all()) {
-            boolean unclaimed = run.owner().isEmpty() || !owners.containsKey(run.owner());
-            if (unclaimed && now - run.since() > UNCLAIMED_MILLISECONDS) {
-                run.ownedBy("", run.since());
-                jobs.add(run.identity().task().job());
-            }
-        }
-        if (!jobs.isEmpty()) {
-            owners.values().stream()
-                    .filter(owner -> owner.isLinked())
-                    .findFirst()
-                    .ifPresent(owner -> links.send(owner.incarnation(), new Frame.Unclaimed(List.copyOf(jobs))));
-        }
-    }
-
     private void statusSoon() {
         if (!statusDue) {
             statusDue = true;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
@@ -80,9 +80,9 @@
                             "leaving",
                             news.leaving(),
                             "service",
-                            news.service(),
+                            news.description().service(),
                             "capacity",
-                            news.capacity().processorMillis());
+                            news.description().capacity().processorMillis());
         }
         if (state.answeredBy(news.identity(), news.born())) {
             reborn();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -2,6 +2,7 @@
 
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.UpstreamDescription;
 import io.caperturn.jobs.upstream.UpstreamPort.Order;
 import java.util.List;
 
@@ -14,6 +15,7 @@
     private final long leaseMilliseconds;
     private final UpstreamClock clock = new UpstreamClock();
     private Announcement announcement;
+    private UpstreamDescription remembered;
     private String identity = "";
     private long born;
     private boolean anyLife;
@@ -74,15 +76,17 @@
     }
 
     String service() {
-        return announcement == null ? "" : announcement.service();
+        return announcement == null ? "" : announcement.description().service();
     }
 
     List<String> labels() {
-        return announcement == null ? List.of() : announcement.labels();
+        return announcement == null ? List.of() : announcement.description().labels();
     }
 
     Resources capacity() {
-        return announcement == null ? Resources.NONE : announcement.capacity();
+        return announcement == null
+                ? Resources.NONE
+                : announcement.description().capacity();
     }
 
     String identity() {
@@ -95,12 +99,27 @@
         listedFence = 0;
     }
 
+    /** Takes what an earlier life of this process knew of the upstream, to be used if that life of it still lasts. */
+    void remember(UpstreamDescription earlier) {
+        remembered = earlier;
+        recall();
+    }
+
+    private void recall() {
+        if (announcement == null && remembered != null && born != 0 && remembered.born() == born) {
+            identity = remembered.identity();
+            announcement = new Announcement(remembered, 0, false);
+            loop.log().event("upstream-recalled", "identity", identity, "born", born);
+        }
+    }
+
     /** Notes which life answers; gives true if it took the place of a known one, whose runs are over. */
     boolean answeredBy(String who, long when) {
         anyLife = false;
         String name = who.isEmpty() ? identity : who;
         if (name.equals(identity) && (when == 0 || born == 0 || when == born)) {
             born = Math.max(born, when);
+            recall();
             return false;
         }
         boolean known = !identity.isEmpty();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -25,6 +25,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToLongFunction;
 
@@ -174,7 +175,9 @@
         new Registration(
                         store.of(process.loop),
                         process.loop,
-                        new MemberRecord(ProcessRole.SIDECAR, node, process.incarnation, ""),
+                        node,
+                        before ->
+                                new MemberRecord(ProcessRole.SIDECAR, node, process.incarnation, "", Optional.empty()),
                         process.sidecar::registered)
                 .start();
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -4,6 +4,7 @@
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.TaskIdentity;
+import io.caperturn.jobs.model.UpstreamDescription;
 import io.caperturn.jobs.upstream.Announcement;
 import io.caperturn.jobs.upstream.UpstreamPort;
 import java.util.ArrayList;
@@ -86,7 +87,10 @@
 
     Announcement announcement() {
         return new Announcement(
-                identity, born, ++sequence, "service", new Resources(16_000, 32_768, 0), List.of("a", "rack"), false);
+                new UpstreamDescription(
+                        identity, born, "service", new Resources(16_000, 32_768, 0), List.of("a", "rack")),
+                ++sequence,
+                false);
     }
 
     /** Gives the port of one sidecar process. */
