Admission learns how long jobs may wait from those that end late

Most that were taken ended some tens of milliseconds late: the forecast knows neither the error of estimates nor that a job ends with the slowest of its tasks. Ruled out: the length of the queue at the sidecar (13, 25 and 60 ms give the same). Change: the wait that a job may be expected to have is a share of its slack that shrinks by 15 % with each late job and grows by 0.4 % of the slack with each in time.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
@@ -13,6 +13,12 @@
      * Time in which sidecars that have just been heard of take tasks, in milliseconds: most of a restart is over then.
      */
     private static final long STARTING_MILLISECONDS = 400;
+    /** Share of the slack that a job may always be expected to wait. */
+    private static final double LEAST_WAIT_SHARE = 0.05;
+    /** Factor on the allowed wait for each late job; with the growth below, few in a hundred are late. */
+    private static final double SHRINK_WHEN_LATE = 0.85;
+    /** Growth of the allowed wait for each job in time, as a share of the slack. */
+    private static final double GROWTH_IN_TIME = 0.004;
 
     private final Loop loop;
     private final JobWriter writer;
@@ -21,6 +27,7 @@
     private final JobKeeper jobs;
     private final LoadForecast forecast;
     private boolean closing;
+    private double waitShare = 1;
 
     Admission(Loop loop, JobWriter writer, Dispatcher dispatcher, Membership membership, JobKeeper jobs) {
         this.loop = loop;
@@ -31,6 +38,16 @@
         this.forecast = new LoadForecast(loop, dispatcher);
     }
 
+    /**
+     * Learns from the end of a job. Estimates are off, and a job ends with the slowest of its tasks; so the wait that
+     * is allowed shrinks with each job that was late, and grows slowly with those that were not.
+     */
+    void ended(boolean late) {
+        waitShare = late
+                ? Math.max(LEAST_WAIT_SHARE, waitShare * SHRINK_WHEN_LATE)
+                : Math.min(1, waitShare + GROWTH_IN_TIME);
+    }
+
     /** Refuses jobs from now on that would end later than those that were taken before. */
     void close() {
         closing = true;
@@ -63,12 +80,13 @@
         OwnedJob job = new OwnedJob(identity, plan, policy, 0, loop.timeOfDay(), loop.now());
         int entries = Math.max(1, membership.of(ProcessRole.ENTRY).size());
         long end = forecast.predictEnd(job, entries);
-        long allowed = job.objective();
+        long chain = plan.chainMilliseconds();
+        long allowed = chain + Math.round(waitShare * Math.max(0, job.objective() - chain));
         if (end == Long.MAX_VALUE) {
             if (!forecast.expectsSidecars()) {
                 return new Answers.Submission.Refused("no-upstream", Entry.FAULT_RETRY_MILLISECONDS, false);
             }
-            end = plan.chainMilliseconds() + STARTING_MILLISECONDS;
+            end = chain + STARTING_MILLISECONDS;
             allowed = OwnedJob.LATE_FACTOR * job.objective();
         }
         return end > allowed ? new Answers.Submission.Refused("load", Math.max(1, end - allowed), true) : null;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
@@ -350,6 +350,9 @@
 
         @Override
         public void over(OwnedJob job, JobState state) {
+            if (state == JobState.COMPLETED) {
+                admission.ended(loop.now() - job.arrivedAt() > job.objective());
+            }
             if (state != JobState.COMPLETED) {
                 dispatcher.withdrawAll(job);
             }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -196,9 +196,14 @@
 
     /** Hands a job in and gives the list to which the answers will be added. */
     List<Answers.Submission> submit(int entry, String job, JobPlan plan) {
+        return submit(entry, job, plan, QUEUE);
+    }
+
+    /** Hands a job in to a queue of another policy. */
+    List<Answers.Submission> submit(int entry, String job, JobPlan plan, QueuePolicy policy) {
         List<Answers.Submission> answers = new ArrayList<>();
         Process process = processes.get("entry-" + entry);
-        process.loop.run(() -> process.entry.submit(job, plan, QUEUE, answers::add));
+        process.loop.run(() -> process.entry.submit(job, plan, policy, answers::add));
         return answers;
     }
 
