--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
@@ -1,5 +1,6 @@
 package io.caperturn.fleet;
 
+import io.caperturn.platform.MetricsListener;
 import io.caperturn.platform.PlatformSettings;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -10,7 +11,10 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** Start of an entry or a sidecar on the users' platform: {@code Main entry} or {@code Main sidecar}. */
+/**
+ * Start of an entry or a sidecar on the users' platform: {@code Main entry} or {@code Main sidecar}, and optionally the
+ * port at which its metrics are served.
+ */
 public final class Main {
     private static final int USAGE = 2;
 
@@ -19,12 +23,12 @@
     /**
      * Starts a process.
      *
-     * @param arguments {@code entry} or {@code sidecar}
+     * @param arguments {@code entry} or {@code sidecar}, and optionally a port for metrics
      * @throws IOException if the settings can't be used
      */
     public static void main(String[] arguments) throws IOException {
-        if (arguments.length != 1) {
-            System.err.println("usage: entry | sidecar");
+        if (arguments.length < 1 || arguments.length > 2) {
+            System.err.println("usage: (entry | sidecar) [metrics port]");
             System.exit(USAGE);
         }
         prepareNetty();
@@ -51,6 +55,10 @@
             }
             default -> throw new IOException("unknown role '" + arguments[0] + "'");
         }
+        if (arguments.length == 2) {
+            String host = settings.linkAddress().getHostString();
+            MetricsListener.listen(network, new InetSocketAddress(host, Integer.parseInt(arguments[1])), log::metrics);
+        }
         log.event("listening", "role", arguments[0]);
         new SettingsWatch(loop, PlatformSettings.path(), settings).start();
         Runtime.getRuntime()
