--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /** Process of a sidecar. */
 final class SidecarProgram implements LinkHub.Listener, TableFollower.Listener {
@@ -64,14 +65,14 @@
     /** Starts everything; called on the loop. */
     void start() {
         hub.identify(new Frame.Hello(ProcessRole.SIDECAR, settings.node(), incarnation));
-        register();
+        register(sidecar::registered);
         sidecar.start();
         loop.after(UPSTREAM_LOOK_MILLISECONDS, this::lookAtUpstream);
         new TableFollower(store, loop, Registration.MEMBER_TABLE, this).start();
     }
 
-    private void register() {
-        new Registration(store, loop, settings.node(), this::entry, sidecar::registered).start();
+    private void register(LongConsumer registered) {
+        new Registration(store, loop, settings.node(), this::entry, registered).start();
     }
 
     /** Works out this sidecar's entry; what an earlier life knew of the upstream stays in it until more is known. */
@@ -86,7 +87,8 @@
     private void lookAtUpstream() {
         if (sidecar.upstream().isPresent() && !sidecar.upstream().equals(recorded)) {
             recorded = sidecar.upstream();
-            register();
+            // The fencing number stays: raising it would have every order under way refused.
+            register(version -> {});
         }
         loop.after(UPSTREAM_LOOK_MILLISECONDS, this::lookAtUpstream);
     }
@@ -154,7 +156,7 @@
         }
         if (name.equals(settings.node())) {
             loop.log().event("registration-lost", "node", name);
-            register();
+            register(sidecar::registered);
         }
     }
 }
--- /dev/null
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInHttp.java
@@ -0,0 +1,152 @@
+package io.caperturn.fleet.standin;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+
+/** One stand-in's HTTP server on the loopback interface, with JSON bodies. */
+abstract class StandInHttp implements AutoCloseable {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final HttpServer server;
+
+    StandInHttp() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(Executors.newCachedThreadPool(action -> {
+            Thread thread = new Thread(action, "stand-in");
+            thread.setDaemon(true);
+            return thread;
+        }));
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    /** Answer of a stand-in; a status of 0 closes the connection without one. */
+    record Reply(int status, Map<String, Object> body) {}
+
+    /** Answers one call. */
+    abstract Reply reply(String method, String path, Map<String, String> query, Map<?, ?> body, HttpExchange exchange)
+            throws InterruptedException;
+
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        byte[] bytes = exchange.getRequestBody().readAllBytes();
+        Map<String, String> query = new HashMap<>();
+        String text = exchange.getRequestURI().getRawQuery();
+        if (text != null) {
+            for (String pair : text.split("&")) {
+                int sign = pair.indexOf('=');
+                query.put(pair.substring(0, sign), URLDecoder.decode(pair.substring(sign + 1), StandardCharsets.UTF_8));
+            }
+        }
+        Map<?, ?> body = bytes.length == 0 ? Map.of() : (Map<?, ?>) parse(bytes);
+        Reply reply;
+        try {
+            reply = reply(exchange.getRequestMethod(), exchange.getRequestURI().getPath(), query, body, exchange);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            reply = new Reply(0, Map.of());
+        }
+        if (reply.status() != 0) {
+            byte[] answer = write(reply.body());
+            exchange.sendResponseHeaders(reply.status(), answer.length);
+            exchange.getResponseBody().write(answer);
+        }
+        exchange.close();
+    }
+
+    static Object parse(byte[] text) throws IOException {
+        try (JsonParser parser = JSON.createParser(text)) {
+            parser.nextToken();
+            return value(parser);
+        }
+    }
+
+    private static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = parser.currentName();
+                    parser.nextToken();
+                    map.put(name, value(parser));
+                }
+                yield map;
+            }
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(parser));
+                }
+                yield list;
+            }
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT -> parser.getLongValue();
+            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+
+    static byte[] write(Object value) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator generator = JSON.createGenerator(bytes)) {
+            write(generator, value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator generator, Object value) throws IOException {
+        switch (value) {
+            case null -> generator.writeNull();
+            case String text -> generator.writeString(text);
+            case Integer number -> generator.writeNumber(number);
+            case Long number -> generator.writeNumber(number);
+            case Double number -> generator.writeNumber(number);
+            case Boolean flag -> generator.writeBoolean(flag);
+            case Map<?, ?> map -> {
+                generator.writeStartObject();
+                for (Map.Entry<?, ?> entry : map.entrySet()) {
+                    generator.writeFieldName(String.valueOf(entry.getKey()));
+                    write(generator, entry.getValue());
+                }
+                generator.writeEndObject();
+            }
+            case List<?> list -> {
+                generator.writeStartArray();
+                for (Object element : list) {
+                    write(generator, element);
+                }
+                generator.writeEndArray();
+            }
+            default -> throw new IllegalArgumentException("no JSON form for " + value.getClass());
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+}
--- /dev/null
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInSite.java
@@ -0,0 +1,201 @@
+package io.caperturn.fleet.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A store, executors and an operator on the loopback interface, and real processes of entries and sidecars on them. */
+final class StandInSite implements AutoCloseable {
+    private static final String HOST = "jobs.example";
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private final StandInStore store = new StandInStore();
+    private final List<StandInExecutor> executors = new ArrayList<>();
+    private final Map<String, List<String>> commands = new HashMap<>();
+    private final Map<String, Path> settings = new HashMap<>();
+    private final Map<String, String> callers = new HashMap<>();
+    private final Map<String, Process> processes = new HashMap<>();
+    private final Path folder;
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
+
+    StandInSite(Path folder) throws IOException {
+        this.folder = folder;
+        Map<String, Object> route = new LinkedHashMap<>();
+        route.put("name", "queue");
+        route.put("host", HOST);
+        route.put("pathPrefix", "/jobs/");
+        route.put("service", "work");
+        route.put("priority", 0);
+        route.put("maxAttempts", 2);
+        route.put("stretch", 1.6);
+        route.put("targetDurationMs", 20_000);
+        store.configure(Map.of("version", 1, "routes", List.of(route), "limits", Map.of()));
+    }
+
+    static {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    StandInStore store() {
+        return store;
+    }
+
+    /** Counts the starts of all tasks at all executors. */
+    int starts() {
+        return executors.stream()
+                .flatMap(executor -> executor.starts().values().stream())
+                .mapToInt(Integer::intValue)
+                .sum();
+    }
+
+    /** Prepares an entry, to be run by a command line without its last word. */
+    void addEntry(String node, List<String> command) throws IOException {
+        String front = "127.0.0.1:" + freePort();
+        callers.put(node, front);
+        prepare(node, command, "entry", Map.of("front", front, "ready", "127.0.0.1:" + freePort()), null);
+    }
+
+    /** Prepares a sidecar and the executor beside it. */
+    void addSidecar(String node, List<String> command, long taskMilliseconds) throws IOException {
+        String control = "127.0.0.1:" + freePort();
+        StandInExecutor executor = new StandInExecutor("i-" + node, control, taskMilliseconds);
+        executors.add(executor);
+        prepare(node, command, "sidecar", Map.of("control", control), executor.address());
+    }
+
+    private void prepare(String node, List<String> command, String role, Map<String, Object> listen, String executor)
+            throws IOException {
+        Map<String, Object> content = new LinkedHashMap<>();
+        content.put("nodeName", node);
+        content.put("zone", "zone");
+        content.put("ip", "127.0.0.1");
+        int port = freePort();
+        content.put("internalPorts", List.of(port, port));
+        content.put("listen", listen);
+        if (executor != null) {
+            content.put("app", executor);
+        }
+        content.put("platform", Map.of("address", store.address()));
+        content.put("bounds", Map.of("maxHoldMs", 1_000, "status_s", 120, "graceS", 6));
+        Path file = folder.resolve(node + ".json");
+        Files.write(file, StandInHttp.write(content));
+        settings.put(node, file);
+        List<String> whole = new ArrayList<>(command);
+        whole.add(role);
+        commands.put(node, whole);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    void start(String node) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(commands.get(node));
+        builder.environment().put("CAPERTURN_CONFIG", settings.get(node).toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(node + ".log").toFile()));
+        processes.put(node, builder.start());
+    }
+
+    Process process(String node) {
+        return processes.get(node);
+    }
+
+    String log(String node) throws IOException {
+        return Files.readString(folder.resolve(node + ".log"));
+    }
+
+    /** Waits until an entry takes a job of its own. */
+    void awaitService(String node) throws InterruptedException {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        int number = 0;
+        while (System.nanoTime() < until) {
+            String identity = String.format("%016x", 0xf00000L + number++);
+            try {
+                if (post(node, identity, 1, false).get(5, TimeUnit.SECONDS).statusCode() == 200) {
+                    return;
+                }
+            } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+                // Not there yet; asked again.
+            }
+            Thread.sleep(50);
+        }
+        throw new IllegalStateException("no service at " + node);
+    }
+
+    CompletableFuture<HttpResponse<String>> post(String node, String identity, int tasks, boolean stored) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("spec", "text");
+        body.put("steps", List.of(Map.of("count", tasks, "cpu", 1_600, "memMb", 64, "estimatedMs", 100)));
+        if (!stored) {
+            body.put("bestEffort", true);
+        }
+        return client.sendAsync(
+                request(node, identity)
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(StandInHttp.write(body)))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> get(String node, String identity) throws IOException, InterruptedException {
+        return client.send(request(node, identity).GET().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> delete(String node, String identity) throws IOException, InterruptedException {
+        return client.send(request(node, identity).DELETE().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpRequest.Builder request(String node, String identity) {
+        return HttpRequest.newBuilder(URI.create("http://" + callers.get(node) + "/jobs/" + identity))
+                .header("Host", HOST)
+                .timeout(PATIENCE);
+    }
+
+    /** Waits until an entry shows a state. */
+    String awaitState(String node, String identity, String wanted) throws IOException, InterruptedException {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        String last = "";
+        while (System.nanoTime() < until && !last.contains(wanted)) {
+            last = get(node, identity).body();
+            Thread.sleep(20);
+        }
+        return last;
+    }
+
+    /** Ends all processes in good order. */
+    void stopAll() throws InterruptedException {
+        processes.values().forEach(Process::destroy);
+        for (Process process : processes.values()) {
+            if (!process.waitFor(15, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(process -> process.destroyForcibly().onExit().join());
+        executors.forEach(StandInExecutor::close);
+        store.close();
+    }
+}
