Placement waits for an upstream that is fast enough, and keeps room for urgent work

Change: a task that would be late where it could start waits while a faster upstream could still make it; a tenth of the room is kept for more urgent work that came within five seconds; the wait allowed at admission is learned for each queue.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Admission.java
@@ -6,6 +6,8 @@
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.record.JobWriter;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Decision whether a new job is taken: it is refused at once if it can't be stored, run, or ended in time. */
 final class Admission {
@@ -27,7 +29,7 @@
     private final JobKeeper jobs;
     private final LoadForecast forecast;
     private boolean closing;
-    private double waitShare = 1;
+    private final Map<String, Double> waitShares = new HashMap<>();
 
     Admission(Loop loop, JobWriter writer, Dispatcher dispatcher, Membership membership, JobKeeper jobs) {
         this.loop = loop;
@@ -42,10 +44,11 @@
      * Learns from the end of a job. Estimates are off, and a job ends with the slowest of its tasks; so the wait that
      * is allowed shrinks with each job that was late, and grows slowly with those that were not.
      */
-    void ended(boolean late) {
-        waitShare = late
-                ? Math.max(LEAST_WAIT_SHARE, waitShare * SHRINK_WHEN_LATE)
-                : Math.min(1, waitShare + GROWTH_IN_TIME);
+    void ended(String queue, boolean late) {
+        double share = waitShares.getOrDefault(queue, 1.0);
+        waitShares.put(
+                queue,
+                late ? Math.max(LEAST_WAIT_SHARE, share * SHRINK_WHEN_LATE) : Math.min(1, share + GROWTH_IN_TIME));
     }
 
     /** Refuses jobs from now on that would end later than those that were taken before. */
@@ -81,7 +84,8 @@
         int entries = Math.max(1, membership.of(ProcessRole.ENTRY).size());
         long end = forecast.predictEnd(job, entries);
         long chain = plan.chainMilliseconds();
-        long allowed = chain + Math.round(waitShare * Math.max(0, job.objective() - chain));
+        long allowed =
+                chain + Math.round(waitShares.getOrDefault(policy.name(), 1.0) * Math.max(0, job.objective() - chain));
         if (end == Long.MAX_VALUE) {
             if (!forecast.expectsSidecars()) {
                 return new Answers.Submission.Refused("no-upstream", Entry.FAULT_RETRY_MILLISECONDS, false);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -90,6 +90,7 @@
 
     /** Puts the tasks of a job that can start among those that wait. */
     void ready(OwnedJob job) {
+        placement.seen(job.policy().urgency(), loop.now());
         for (OwnedTask task : job.tasks()) {
             if (task.isIn(OwnedTask.Phase.BLOCKED) && job.isReady(task.step())) {
                 waiting.add(task, loop.now());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
@@ -351,7 +351,7 @@
         @Override
         public void over(OwnedJob job, JobState state) {
             if (state == JobState.COMPLETED) {
-                admission.ended(loop.now() - job.arrivedAt() > job.objective());
+                admission.ended(job.policy().name(), loop.now() - job.arrivedAt() > job.objective());
             }
             if (state != JobState.COMPLETED) {
                 dispatcher.withdrawAll(job);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Placement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Placement.java
@@ -4,6 +4,7 @@
 import io.caperturn.jobs.model.StepPlan;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * Choice of the upstream on which a task is likely to end first.
@@ -17,6 +18,13 @@
     /** What a full upstream counts for against an empty one, in milliseconds: spreads load where speeds are alike. */
     private static final double CROWDING_MILLISECONDS = 12;
 
+    /** Share of the room that is kept for more urgent work, whose many tasks have a tenth of a second to start. */
+    private static final double RESERVED_SHARE = 0.1;
+
+    /** Time after the last urgent job for which room is kept, in milliseconds: such jobs come several a second. */
+    private static final long RESERVED_MILLISECONDS = 5_000;
+
+    private final TreeMap<Integer, Long> lastSeen = new TreeMap<>();
     private final DurationModel durations;
 
     Placement(DurationModel durations) {
@@ -27,12 +35,17 @@
     record Choice(SidecarView sidecar, long expectedMilliseconds) {}
 
     Optional<Choice> choose(OwnedTask task, Collection<SidecarView> sidecars, long now) {
+        if (isLessUrgent(task, now) && isReserved(task, sidecars)) {
+            return Optional.empty();
+        }
         SidecarView best = null;
         double bestEnd = Double.MAX_VALUE;
+        long shortest = Long.MAX_VALUE;
         for (SidecarView sidecar : sidecars) {
             if (!suits(task, sidecar, now)) {
                 continue;
             }
+            shortest = Math.min(shortest, predict(task, sidecar));
             double wait = wait(sidecar, task.step().need());
             if (wait > LONGEST_WAIT_MILLISECONDS) {
                 continue;
@@ -43,7 +56,46 @@
                 best = sidecar;
             }
         }
-        return best == null ? Optional.empty() : Optional.of(new Choice(best, predict(task, best)));
+        if (best == null || isWorthWaiting(task, predict(task, best), shortest, now)) {
+            return Optional.empty();
+        }
+        return Optional.of(new Choice(best, predict(task, best)));
+    }
+
+    /** Notes that work of an urgency has come. */
+    void seen(int urgency, long now) {
+        lastSeen.put(urgency, now);
+    }
+
+    /** Tells whether more urgent work than a task has come lately. */
+    private boolean isLessUrgent(OwnedTask task, long now) {
+        for (long seen : lastSeen.headMap(task.job().policy().urgency()).values()) {
+            if (now - seen < RESERVED_MILLISECONDS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether the room that is left is kept for more urgent work; what is idle altogether is not. */
+    private static boolean isReserved(OwnedTask task, Collection<SidecarView> sidecars) {
+        long free = 0;
+        long capacity = 0;
+        for (SidecarView sidecar : sidecars) {
+            if (sidecar.isUsable()
+                    && sidecar.status().service().equals(task.job().policy().service())) {
+                free += Math.max(0, sidecar.free().processorMillis());
+                capacity += sidecar.status().capacity().processorMillis();
+            }
+        }
+        return free < (1 - RESERVED_SHARE) * capacity
+                && free - task.step().need().processorMillis() < RESERVED_SHARE * capacity;
+    }
+
+    /** Tells whether a task would be late where it could start now, but not on a faster upstream that is busy. */
+    private static boolean isWorthWaiting(OwnedTask task, long here, long shortest, long now) {
+        long left = task.job().arrivedAt() + task.job().objective() - now;
+        return here > left && shortest <= left;
     }
 
     /** Tells whether any upstream that is known could ever run a task of a step. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
@@ -179,7 +179,7 @@
         holds.leaseSent();
         loop.log()
                 .event(
-                        "start",
+                        "run-ordered",
                         "run",
                         run.identity(),
                         "upstream",
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -40,6 +40,7 @@
     private long life;
     private long lateBy;
     private boolean standsStill;
+    private double speed = 1;
     private final Map<RunIdentity, Long> lengths = new HashMap<>();
     private RunOutcome nextOutcome = RunOutcome.DONE;
 
@@ -71,6 +72,15 @@
         lateBy = milliseconds;
     }
 
+    /** Says how much faster than usual the next runs are. */
+    void speed(double factor) {
+        speed = factor;
+    }
+
+    private long durationOf(TaskIdentity task) {
+        return Math.round(durations.applyAsLong(task) / speed);
+    }
+
     /** Says whether the next runs stand still. */
     void standStill(boolean still) {
         standsStill = still;
@@ -163,8 +173,8 @@
         RunOutcome outcome = nextOutcome;
         long atLife = life;
         boolean still = standsStill;
-        lengths.put(run, still ? Long.MAX_VALUE / 200 : durations.applyAsLong(run.task()));
-        time.after(durations.applyAsLong(run.task()), () -> {
+        lengths.put(run, still ? Long.MAX_VALUE / 200 : durationOf(run.task()));
+        time.after(durationOf(run.task()), () -> {
             if (life == atLife && !still) {
                 end(run, outcome);
             }
