--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/FleetProcessTest.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/FleetProcessTest.java
@@ -117,6 +117,26 @@
         }
     }
 
+    @Test
+    void jobsSurviveAnUpstreamThatFailsEverything() throws Exception {
+        site.executor(0).fail(true);
+        for (int number = 0; number < 6; number++) {
+            HttpResponse<String> answer =
+                    site.post("entry-1", identity(number), 1, false).get();
+            assertTrue(answer.body().contains("completed"), answer::body);
+        }
+    }
+
+    @Test
+    void jobThatFailsAsOftenAsAllowedIsShownAsFailed() throws Exception {
+        site.executor(0).fail(true);
+        site.executor(1).fail(true);
+        HttpResponse<String> answer =
+                site.post("entry-1", identity(1), 1, false).get();
+        assertEquals(200, answer.statusCode());
+        assertTrue(answer.body().contains("failed"), answer::body);
+    }
+
     @Test
     void entryThatIsToldToEndAnswersWhatItHas() throws Exception {
         List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
@@ -33,6 +33,7 @@
     private long endCounter;
     private long sequence;
     private volatile boolean closed;
+    private volatile boolean failing;
 
     StandInExecutor(String identity, String announceTo, long taskMilliseconds) throws IOException {
         this.identity = identity;
@@ -45,6 +46,11 @@
         clock.start();
     }
 
+    /** Says whether all that runs here fails, while heartbeats stay good. */
+    void fail(boolean all) {
+        failing = all;
+    }
+
     /** Gives how often each task was started here. */
     synchronized Map<String, Integer> starts() {
         return Map.copyOf(starts);
@@ -99,7 +105,7 @@
                     if (now() > leaseUntil) {
                         end(run.getKey(), "lapsed");
                     } else if (now() - run.getValue() >= taskMilliseconds) {
-                        end(run.getKey(), "done");
+                        end(run.getKey(), failing ? "failed" : "done");
                     }
                 }
             }
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInSite.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInSite.java
@@ -57,6 +57,11 @@
         return store;
     }
 
+    /** Gives the executor beside the sidecar that was added as the one of that number, from 0. */
+    StandInExecutor executor(int number) {
+        return executors.get(number);
+    }
+
     /** Counts the starts of all tasks at all executors. */
     int starts() {
         return executors.stream()
