Stored jobs are taken again after an outage of the store

Cause: an entry refuses stored jobs while its writes fail, and only a write that succeeds ended that; once all new jobs were refused and no other write was due, none was tried any more. Ruled out for jobs that aren't stored: they don't ask the store. Unused members removed.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldReader.java
@@ -31,10 +31,6 @@
         return Math.toIntExact(coded.readInt64());
     }
 
-    double decimal() throws IOException {
-        return coded.readDouble();
-    }
-
     boolean flag() throws IOException {
         return coded.readBool();
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldWriter.java
@@ -21,10 +21,6 @@
         return value == 0 ? this : write(output -> output.writeInt64(field, value));
     }
 
-    FieldWriter decimal(int field, double value) {
-        return value == 0 ? this : write(output -> output.writeDouble(field, value));
-    }
-
     FieldWriter flag(int field, boolean value) {
         return value ? write(output -> output.writeBool(field, true)) : this;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/JobState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/model/JobState.java
@@ -15,15 +15,6 @@
 
     private static final JobState[] VALUES = values();
 
-    /**
-     * Tells whether the job is over.
-     *
-     * @return true if no task of it runs or will run
-     */
-    public boolean isFinal() {
-        return this != QUEUED && this != RUNNING;
-    }
-
     /**
      * Looks a state up by its ordinal.
      *
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Answers.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Answers.java
@@ -37,9 +37,6 @@
          * @param started whether a task of it had started
          */
         record GivenUp(boolean started) implements Submission {}
-
-        /** There is no such queue. */
-        record NoQueue() implements Submission {}
     }
 
     /** Answer to a question for a job's state. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
@@ -191,14 +191,6 @@
                 .toList();
     }
 
-    String nodeOf(String incarnation) {
-        return members.values().stream()
-                .filter(member -> member.content.incarnation().equals(incarnation))
-                .map(member -> member.content.node())
-                .findFirst()
-                .orElse("");
-    }
-
     /** Tells whether the store answered lately. */
     boolean isConfirmed() {
         return follower.confirmedAt() > loop.now() - CONFIRMATION_MILLISECONDS;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -79,10 +79,6 @@
         return links;
     }
 
-    long sequence() {
-        return sequence;
-    }
-
     boolean isUsable() {
         return linked && status != null && status.usable();
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
@@ -34,10 +34,14 @@
     /** Longest time that a new job waits for a store that refuses, in milliseconds: its caller can ask elsewhere. */
     private static final long PATIENCE_MILLISECONDS = 150;
 
+    /** Time after the last failure at which a new job may try the store again, in milliseconds. */
+    private static final long PROBE_MILLISECONDS = 400;
+
     private final RecordStore store;
     private final Loop loop;
     private final Lane[] lanes = new Lane[PARTS];
     private long failingSince = Long.MAX_VALUE;
+    private long lastFailure = Long.MIN_VALUE / 2;
 
     /**
      * Creates a writer with nothing to do.
@@ -74,10 +78,11 @@
     /**
      * Tells whether a new job has a fair chance to be stored at once.
      *
-     * @return false while calls fail or go unanswered
+     * @return false while calls fail or go unanswered; now and then true, so that a write finds out
      */
     public boolean isAnswering() {
-        return failingSince > loop.now() - PATIENCE_MILLISECONDS;
+        long now = loop.now();
+        return failingSince > now - PATIENCE_MILLISECONDS || lastFailure < now - PROBE_MILLISECONDS;
     }
 
     /**
@@ -258,6 +263,7 @@
 
         private void failed(String event, String reason, int writes) {
             failingSince = Math.min(failingSince, loop.now());
+            lastFailure = loop.now();
             loop.log().event(event, "part", part, "writes", writes, "reason", reason);
             loop.log().count(event);
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -187,6 +187,25 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = MemoryStore.Fault.class,
+            names = {"BUSY", "SILENT"})
+    void storedJobsAreTakenAgainAfterAnOutageOfTheStore(MemoryStore.Fault fault) {
+        SimulatedFleet fleet = fleet();
+        fleet.store().fault(fault);
+        for (int number = 0; number < 20; number++) {
+            fleet.submit(0, "during-" + number, SimulatedFleet.plan(1, true));
+            fleet.time().runUntil(fleet.time().now() + 100);
+        }
+        fleet.store().fault(MemoryStore.Fault.NONE);
+        fleet.time().runUntil(fleet.time().now() + 2_000);
+        List<Answers.Submission> answers = fleet.submit(0, "after", SimulatedFleet.plan(1, true));
+        fleet.time().runUntil(fleet.time().now() + 500);
+
+        assertEquals(List.of(new Answers.Submission.Accepted(false)), answers, fleet::lines);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void cancelledJobStopsWhicheverEntryIsAsked(int asked) {
