Cancelling a waited-for job reaches its entry from any other

Cause: an entry that doesn't know a job and doesn't find it stored answered that there is none, while it ran at the entry where its caller waited.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Cancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Cancellation.java
@@ -53,6 +53,10 @@
         } else {
             stored.read(identity, (open, answer) -> {
                 if (open == null) {
+                    if (answer instanceof Answers.Lookup.Unknown) {
+                        // A job that is not stored is known only to the entry at which its caller waits.
+                        tellOthers(identity);
+                    }
                     receiver.accept(answer);
                 } else {
                     cancelForeign(identity, open, receiver);
@@ -79,14 +83,18 @@
         }
     }
 
+    private void tellOthers(String identity) {
+        membership.of(ProcessRole.ENTRY).stream()
+                .filter(member -> !member.incarnation().equals(settings.incarnation()))
+                .forEach(member -> links.send(member.incarnation(), new Frame.CancelJob(identity)));
+    }
+
     private void cancelForeign(String identity, StoredRecord open, Consumer<Answers.Lookup> receiver) {
         ClosedRecord end = new ClosedRecord(JobState.CANCELLED, loop.timeOfDay());
         writer.close(identity, open.version(), end, result -> {
             if (result instanceof JobWriter.Result.Stored) {
                 loop.log().event("cancelled-foreign", "job", identity, "version", open.version());
-                membership.of(ProcessRole.ENTRY).stream()
-                        .filter(member -> !member.incarnation().equals(settings.incarnation()))
-                        .forEach(member -> links.send(member.incarnation(), new Frame.CancelJob(identity)));
+                tellOthers(identity);
                 receiver.accept(new Answers.Lookup.Found(JobState.CANCELLED));
             } else if (result instanceof JobWriter.Result.Overtaken overtaken && overtaken.open() != null) {
                 cancelForeign(identity, overtaken.open(), receiver);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -13,9 +13,9 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 /** Stored jobs under faults: each ends once, and none of its tasks runs twice, by the upstreams' own record. */
 class FleetFaultsTest {
@@ -207,16 +207,18 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {0, 1})
-    void cancelledJobStopsWhicheverEntryIsAsked(int asked) {
+    @CsvSource({"0, true", "1, true", "0, false", "1, false"})
+    void cancelledJobStopsWhicheverEntryIsAsked(int asked, boolean durable) {
         SimulatedFleet fleet = new SimulatedFleet(2, 3, task -> 4_000);
-        fleet.submit(0, "long", SimulatedFleet.plan(TASKS, true));
+        fleet.submit(0, "long", SimulatedFleet.plan(TASKS, durable));
         fleet.time().runUntil(fleet.time().now() + 500);
         List<Answers.Lookup> answers = new ArrayList<>();
         fleet.entry(asked).cancel("long", answers::add);
         fleet.time().runUntil(fleet.time().now() + 500);
 
-        assertEquals(List.of(new Answers.Lookup.Found(JobState.CANCELLED)), answers);
+        boolean known = durable || asked == 0;
+        Answers.Lookup expected = known ? new Answers.Lookup.Found(JobState.CANCELLED) : new Answers.Lookup.Unknown();
+        assertEquals(List.of(expected), answers);
         int running = fleet.upstream(0).runningCount()
                 + fleet.upstream(1).runningCount()
                 + fleet.upstream(2).runningCount();
