A sidecar asks an upstream that refuses connections at an interval

Each look at leases began a hold, whose failure began another chain of retries beside those that were waiting. Ruled out: the pause itself, which a single chain keeps. Change: a pause holds for whoever wants a hold.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -36,6 +36,7 @@
     private boolean wanted;
     private long missed;
     private long lastLeaseSent;
+    private long pausedUntil = Long.MIN_VALUE;
 
     HoldCycle(
             UpstreamPort port,
@@ -103,7 +104,7 @@
         if (state.fence() == 0) {
             return;
         }
-        if (underWay) {
+        if (underWay || loop.now() < pausedUntil) {
             wanted = true;
             return;
         }
@@ -143,7 +144,7 @@
                 if (missed == MISSED_HOLDS) {
                     handler.silent();
                 }
-                again(isSilent() ? FAULT_PAUSE_MILLISECONDS : 0);
+                pause(isSilent() ? FAULT_PAUSE_MILLISECONDS : 0);
             }
             case Answer.Accepted ignored -> throw new IllegalStateException("a hold is answered by a listing");
         }
@@ -160,7 +161,13 @@
         if (refused.reason() == UpstreamPort.Refusal.OTHER_INSTANCE) {
             state.mistaken();
         }
-        again(FAULT_PAUSE_MILLISECONDS);
+        pause(FAULT_PAUSE_MILLISECONDS);
+    }
+
+    /** Lets no hold begin for a time, whoever wants one. */
+    private void pause(long milliseconds) {
+        pausedUntil = loop.now() + milliseconds;
+        again(milliseconds);
     }
 
     private void again(long pause) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -276,6 +276,20 @@
         assertEquals(TASKS, fleet.record().starts(), fleet::lines);
     }
 
+    @Test
+    void upstreamThatRefusesConnectionsIsAskedAtAnInterval() {
+        SimulatedFleet fleet = new SimulatedFleet(1, 1, task -> 3_000);
+        fleet.upstream(0).lateBy(3_000);
+        fleet.submit(0, "doubtful", SimulatedFleet.plan(TASKS, true, 3_000));
+        fleet.time().runUntil(fleet.time().now() + 200);
+        int before = fleet.upstream(0).holds();
+        fleet.upstream(0).refuseConnections(true);
+        fleet.time().runUntil(fleet.time().now() + 5_000);
+        int asked = fleet.upstream(0).holds() - before;
+
+        assertTrue(asked <= 55, () -> asked + " holds in five seconds, at a pause of 100 ms");
+    }
+
     @Test
     void waitedForJobIsAnsweredWithItsEnd() {
         SimulatedFleet fleet = fleet();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -40,6 +40,8 @@
     private long life;
     private long lateBy;
     private boolean standsStill;
+    private boolean refusing;
+    private int holds;
     private double speed = 1;
     private final Map<RunIdentity, Long> lengths = new HashMap<>();
     private RunOutcome nextOutcome = RunOutcome.DONE;
@@ -72,6 +74,16 @@
         lateBy = milliseconds;
     }
 
+    /** Says whether connections are refused. */
+    void refuseConnections(boolean all) {
+        refusing = all;
+    }
+
+    /** Counts the holds that were asked for. */
+    int holds() {
+        return holds;
+    }
+
     /** Says how much faster than usual the next runs are. */
     void speed(double factor) {
         speed = factor;
@@ -223,6 +235,11 @@
 
         @Override
         public void hold(Order order, long acknowledged, long waitMilliseconds, Consumer<Answer> receiver) {
+            holds++;
+            if (refusing) {
+                time.after(1, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("connection refused"))));
+                return;
+            }
             time.after(1, () -> {
                 if (order.fence() < fence) {
                     loop.run(() -> receiver.accept(new Answer.Refused(Refusal.FENCED, clock())));
