--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
@@ -146,11 +146,11 @@
         }
         if (own) {
             // Stored by a write whose answer was lost: none of its tasks was ever sent out.
-            jobs.adopt(identity, open, policy, dispatcher::ready);
+            jobs.adopt(identity, open.version(), content, policy, dispatcher::ready);
             return;
         }
         Recovery recovery = recoveries.computeIfAbsent(content.owner(), this::recover);
-        jobs.adopt(identity, open, policy, recovery::adopted);
+        jobs.adopt(identity, open.version(), content, policy, recovery::adopted);
     }
 
     private boolean falls(String identity) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
@@ -9,7 +9,6 @@
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.record.JobWriter;
 import io.caperturn.jobs.record.StoredRecord;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -96,11 +95,11 @@
     }
 
     /** Runs a job that is not stored; the caller waits for its end. */
-    OwnedJob runTransient(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
+    void runTransient(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
         List<Consumer<Answers.Submission>> waiting = callers.get(identity);
         if (waiting != null) {
             waiting.add(receiver);
-            return owned.get(identity);
+            return;
         }
         callers.put(identity, new ArrayList<>(List.of(receiver)));
         int generation = (int) (loop.timeOfDay() / TRANSIENT_GENERATION_MILLISECONDS % TRANSIENT_GENERATIONS);
@@ -118,7 +117,6 @@
                         "objective",
                         job.objective());
         listener.stored(job);
-        return job;
     }
 
     /** Gives up a job that is not stored: its caller has gone, or can't wait any longer. */
@@ -188,14 +186,7 @@
     }
 
     /** Takes a job that was stored by an earlier owner, under a new generation. */
-    void adopt(String identity, StoredRecord open, QueuePolicy policy, Consumer<OwnedJob> receiver) {
-        JobRecord before;
-        try {
-            before = JobRecord.of(open.value());
-        } catch (IOException e) {
-            loop.log().event("record-unreadable", "job", identity, "version", open.version(), "reason", e.getMessage());
-            return;
-        }
+    void adopt(String identity, long version, JobRecord before, QueuePolicy policy, Consumer<OwnedJob> receiver) {
         JobRecord after = new JobRecord(
                 incarnation,
                 before.generation() + 1,
@@ -203,7 +194,7 @@
                 before.acceptedMilliseconds(),
                 before.started(),
                 before.progress());
-        writer.update(identity, open.version(), after, result -> {
+        writer.update(identity, version, after, result -> {
             if (result instanceof JobWriter.Result.Stored stored && !owned.containsKey(identity)) {
                 long age = Math.max(0, loop.timeOfDay() - before.acceptedMilliseconds());
                 OwnedJob job = OwnedJob.restore(identity, after, policy, loop.now() - Math.min(age, keepMilliseconds));
