A refusal before the claim is known speaks only of its own attempt

Cause: an entry that can't reach the store, stops or is full doesn't know whether a key was submitted before at another entry.

Ruled out: asking all entries first (one that is gone can't answer, and a fresh job's refusal would wait for it); may-have-run (a client that obeys it would not come back, though nothing speaks against it).

Change: a fourth value of execution, attempt-not-run: this attempt started nothing and never will; the same key may be sent again. It is said wherever the claim was not looked up, so also by a full or stopping entry. Clients of the command line go on as with not-run.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/submit/Submitter.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/submit/Submitter.java
@@ -132,7 +132,7 @@
     private static SubmitOutcome problem(String entry, Exchange.Replied reply) {
         return Problem.read(reply)
                 .map(problem -> switch (problem.execution()) {
-                    case NOT_RUN -> (SubmitOutcome) new SubmitOutcome.Refused(problem);
+                    case NOT_RUN, ATTEMPT_NOT_RUN -> (SubmitOutcome) new SubmitOutcome.Refused(problem);
                     case RAN, MAY_HAVE_RUN -> new SubmitOutcome.Failed(problem);
                 })
                 .orElseGet(() ->
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/AttemptTracker.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/AttemptTracker.java
@@ -225,7 +225,7 @@
                 switch (execution) {
                     case RAN -> work.startIsKnown();
                     case MAY_HAVE_RUN -> work.startIsPossible();
-                    case NOT_RUN -> {}
+                    case NOT_RUN, ATTEMPT_NOT_RUN -> {}
                 }
                 yield List.of(retryOrFail(work, task, reason, now));
             }
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/EntryMachine.java
@@ -150,8 +150,10 @@
 
     /** Tells what can be said of work that is refused before its claim was looked up. */
     private static Execution before(EntryEvent.SubmissionArrived arrived) {
-        boolean mayHaveRun = arrived.resubmission() && arrived.submission().needsClaim();
-        return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
+        if (!arrived.submission().needsClaim()) {
+            return Execution.NOT_RUN;
+        }
+        return arrived.resubmission() ? Execution.MAY_HAVE_RUN : Execution.ATTEMPT_NOT_RUN;
     }
 
     private void refuse(EntryEvent.SubmissionArrived arrived, FailureReason reason, String detail) {
--- a/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
+++ b/caperturn-core/src/main/java/io/caperturn/core/entry/Work.java
@@ -45,6 +45,7 @@
     private int completed;
     private boolean startKnown;
     private boolean startPossible;
+    private boolean earlierStartExcluded;
     private boolean superseded;
     private long claimRequest;
     private ClaimResult.HeldByOther held;
@@ -146,6 +147,7 @@
     /** Notes that a fresh claim proved that nothing started before. */
     void startIsExcluded() {
         startPossible = false;
+        earlierStartExcluded = true;
     }
 
     /** Returns the claim that another entry held when last asked. */
@@ -213,13 +215,17 @@
     /**
      * Tells what is known about whether any task started.
      *
-     * @return {@link Execution#RAN} if a start is known, {@link Execution#NOT_RUN} if none is possible
+     * @return {@link Execution#RAN} if a start is known, {@link Execution#NOT_RUN} if none is possible,
+     *     {@link Execution#ATTEMPT_NOT_RUN} if none is possible by this attempt and the claim was not looked up
      */
     Execution execution() {
         if (startKnown) {
             return Execution.RAN;
         }
-        return outstanding > 0 || startPossible ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
+        if (outstanding > 0 || startPossible) {
+            return Execution.MAY_HAVE_RUN;
+        }
+        return submission.needsClaim() && !earlierStartExcluded ? Execution.ATTEMPT_NOT_RUN : Execution.NOT_RUN;
     }
 
     int highestAttempt() {
--- a/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
+++ b/caperturn-entry/src/main/java/io/caperturn/entry/http/WorkEndpoint.java
@@ -97,7 +97,7 @@
                             submission.id(),
                             new Answer.Failed(
                                     FailureReason.OVERLOADED,
-                                    Execution.NOT_RUN,
+                                    submission.needsClaim() ? Execution.ATTEMPT_NOT_RUN : Execution.NOT_RUN,
                                     "this entry is overloaded",
                                     Optional.of(OVERLOAD_RETRY_AFTER))));
         }
@@ -109,7 +109,7 @@
     }
 
     private void write(Response response, Callback callback, SubmissionId submission, Answer answer) {
-        if (answer instanceof Answer.Failed failed && failed.execution() == Execution.NOT_RUN) {
+        if (answer instanceof Answer.Failed failed && failed.execution().isRefusal()) {
             meters.refused(Problem.of(submission, failed).reason());
         }
         switch (resource) {
--- a/caperturn-testkit/src/main/java/io/caperturn/testkit/process/ClientAnswer.java
+++ b/caperturn-testkit/src/main/java/io/caperturn/testkit/process/ClientAnswer.java
@@ -53,7 +53,8 @@
     /**
      * Returns what the problem says about starts.
      *
-     * @return {@code not-run}, {@code may-have-run} or {@code ran}; empty if this is no problem
+     * @return {@code not-run}, {@code attempt-not-run}, {@code may-have-run} or {@code ran}; empty if this is no
+     *     problem
      */
     public String execution() {
         return body.path("execution").asText("");
--- a/caperturn-wire/src/main/java/io/caperturn/wire/MessageCodec.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/MessageCodec.java
@@ -192,6 +192,7 @@
     public static io.caperturn.wire.message.Execution toMessage(Execution execution) {
         return switch (execution) {
             case NOT_RUN -> io.caperturn.wire.message.Execution.EXECUTION_NOT_RUN;
+            case ATTEMPT_NOT_RUN -> io.caperturn.wire.message.Execution.EXECUTION_ATTEMPT_NOT_RUN;
             case MAY_HAVE_RUN -> io.caperturn.wire.message.Execution.EXECUTION_MAY_HAVE_RUN;
             case RAN -> io.caperturn.wire.message.Execution.EXECUTION_RAN;
         };
@@ -206,6 +207,7 @@
     public static Execution fromMessage(io.caperturn.wire.message.Execution message) {
         return switch (message) {
             case EXECUTION_NOT_RUN -> Execution.NOT_RUN;
+            case EXECUTION_ATTEMPT_NOT_RUN -> Execution.ATTEMPT_NOT_RUN;
             case EXECUTION_RAN -> Execution.RAN;
             case EXECUTION_MAY_HAVE_RUN, EXECUTION_UNSPECIFIED, UNRECOGNIZED -> Execution.MAY_HAVE_RUN;
         };
--- a/caperturn-wire/src/main/java/io/caperturn/wire/message/Execution.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/message/Execution.java
@@ -27,6 +27,10 @@
    * <code>EXECUTION_RAN = 3;</code>
    */
   EXECUTION_RAN(3),
+  /**
+   * <code>EXECUTION_ATTEMPT_NOT_RUN = 4;</code>
+   */
+  EXECUTION_ATTEMPT_NOT_RUN(4),
   UNRECOGNIZED(-1),
   ;
 
@@ -55,6 +59,10 @@
    * <code>EXECUTION_RAN = 3;</code>
    */
   public static final int EXECUTION_RAN_VALUE = 3;
+  /**
+   * <code>EXECUTION_ATTEMPT_NOT_RUN = 4;</code>
+   */
+  public static final int EXECUTION_ATTEMPT_NOT_RUN_VALUE = 4;
 
 
   public final int getNumber() {
@@ -85,6 +93,7 @@
       case 1: return EXECUTION_NOT_RUN;
       case 2: return EXECUTION_MAY_HAVE_RUN;
       case 3: return EXECUTION_RAN;
+      case 4: return EXECUTION_ATTEMPT_NOT_RUN;
       default: return null;
     }
   }
--- a/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOuterClass.java
+++ b/caperturn-wire/src/main/java/io/caperturn/wire/message/FrameOuterClass.java
@@ -325,11 +325,12 @@
       "bmissionIdentity\022\r\n\005fence\030\002 \001(\004\022\'\n\007repor" +
       "ts\030\003 \003(\0132\026.caperturn.wire.Report\"\n\n\010Fare" +
       "well*>\n\004Role\022\024\n\020ROLE_UNSPECIFIED\020\000\022\016\n\nRO" +
-      "LE_ENTRY\020\001\022\020\n\014ROLE_SIDECAR\020\002*l\n\tExecutio" +
-      "n\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\025\n\021EXECUTIO" +
-      "N_NOT_RUN\020\001\022\032\n\026EXECUTION_MAY_HAVE_RUN\020\002\022" +
-      "\021\n\rEXECUTION_RAN\020\003B\035\n\031io.caperturn.wire." +
-      "messageP\001b\006proto3"
+      "LE_ENTRY\020\001\022\020\n\014ROLE_SIDECAR\020\002*\213\001\n\tExecuti" +
+      "on\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\025\n\021EXECUTI" +
+      "ON_NOT_RUN\020\001\022\032\n\026EXECUTION_MAY_HAVE_RUN\020\002" +
+      "\022\021\n\rEXECUTION_RAN\020\003\022\035\n\031EXECUTION_ATTEMPT" +
+      "_NOT_RUN\020\004B\035\n\031io.caperturn.wire.messageP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
