Ends that can't be settled hide no later ones

Cause: an upstream lists 500 ends at a time, those that it may not forget yet first. The sidecars asked that other one, always the same, whether the killed entry's jobs were over; it could not tell for eight seconds.

Change: a full list proves nothing of runs that it lacks. Runs of a lost entry's jobs that aren't stored are dropped at once, since nobody will claim them. Ends of such jobs move to the sidecar's memory when their owner has been silent for 2 s. Entries are asked in turn.

A sidecar that ends within a long silence of an owner forgets that owner's ends; the task is then done again, for a caller who still waits.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -211,7 +211,9 @@
                 handler.standsStill(known);
             }
         }
-        endMissing(running, order, sent);
+        if (listing.complete()) {
+            endMissing(running, order, sent);
+        }
         boolean everListed = state.wasEverListed();
         boolean first = state.listed(order.fence());
         if (news || first) {
@@ -242,7 +244,7 @@
         }
     }
 
-    /** Ends runs that a listing under the present fence shows as neither running nor ended. */
+    /** Ends runs that a complete listing under the present fence shows as neither running nor ended. */
     private void endMissing(Set<RunIdentity> running, Order order, long sent) {
         List<LocalRun> missing = new ArrayList<>();
         for (LocalRun run : book.all()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -27,7 +27,8 @@
     private long percent = -1;
     private long movedAt;
     private boolean toldStill;
-    private boolean durable;
+    /** Whether its job outlives its owner; assumed of a run that was found at the upstream. */
+    private boolean durable = true;
 
     LocalRun(RunIdentity identity, long since) {
         this.identity = identity;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunBook.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunBook.java
@@ -130,6 +130,14 @@
         }
     }
 
+    /**
+     * Lets the upstream forget an end that is kept here for an owner that is out of touch: the upstream lists only so
+     * many ends, and no later ones before these are forgotten. Gives false if that was done before.
+     */
+    boolean keepHere(LocalRun run) {
+        return ends.remove(run.endNumber()) != null;
+    }
+
     /** Gives the number up to which the upstream may forget its ends. */
     long acknowledgeable() {
         return ends.isEmpty() ? highestEnd : ends.firstKey() - 1;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -241,9 +241,12 @@
                 book.end(run, RunOutcome.REFUSED, "owner-lost", 0, loop.now());
             }
         }
-        for (LocalRun run : book.all()) {
+        for (LocalRun run : List.copyOf(book.all())) {
             if (run.owner().equals(lost)) {
                 run.ownedBy("", loop.now());
+                if (!run.isDurable()) {
+                    drop(run, "owner-lost");
+                }
             }
         }
         links.send(adopter, inventory(owners.get(adopter), lost));
@@ -253,15 +256,20 @@
     private void jobOver(String job) {
         for (LocalRun run : List.copyOf(book.all())) {
             if (run.identity().task().job().equals(job) && run.owner().isEmpty()) {
-                if (run.isIn(Phase.ENDED)) {
-                    keeper.settled(run);
-                } else {
-                    keeper.withdraw(run, "job-over");
-                }
+                drop(run, "job-over");
             }
         }
     }
 
+    /** Ends a run that nobody will claim, and forgets its end. */
+    private void drop(LocalRun run, String cause) {
+        if (run.isIn(Phase.ENDED)) {
+            keeper.settled(run);
+        } else {
+            keeper.withdraw(run, cause);
+        }
+    }
+
     private Frame.Inventory inventory(OwnerLease asking, String lost) {
         List<Frame.Report> reports = new ArrayList<>();
         for (LocalRun run : book.all()) {
@@ -273,6 +281,7 @@
     private void tick() {
         loop.after(TICK_MILLISECONDS, this::tick);
         expireOwners();
+        unclaimed.keepEnds();
         keeper.tick();
         unclaimed.ask();
         if (loop.now() - lastStatus >= settings.renewalMilliseconds()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
@@ -8,16 +8,22 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Runs that no entry stands by: an entry is asked whether their jobs are over. */
+/** Runs that no entry stands by: their ends are kept here, and an entry is asked whether their jobs are over. */
 final class UnclaimedRuns {
     /** Time after which runs that no entry claims are asked about, in milliseconds: an adoption takes less. */
     private static final long UNCLAIMED_MILLISECONDS = 600;
+    /**
+     * Silence of an owner after which the upstream needs not keep its ends, in milliseconds: twice the authority over
+     * runs whose caller waits. An upstream lists 500 ends, and the fastest seen has 120 a second.
+     */
+    private static final long KEEP_HERE_MILLISECONDS = 2 * SidecarSettings.TRANSIENT_AUTHORITY_MILLISECONDS;
 
     private final Loop loop;
     private final LinkPort links;
     private final RunBook book;
     private final Map<String, OwnerLease> owners;
     private long lastUnclaimed;
+    private int asked;
 
     UnclaimedRuns(Loop loop, LinkPort links, RunBook book, Map<String, OwnerLease> owners) {
         this.loop = loop;
@@ -26,6 +32,21 @@
         this.owners = owners;
     }
 
+    /**
+     * Keeps ends here whose owner has been silent, so that the upstream can list later ones. Ends of stored jobs stay
+     * with the upstream, which outlives this process.
+     */
+    void keepEnds() {
+        long silentSince = loop.now() - KEEP_HERE_MILLISECONDS;
+        for (LocalRun run : book.all()) {
+            OwnerLease owner = owners.get(run.owner());
+            boolean outOfTouch = owner == null || owner.heardAt() < silentSince;
+            if (run.isIn(LocalRun.Phase.ENDED) && !run.isDurable() && outOfTouch && book.keepHere(run)) {
+                loop.log().event("end-kept", "run", run.identity(), "owner", run.owner());
+            }
+        }
+    }
+
     /** Asks about them, at an interval. */
     void ask() {
         long now = loop.now();
@@ -42,10 +63,13 @@
             }
         }
         if (!jobs.isEmpty()) {
-            owners.values().stream()
-                    .filter(owner -> owner.isLinked())
-                    .findFirst()
-                    .ifPresent(owner -> links.send(owner.incarnation(), new Frame.Unclaimed(List.copyOf(jobs))));
+            // The next entry each time: one of them may be without the store for long.
+            List<OwnerLease> linked =
+                    owners.values().stream().filter(owner -> owner.isLinked()).toList();
+            if (!linked.isEmpty()) {
+                asked++;
+                links.send(linked.get(asked % linked.size()).incarnation(), new Frame.Unclaimed(List.copyOf(jobs)));
+            }
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
@@ -62,8 +62,9 @@
          * @param identity name of the upstream; empty if it doesn't say
          * @param running what runs, with how far it is in percent
          * @param ends ends that are not yet forgotten, in the order of their numbers
+         * @param complete false if there may be later ends, which are listed once the first are forgotten
          */
-        record Listing(long clock, long born, String identity, List<Running> running, List<End> ends)
+        record Listing(long clock, long born, String identity, List<Running> running, List<End> ends, boolean complete)
                 implements Answer {
             /** Copies the lists. */
             public Listing {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -20,6 +20,8 @@
 final class SimulatedUpstream {
     private static final long LONGEST_LEASE = 1_000;
     private static final long TIMEOUT = 250;
+    /** Ends that are listed at a time. */
+    private static final int MOST_ENDS = 500;
     /** Speed of its clock against the true one; it may be two percent slow. */
     private static final long CLOCK_PERCENT = 98;
 
@@ -110,11 +112,12 @@
     }
 
     Announcement announcement() {
-        return new Announcement(
-                new UpstreamDescription(
-                        identity, born, "service", new Resources(16_000, 32_768, 0), List.of("a", "rack")),
-                ++sequence,
-                false);
+        return new Announcement(description(), ++sequence, false);
+    }
+
+    UpstreamDescription description() {
+        return new UpstreamDescription(
+                identity, born, "service", new Resources(16_000, 32_768, 0), List.of("a", "rack"));
     }
 
     /** Gives the port of one sidecar process. */
@@ -259,7 +262,10 @@
                         List<Running> list = running.keySet().stream()
                                 .map(run -> new Running(run, 100 * (time.now() - running.get(run)) / lengths.get(run)))
                                 .toList();
-                        Answer listing = new Answer.Listing(clock(), born, identity, list, List.copyOf(ends.values()));
+                        List<End> first =
+                                ends.values().stream().limit(MOST_ENDS).toList();
+                        Answer listing =
+                                new Answer.Listing(clock(), born, identity, list, first, first.size() < MOST_ENDS);
                         loop.run(() -> receiver.accept(listing));
                     }
                 };
