A task goes only where there is room, and is refused where others took it

Ruled out: choosing at random among upstreams that are nearly as good (no change in the model); only sending where there is room, without the refusal (half of the gain).

Change: a task is sent only where the last word shows room; a sidecar refuses what no longer fits, and counts as full until its next word.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/Frame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/Frame.java
@@ -119,6 +119,8 @@
     record Report(RunIdentity run, RunOutcome outcome, long runMilliseconds, String reason) implements Frame {
         /** Reason given with a run that is at work but has not moved for longer than its size explains. */
         public static final String STANDS_STILL = "stands-still";
+        /** Reason of a refusal: others' tasks took the room that the entry saw. */
+        public static final String NO_ROOM = "no-room";
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -234,7 +234,9 @@
                     view.undecided();
                 }
                 if (current) {
-                    if (report.reason().equals("unhealthy") && view != null) {
+                    if (view != null && report.reason().equals(Frame.Report.NO_ROOM)) {
+                        view.refusedForRoom();
+                    } else if (view != null && report.reason().equals("unhealthy")) {
                         countFailure(task, view);
                     }
                     again(task, report.outcome() + "-" + report.reason());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Placement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Placement.java
@@ -1,6 +1,5 @@
 package io.caperturn.jobs.owner;
 
-import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.Collection;
 import java.util.Optional;
@@ -9,12 +8,10 @@
 /**
  * Choice of the upstream on which a task is likely to end first.
  *
- * <p>A task goes to a sidecar only if it can start there soon; otherwise it waits at its entry, where it can still go
- * anywhere.
+ * <p>A task goes to a sidecar only if there is room for it now; otherwise it waits at its entry, where it can still go
+ * anywhere. Where several entries send to the same room, the sidecar refuses what no longer fits.
  */
 final class Placement {
-    /** Longest wait at a sidecar that a task is sent into, in milliseconds: a few round trips between zones. */
-    static final long LONGEST_WAIT_MILLISECONDS = 25;
     /** What a full upstream counts for against an empty one, in milliseconds: spreads load where speeds are alike. */
     private static final double CROWDING_MILLISECONDS = 12;
 
@@ -46,11 +43,10 @@
                 continue;
             }
             shortest = Math.min(shortest, predict(task, sidecar));
-            double wait = wait(sidecar, task.step().need());
-            if (wait > LONGEST_WAIT_MILLISECONDS) {
+            if (!sidecar.free().covers(task.step().need())) {
                 continue;
             }
-            double end = wait + predict(task, sidecar) + crowding(sidecar) + distrust(task, sidecar);
+            double end = predict(task, sidecar) + crowding(sidecar) + distrust(task, sidecar);
             if (end < bestEnd) {
                 bestEnd = end;
                 best = sidecar;
@@ -141,15 +137,6 @@
                 .count();
     }
 
-    /** Estimates how long a task would wait there, in milliseconds. */
-    private static double wait(SidecarView sidecar, Resources need) {
-        if (sidecar.free().covers(need)) {
-            return 0;
-        }
-        double processors = Math.max(1, sidecar.status().capacity().processorMillis());
-        return LONGEST_WAIT_MILLISECONDS / 2.0 + sidecar.waitingWork() / processors;
-    }
-
     private long predict(OwnedTask task, SidecarView sidecar) {
         return durations.predict(
                 task.job().policy().name(), sidecar.node(), task.step().estimatedMilliseconds());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -20,6 +20,7 @@
     private long ejectedUntil;
     private boolean probing;
     private String lastFailedJob = "";
+    private boolean full;
 
     SidecarView(String node, String incarnation) {
         this.node = node;
@@ -49,6 +50,7 @@
 
     void update(Frame.Status news, long now) {
         status = news;
+        full = false;
         while (!unseen.isEmpty() && unseen.peek().sequence() <= news.dispatchesSeen()) {
             unseen.poll();
         }
@@ -87,8 +89,16 @@
         return status;
     }
 
-    /** Gives the room that is free there, less what is on its way. */
+    /** Notes that the sidecar had no room for a task, so its last word is out of date. */
+    void refusedForRoom() {
+        full = true;
+    }
+
+    /** Gives the room that is free there, less what is on its way; nothing from a refusal to the next word. */
     Resources free() {
+        if (full) {
+            return Resources.NONE;
+        }
         Resources free = status.free();
         for (Sent sent : unseen) {
             free = free.minus(sent.need());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -213,7 +213,11 @@
         if (!keeper.state().capacity().covers(run.need())) {
             return "larger-than-upstream";
         }
-        return book.hasOtherRun(run.identity()) ? "other-run" : "";
+        if (book.hasOtherRun(run.identity())) {
+            return "other-run";
+        }
+        Resources free = keeper.state().capacity().minus(book.used()).minus(book.waitingNeed());
+        return free.covers(run.need()) ? "" : Frame.Report.NO_ROOM;
     }
 
     private void withdrawn(String incarnation, RunIdentity identity) {
