--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryProgram.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryProgram.java
@@ -1,5 +1,7 @@
 package io.caperturn.fleet;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.message.Frame;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.message.ProcessRole;
@@ -90,7 +92,7 @@
         });
         try {
             if (!ended.await(settings.graceMilliseconds(), TimeUnit.MILLISECONDS)) {
-                loop.log().event("stop-incomplete", "cause", "grace-over");
+                loop.log().event(EventName.STOP_INCOMPLETE, EventKey.CAUSE, "grace-over");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/EventLog.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/EventLog.java
@@ -1,10 +1,13 @@
 package io.caperturn.fleet;
 
 import io.caperturn.jobs.DecisionLog;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.kernel.EventLine;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -34,7 +37,7 @@
     private final String node;
     private final OutputStream stream;
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
-    private final Map<String, Bound> bounds = new ConcurrentHashMap<>();
+    private final Map<EventName, Bound> bounds = new EnumMap<>(EventName.class);
     private final Map<String, AtomicLong> counters = new ConcurrentHashMap<>();
     private final Map<String, Histogram> histograms = new ConcurrentHashMap<>();
     private final AtomicLong dropped = new AtomicLong();
@@ -44,6 +47,9 @@
     EventLog(String node, OutputStream stream) {
         this.node = node;
         this.stream = stream;
+        for (EventName name : EventName.values()) {
+            bounds.put(name, new Bound());
+        }
         this.writer = new Thread(this::writeAll, "log");
         writer.setDaemon(true);
         writer.start();
@@ -71,26 +77,31 @@
     }
 
     @Override
-    public void event(String name, Object... pairs) {
-        long omitted = bounds.computeIfAbsent(name, key -> new Bound()).admit(System.nanoTime());
+    public void event(EventName name, Object... pairs) {
+        long omitted = bounds.get(name).admit(System.nanoTime());
         if (omitted < 0) {
             return;
         }
-        EventLine line =
-                EventLine.of(name).with("time", System.currentTimeMillis()).with("at", node);
+        EventLine line = begin(name)
+                .with(EventKey.TIME.label(), System.currentTimeMillis())
+                .with(EventKey.AT.label(), node);
         for (int index = 0; index + 1 < pairs.length; index += 2) {
-            line.with(String.valueOf(pairs[index]), pairs[index + 1]);
+            line.with(((EventKey) pairs[index]).label(), pairs[index + 1]);
         }
         if (omitted > 0) {
-            offer(EventLine.of("lines-omitted")
-                    .with("at", node)
-                    .with("of", name)
-                    .with("count", omitted)
+            offer(begin(EventName.LINES_OMITTED)
+                    .with(EventKey.AT.label(), node)
+                    .with(EventKey.OF.label(), name.label())
+                    .with(EventKey.COUNT.label(), omitted)
                     .toString());
         }
         offer(line.toString());
     }
 
+    private static EventLine begin(EventName name) {
+        return EventLine.of(name.label());
+    }
+
     private void offer(String line) {
         if (!lines.offer(line)) {
             dropped.incrementAndGet();
@@ -150,7 +161,9 @@
                 }
                 long lost = dropped.get();
                 if (lost > told) {
-                    batch.append(EventLine.of("lines-dropped").with("at", node).with("count", lost - told))
+                    batch.append(begin(EventName.LINES_DROPPED)
+                                    .with(EventKey.AT.label(), node)
+                                    .with(EventKey.COUNT.label(), lost - told))
                             .append('\n');
                     told = lost;
                 }
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkHub.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkHub.java
@@ -1,5 +1,7 @@
 package io.caperturn.fleet;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -206,7 +208,8 @@
                     before.channel.close();
                     listener.unlinked(before.peer);
                 }
-                time.log().event("link", "node", hello.node(), "incarnation", hello.incarnation());
+                time.log()
+                        .event(EventName.LINK, EventKey.NODE, hello.node(), EventKey.INCARNATION, hello.incarnation());
                 listener.linked(hello);
             } else if (peer != null && links.get(peer.incarnation()) == this) {
                 listener.received(peer, frame);
@@ -216,7 +219,13 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (peer != null && links.remove(peer.incarnation(), this)) {
-                time.log().event("link-lost", "node", peer.node(), "incarnation", peer.incarnation());
+                time.log()
+                        .event(
+                                EventName.LINK_LOST,
+                                EventKey.NODE,
+                                peer.node(),
+                                EventKey.INCARNATION,
+                                peer.incarnation());
                 listener.unlinked(peer);
             }
             if (wish != null) {
@@ -226,7 +235,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            time.log().event("link-fault", "node", peer == null ? "" : peer.node(), "cause", cause);
+            time.log()
+                    .event(EventName.LINK_FAULT, EventKey.NODE, peer == null ? "" : peer.node(), EventKey.CAUSE, cause);
             context.close();
         }
     }
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/Main.java
@@ -1,5 +1,7 @@
 package io.caperturn.fleet;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.platform.MetricsListener;
 import io.caperturn.platform.PlatformSettings;
 import io.netty.channel.EventLoop;
@@ -34,7 +36,7 @@
         prepareNetty();
         PlatformSettings settings = PlatformSettings.load();
         EventLog log = new EventLog(settings.node(), new FileOutputStream(FileDescriptor.out));
-        log.event("start", "role", arguments[0], "zone", settings.zone());
+        log.event(EventName.START, EventKey.ROLE, arguments[0], EventKey.ZONE, settings.zone());
         EventLoop network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ProcessLoop loop = new ProcessLoop(network, log);
         Runnable stop;
@@ -59,13 +61,13 @@
             String host = settings.linkAddress().getHostString();
             MetricsListener.listen(network, new InetSocketAddress(host, Integer.parseInt(arguments[1])), log::metrics);
         }
-        log.event("listening", "role", arguments[0]);
+        log.event(EventName.LISTENING, EventKey.ROLE, arguments[0]);
         new SettingsWatch(loop, PlatformSettings.path(), settings).start();
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
                             stop.run();
-                            log.event("stop", "role", arguments[0]);
+                            log.event(EventName.STOP, EventKey.ROLE, arguments[0]);
                             log.close();
                         },
                         "stop"));
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SettingsWatch.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SettingsWatch.java
@@ -1,5 +1,7 @@
 package io.caperturn.fleet;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.platform.PlatformSettings;
 import java.io.IOException;
@@ -53,10 +55,26 @@
         changed = changedAt();
         try {
             PlatformSettings news = PlatformSettings.of(Files.readAllBytes(file));
-            loop.log().event("reload", "cause", cause, "changed", differences(inForce, news), "effect", "next-start");
+            loop.log()
+                    .event(
+                            EventName.RELOAD,
+                            EventKey.CAUSE,
+                            cause,
+                            EventKey.CHANGED,
+                            differences(inForce, news),
+                            EventKey.EFFECT,
+                            "next-start");
             inForce = news;
         } catch (IOException e) {
-            loop.log().event("reload-failed", "cause", cause, "reason", e.getMessage(), "effect", "none");
+            loop.log()
+                    .event(
+                            EventName.RELOAD_FAILED,
+                            EventKey.CAUSE,
+                            cause,
+                            EventKey.REASON,
+                            e.getMessage(),
+                            EventKey.EFFECT,
+                            "none");
         }
     }
 
@@ -64,7 +82,7 @@
         try {
             return Files.getLastModifiedTime(file);
         } catch (IOException e) {
-            loop.log().event("settings-unreachable", "reason", e.getMessage());
+            loop.log().event(EventName.SETTINGS_UNREACHABLE, EventKey.REASON, e.getMessage());
             return null;
         }
     }
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarProgram.java
@@ -1,5 +1,7 @@
 package io.caperturn.fleet;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.message.Frame;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.message.ProcessRole;
@@ -96,13 +98,13 @@
     /** Ends in good order; called on another thread, returns when the process may end. */
     void stop() {
         network.execute(() -> {
-            loop.log().event("leaving");
+            loop.log().event(EventName.LEAVING);
             sidecar.leave();
             look(loop.now() + LAST_RUNS_MILLISECONDS);
         });
         try {
             if (!ended.await(settings.graceMilliseconds(), TimeUnit.MILLISECONDS)) {
-                loop.log().event("stop-incomplete", "cause", "grace-over");
+                loop.log().event(EventName.STOP_INCOMPLETE, EventKey.CAUSE, "grace-over");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -144,7 +146,13 @@
                 hub.connect(member.address());
             }
         } catch (IOException e) {
-            loop.log().event("record-unreadable", "member", stored.key().name(), "reason", e.getMessage());
+            loop.log()
+                    .event(
+                            EventName.RECORD_UNREADABLE,
+                            EventKey.MEMBER,
+                            stored.key().name(),
+                            EventKey.REASON,
+                            e.getMessage());
         }
     }
 
@@ -155,7 +163,7 @@
             hub.disconnect(address);
         }
         if (name.equals(settings.node())) {
-            loop.log().event("registration-lost", "node", name);
+            loop.log().event(EventName.REGISTRATION_LOST, EventKey.NODE, name);
             register(sidecar::registered);
         }
     }
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/EventLogTest.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/EventLogTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -18,7 +20,7 @@
     void lineHoldsEventTimeNodeAndPairs() {
         ByteArrayOutputStream written = new ByteArrayOutputStream();
         try (EventLog log = new EventLog("node-1", written)) {
-            log.event("refused", "job", "a1", "reason", "no upstream");
+            log.event(EventName.REFUSED, EventKey.JOB, "a1", EventKey.REASON, "no upstream");
         }
         String line = written.toString(StandardCharsets.UTF_8);
         assertTrue(line.matches("event=refused time=\\d+ at=node-1 job=a1 reason=\"no upstream\"\n"), line);
@@ -30,10 +32,10 @@
         ByteArrayOutputStream written = new ByteArrayOutputStream();
         try (EventLog log = new EventLog("node-1", written)) {
             for (int number = 0; number < events; number++) {
-                log.event("placed", "number", number);
+                log.event(EventName.PLACED, EventKey.NUMBER, number);
             }
             Thread.sleep(1_100);
-            log.event("placed", "number", "last");
+            log.event(EventName.PLACED, EventKey.NUMBER, "last");
         }
         String text = written.toString(StandardCharsets.UTF_8);
         long lines =
@@ -61,9 +63,9 @@
             }
         };
         EventLog log = new EventLog("node-1", stalled);
-        for (int event = 0; event < 100; event++) {
+        for (EventName event : EventName.values()) {
             for (int line = 0; line < 200; line++) {
-                log.event("event-" + event, "line", line);
+                log.event(event, EventKey.NUMBER, line);
             }
         }
         assertTrue(log.metrics().contains("caperturn_log_lines_dropped_total "));
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/DecisionLog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/DecisionLog.java
@@ -5,10 +5,10 @@
     /**
      * Writes one line.
      *
-     * @param name name of the event, in lower case with hyphens
-     * @param pairs keys and values by turns
+     * @param name name of the event
+     * @param pairs keys, each an {@link EventKey}, and values by turns
      */
-    void event(String name, Object... pairs);
+    void event(EventName name, Object... pairs);
 
     /**
      * Counts something.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -86,7 +88,15 @@
         }
         stored.read(job, (open, answer) -> {
             if (open == null && !(answer instanceof Answers.Lookup.Unavailable)) {
-                loop.log().event("unclaimed", "job", job, "sidecar", sidecar, "state", answer);
+                loop.log()
+                        .event(
+                                EventName.UNCLAIMED,
+                                EventKey.JOB,
+                                job,
+                                EventKey.SIDECAR,
+                                sidecar,
+                                EventKey.STATE,
+                                answer);
                 links.send(sidecar, new Frame.JobOver(job));
             } else if (open != null) {
                 takeOver(job, open);
@@ -110,7 +120,7 @@
                     }
                 }
                 case RecordStore.ReadOutcome.Failed failed -> {
-                    loop.log().event("scan-failed", "part", part, "reason", failed.reason());
+                    loop.log().event(EventName.SCAN_FAILED, EventKey.PART, part, EventKey.REASON, failed.reason());
                     loop.after(Entry.FAULT_RETRY_MILLISECONDS, () -> scanPart(part, from));
                 }
             }
@@ -138,10 +148,10 @@
             policy = new QueuePolicy(content.plan().queue(), "", "", "", 0, 1, 1, 0);
             loop.log()
                     .event(
-                            "queue-unknown",
-                            "job",
+                            EventName.QUEUE_UNKNOWN,
+                            EventKey.JOB,
                             identity,
-                            "queue",
+                            EventKey.QUEUE,
                             content.plan().queue());
         }
         if (own) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Cancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Cancellation.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.ClosedRecord;
@@ -66,7 +68,7 @@
     }
 
     private void cancelOwned(OwnedJob job, Consumer<Answers.Lookup> receiver) {
-        loop.log().event("cancel", "job", job.identity());
+        loop.log().event(EventName.CANCEL, EventKey.JOB, job.identity());
         jobs.finish(job, JobState.CANCELLED);
         dispatcher.withdrawAll(job);
         awaitClosed(job.identity(), receiver);
@@ -93,7 +95,7 @@
         ClosedRecord end = new ClosedRecord(JobState.CANCELLED, loop.timeOfDay());
         writer.close(identity, open.version(), end, result -> {
             if (result instanceof JobWriter.Result.Stored) {
-                loop.log().event("cancelled-foreign", "job", identity, "version", open.version());
+                loop.log().event(EventName.CANCELLED_FOREIGN, EventKey.JOB, identity, EventKey.VERSION, open.version());
                 tellOthers(identity);
                 receiver.accept(new Answers.Lookup.Found(JobState.CANCELLED));
             } else if (result instanceof JobWriter.Result.Overtaken overtaken && overtaken.open() != null) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Dispatcher.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -135,16 +137,16 @@
         task.send(view.incarnation(), loop.now(), choice.get().expectedMilliseconds());
         loop.log()
                 .event(
-                        "placed",
-                        "run",
+                        EventName.PLACED,
+                        EventKey.RUN,
                         task.currentRun(),
-                        "node",
+                        EventKey.NODE,
                         view.node(),
-                        "free",
+                        EventKey.FREE,
                         view.free().processorMillis(),
-                        "statusAge",
+                        EventKey.STATUS_AGE,
                         loop.now() - view.lastLease(),
-                        "expected",
+                        EventKey.EXPECTED,
                         task.expected());
         send(task, view, choice.get().expectedMilliseconds());
         return true;
@@ -280,14 +282,14 @@
         }
         loop.log()
                 .event(
-                        "run-failed",
-                        "run",
+                        EventName.RUN_FAILED,
+                        EventKey.RUN,
                         report.run(),
-                        "node",
+                        EventKey.NODE,
                         view == null ? "" : view.node(),
-                        "failures",
+                        EventKey.FAILURES,
                         task.failures(),
-                        "allowed",
+                        EventKey.ALLOWED,
                         job.policy().mostAttempts());
         if (view != null) {
             countFailure(task, view);
@@ -304,7 +306,15 @@
         if (view == null || task.isWithdrawn()) {
             return;
         }
-        loop.log().event("stalled", "run", task.currentRun(), "node", view.node(), "ran", loop.now() - task.sentAt());
+        loop.log()
+                .event(
+                        EventName.STALLED,
+                        EventKey.RUN,
+                        task.currentRun(),
+                        EventKey.NODE,
+                        view.node(),
+                        EventKey.RAN,
+                        loop.now() - task.sentAt());
         loop.log().count("stalled");
         task.withdraw();
         task.failedAt().add(view.node());
@@ -317,10 +327,10 @@
             view.eject(loop.now() + EJECTION_MILLISECONDS);
             loop.log()
                     .event(
-                            "ejected",
-                            "node",
+                            EventName.EJECTED,
+                            EventKey.NODE,
                             view.node(),
-                            "job",
+                            EventKey.JOB,
                             task.identity().job());
             loop.log().count("ejected");
         }
@@ -330,7 +340,7 @@
         if (!task.isIn(OwnedTask.Phase.SENT) || task.job().wanted() != null) {
             return;
         }
-        loop.log().event("again", "run", task.currentRun(), "cause", cause);
+        loop.log().event(EventName.AGAIN, EventKey.RUN, task.currentRun(), EventKey.CAUSE, cause);
         loop.log().count("again");
         waiting.add(task, loop.now());
         placeSoon();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Entry.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -93,12 +95,12 @@
         if (table == null || news.version() > table.version()) {
             loop.log()
                     .event(
-                            "configured",
-                            "version",
+                            EventName.CONFIGURED,
+                            EventKey.VERSION,
                             news.version(),
-                            "queues",
+                            EventKey.QUEUES,
                             news.queues().size(),
-                            "before",
+                            EventKey.BEFORE,
                             table == null ? 0 : table.version());
             table = news;
         }
@@ -163,16 +165,16 @@
             if (refusal != null) {
                 loop.log()
                         .event(
-                                "refused",
-                                "job",
+                                EventName.REFUSED,
+                                EventKey.JOB,
                                 identity,
-                                "queue",
+                                EventKey.QUEUE,
                                 policy.name(),
-                                "reason",
+                                EventKey.REASON,
                                 refusal.reason(),
-                                "retryAfter",
+                                EventKey.RETRY_AFTER,
                                 refusal.retryAfterMilliseconds(),
-                                "waiting",
+                                EventKey.WAITING,
                                 dispatcher.waiting().size());
                 loop.log().count("refused-" + (refusal.overloaded() ? "load" : "fault"));
                 receiver.accept(refusal);
@@ -237,7 +239,7 @@
     /** Tells balancers to send no new connections; those that come are still served. */
     public void leave() {
         leaving = true;
-        loop.log().event("leaving", "jobs", jobs.owned().size());
+        loop.log().event(EventName.LEAVING, EventKey.JOBS, jobs.owned().size());
     }
 
     /** Refuses new jobs that would end later than those that were taken before. */
@@ -254,7 +256,7 @@
         over = true;
         adoption.stop();
         jobs.abandonAll("entry-stopped");
-        loop.log().event("handing-over", "jobs", jobs.owned().size());
+        loop.log().event(EventName.HANDING_OVER, EventKey.JOBS, jobs.owned().size());
         membership.leave(removed -> done.run());
     }
 
@@ -319,7 +321,7 @@
                     dispatcher.withdrawAll(job);
                 }
             }
-            default -> loop.log().event("frame-unexpected", "from", incarnation, "frame", frame);
+            default -> loop.log().event(EventName.FRAME_UNEXPECTED, EventKey.FROM, incarnation, EventKey.FRAME, frame);
         }
     }
 
@@ -352,8 +354,7 @@
         public void over(OwnedJob job, JobState state) {
             if (state == JobState.COMPLETED) {
                 admission.ended(job.policy().name(), loop.now() - job.arrivedAt() > job.objective());
-            }
-            if (state != JobState.COMPLETED) {
+            } else {
                 dispatcher.withdrawAll(job);
             }
         }
@@ -390,7 +391,7 @@
             over = true;
             adoption.stop();
             membership.stop();
-            loop.log().event("resigned", "incarnation", settings.incarnation());
+            loop.log().event(EventName.RESIGNED, EventKey.INCARNATION, settings.incarnation());
             jobs.clear();
             dispatcher.clear();
             environment.resigned();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
@@ -107,14 +109,14 @@
         owned.put(identity, job);
         loop.log()
                 .event(
-                        "taken",
-                        "job",
+                        EventName.TAKEN,
+                        EventKey.JOB,
                         identity,
-                        "queue",
+                        EventKey.QUEUE,
                         policy.name(),
-                        "tasks",
+                        EventKey.TASKS,
                         job.tasks().size(),
-                        "objective",
+                        EventKey.OBJECTIVE,
                         job.objective());
         listener.stored(job);
     }
@@ -123,7 +125,15 @@
     void abandon(String identity, String cause) {
         OwnedJob job = owned.get(identity);
         if (job != null && !job.plan().durable()) {
-            loop.log().event("abandoned", "job", identity, "cause", cause, "after", loop.now() - job.arrivedAt());
+            loop.log()
+                    .event(
+                            EventName.ABANDONED,
+                            EventKey.JOB,
+                            identity,
+                            EventKey.CAUSE,
+                            cause,
+                            EventKey.AFTER,
+                            loop.now() - job.arrivedAt());
             loop.log().count("abandoned-" + cause);
             job.want(JobState.CANCELLED);
             close(job, JobState.CANCELLED, List.of());
@@ -153,23 +163,24 @@
                 owned.put(job.identity(), job);
                 loop.log()
                         .event(
-                                "accepted",
-                                "job",
+                                EventName.ACCEPTED,
+                                EventKey.JOB,
                                 job.identity(),
-                                "queue",
+                                EventKey.QUEUE,
                                 job.policy().name(),
-                                "tasks",
+                                EventKey.TASKS,
                                 job.tasks().size(),
-                                "version",
+                                EventKey.VERSION,
                                 stored.version(),
-                                "took",
+                                EventKey.TOOK,
                                 loop.now() - job.arrivedAt(),
-                                "objective",
+                                EventKey.OBJECTIVE,
                                 job.objective());
                 yield new Answers.Submission.Accepted(false);
             }
             case JobWriter.Result.Overtaken overtaken -> {
-                loop.log().event("joined", "job", job.identity(), "open", overtaken.open() != null);
+                loop.log()
+                        .event(EventName.JOINED, EventKey.JOB, job.identity(), EventKey.OPEN, overtaken.open() != null);
                 if (overtaken.open() != null) {
                     listener.foreign(job.identity(), overtaken.open());
                 }
@@ -202,14 +213,14 @@
                 owned.put(identity, job);
                 loop.log()
                         .event(
-                                "adopted",
-                                "job",
+                                EventName.ADOPTED,
+                                EventKey.JOB,
                                 identity,
-                                "from",
+                                EventKey.FROM,
                                 before.owner(),
-                                "generation",
+                                EventKey.GENERATION,
                                 after.generation(),
-                                "version",
+                                EventKey.VERSION,
                                 stored.version());
                 loop.log().count("adopted");
                 receiver.accept(job);
@@ -298,12 +309,12 @@
         }
         loop.log()
                 .event(
-                        "job-lost",
-                        "job",
+                        EventName.JOB_LOST,
+                        EventKey.JOB,
                         job.identity(),
-                        "version",
+                        EventKey.VERSION,
                         job.version(),
-                        "stored",
+                        EventKey.STORED,
                         overtaken.open().version());
         owned.remove(job.identity());
         listener.over(job, JobState.CANCELLED);
@@ -315,16 +326,16 @@
         closed.put(job.identity(), new Closed(state, loop.now()));
         loop.log()
                 .event(
-                        "shown",
-                        "job",
+                        EventName.SHOWN,
+                        EventKey.JOB,
                         job.identity(),
-                        "queue",
+                        EventKey.QUEUE,
                         job.policy().name(),
-                        "state",
+                        EventKey.STATE,
                         state,
-                        "after",
+                        EventKey.AFTER,
                         loop.now() - job.arrivedAt(),
-                        "objective",
+                        EventKey.OBJECTIVE,
                         job.objective());
         loop.log().count("shown-" + state);
         loop.log().duration("job", loop.now() - job.arrivedAt());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Membership.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.message.ProcessRole;
@@ -116,7 +118,13 @@
         try {
             content = MemberRecord.of(stored.value());
         } catch (IOException e) {
-            loop.log().event("record-unreadable", "member", stored.key().name(), "reason", e.getMessage());
+            loop.log()
+                    .event(
+                            EventName.RECORD_UNREADABLE,
+                            EventKey.MEMBER,
+                            stored.key().name(),
+                            EventKey.REASON,
+                            e.getMessage());
             return;
         }
         Member before = members.get(content.node());
@@ -127,14 +135,14 @@
         members.put(content.node(), new Member(content, stored, loop.now()));
         loop.log()
                 .event(
-                        "member",
-                        "node",
+                        EventName.MEMBER,
+                        EventKey.NODE,
                         content.node(),
-                        "role",
+                        EventKey.ROLE,
                         content.role(),
-                        "incarnation",
+                        EventKey.INCARNATION,
                         content.incarnation(),
-                        "version",
+                        EventKey.VERSION,
                         stored.version());
         if (before != null) {
             gone(before.content);
@@ -148,7 +156,13 @@
     public void removed(String name) {
         Member member = members.remove(name);
         if (member != null) {
-            loop.log().event("member-lost", "node", name, "incarnation", member.content.incarnation());
+            loop.log()
+                    .event(
+                            EventName.MEMBER_LOST,
+                            EventKey.NODE,
+                            name,
+                            EventKey.INCARNATION,
+                            member.content.incarnation());
             gone(member.content);
         }
     }
@@ -225,7 +239,12 @@
                     && !member.content.incarnation().equals(settings.incarnation())
                     && removing.add(member.content.incarnation())) {
                 loop.log()
-                        .event("member-silent", "node", member.content.node(), "silence", loop.now() - member.heardAt);
+                        .event(
+                                EventName.MEMBER_SILENT,
+                                EventKey.NODE,
+                                member.content.node(),
+                                EventKey.SILENCE,
+                                loop.now() - member.heardAt);
                 Registration.remove(store, member.stored, removed -> removing.remove(member.content.incarnation()));
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Recovery.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Recovery.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -50,7 +52,7 @@
     private record Found(String sidecar, Frame.Report report) {}
 
     void start() {
-        loop.log().event("recovery", "owner", lost);
+        loop.log().event(EventName.RECOVERY, EventKey.OWNER, lost);
         ask();
     }
 
@@ -108,14 +110,14 @@
         complete = true;
         loop.log()
                 .event(
-                        "recovered",
-                        "owner",
+                        EventName.RECOVERED,
+                        EventKey.OWNER,
                         lost,
-                        "jobs",
+                        EventKey.JOBS,
                         jobs.size(),
-                        "took",
+                        EventKey.TOOK,
                         loop.now() - since,
-                        "sidecars",
+                        EventKey.SIDECARS,
                         answered.size());
         jobs.forEach(this::resolve);
         jobs.clear();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Registration.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Registration.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.record.RecordKey;
@@ -103,13 +105,13 @@
     private void done(long version) {
         if (!over) {
             over = true;
-            loop.log().event("registered", "node", node, "version", version);
+            loop.log().event(EventName.REGISTERED, EventKey.NODE, node, EventKey.VERSION, version);
             registered.accept(version);
         }
     }
 
     private void again(long version, Optional<MemberRecord> before, String reason) {
-        loop.log().event("register-retry", "node", node, "reason", reason);
+        loop.log().event(EventName.REGISTER_RETRY, EventKey.NODE, node, EventKey.REASON, reason);
         loop.after(RETRY_MILLISECONDS, () -> write(version, before));
     }
 
@@ -117,7 +119,7 @@
         try {
             return current == null ? Optional.empty() : Optional.of(MemberRecord.of(current.value()));
         } catch (IOException e) {
-            loop.log().event("record-unreadable", "member", node, "reason", e.getMessage());
+            loop.log().event(EventName.RECORD_UNREADABLE, EventKey.MEMBER, node, EventKey.REASON, e.getMessage());
             return Optional.empty();
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobs.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobs.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
@@ -73,12 +75,12 @@
     Answers.Lookup unreadable(StoredRecord stored, IOException e) {
         loop.log()
                 .event(
-                        "record-unreadable",
-                        "job",
+                        EventName.RECORD_UNREADABLE,
+                        EventKey.JOB,
                         stored.key().name(),
-                        "version",
+                        EventKey.VERSION,
                         stored.version(),
-                        "reason",
+                        EventKey.REASON,
                         e.getMessage());
         return new Answers.Lookup.Unavailable("unreadable");
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.record;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
@@ -232,7 +234,7 @@
                     advance();
                 }
                 case WriteOutcome.Refused refused -> {
-                    failed("store-refused", refused.reason(), group.size());
+                    failed(EventName.STORE_REFUSED, refused.reason(), group.size());
                     List<Pending> given = new ArrayList<>();
                     List<Pending> kept = new ArrayList<>();
                     group.forEach(pending -> (gaveUp(pending) ? given : kept).add(pending));
@@ -242,7 +244,7 @@
                     loop.after(RETRY_MILLISECONDS, this::advance);
                 }
                 case WriteOutcome.Doubtful doubtful -> {
-                    failed("store-doubtful", doubtful.reason(), group.size());
+                    failed(EventName.STORE_DOUBTFUL, doubtful.reason(), group.size());
                     group.forEach(pending -> pending.doubtful = true);
                     requeue(group);
                     refuseImpatient(doubtful.reason());
@@ -261,11 +263,11 @@
             given.forEach(pending -> pending.receiver.accept(new Result.Refused(reason)));
         }
 
-        private void failed(String event, String reason, int writes) {
+        private void failed(EventName event, String reason, int writes) {
             failingSince = Math.min(failingSince, loop.now());
             lastFailure = loop.now();
-            loop.log().event(event, "part", part, "writes", writes, "reason", reason);
-            loop.log().count(event);
+            loop.log().event(event, EventKey.PART, part, EventKey.WRITES, writes, EventKey.REASON, reason);
+            loop.log().count(event.label());
         }
 
         private void requeue(List<Pending> group) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.record;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -153,7 +155,15 @@
     private void lost(String reason) {
         if (reached) {
             reached = false;
-            loop.log().event("store-lost", "table", table, "reason", reason, "version", version);
+            loop.log()
+                    .event(
+                            EventName.STORE_LOST,
+                            EventKey.TABLE,
+                            table,
+                            EventKey.REASON,
+                            reason,
+                            EventKey.VERSION,
+                            version);
         }
     }
 
@@ -161,7 +171,7 @@
         confirmedAt = loop.now();
         if (!reached) {
             reached = true;
-            loop.log().event("store-reached", "table", table, "version", newVersion);
+            loop.log().event(EventName.STORE_REACHED, EventKey.TABLE, table, EventKey.VERSION, newVersion);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.upstream;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
@@ -140,7 +142,13 @@
             case Answer.Refused refused -> refused(order, refused);
             case Answer.Unanswered unanswered -> {
                 missed++;
-                loop.log().event("hold-unanswered", "missed", missed, "reason", unanswered.reason());
+                loop.log()
+                        .event(
+                                EventName.HOLD_UNANSWERED,
+                                EventKey.MISSED,
+                                missed,
+                                EventKey.REASON,
+                                unanswered.reason());
                 if (missed == MISSED_HOLDS) {
                     handler.silent();
                 }
@@ -151,7 +159,7 @@
     }
 
     private void refused(Order order, Answer.Refused refused) {
-        loop.log().event("hold-refused", "reason", refused.reason(), "fence", order.fence());
+        loop.log().event(EventName.HOLD_REFUSED, EventKey.REASON, refused.reason(), EventKey.FENCE, order.fence());
         if (refused.clock() > 0) {
             handler.clock(refused.clock());
         }
@@ -200,14 +208,14 @@
             running.add(entry.run());
             LocalRun known = book.find(entry.run());
             if (known == null) {
-                loop.log().event("run-found", "run", entry.run(), "fence", order.fence());
+                loop.log().event(EventName.RUN_FOUND, EventKey.RUN, entry.run(), EventKey.FENCE, order.fence());
                 book.discover(entry.run(), now);
                 news = true;
             } else if (known.isIn(Phase.DOUBTFUL)) {
                 known.enter(Phase.RUNNING);
                 handler.confirmed(known);
             } else if (known.standsStill(entry.percent(), now, STILL_MILLISECONDS)) {
-                loop.log().event("stands-still", "run", entry.run(), "percent", entry.percent());
+                loop.log().event(EventName.STANDS_STILL, EventKey.RUN, entry.run(), EventKey.PERCENT, entry.percent());
                 handler.standsStill(known);
             }
         }
@@ -228,14 +236,14 @@
         book.end(run, end.outcome(), "", end.number(), now);
         loop.log()
                 .event(
-                        "ended",
-                        "run",
+                        EventName.ENDED,
+                        EventKey.RUN,
                         end.run(),
-                        "outcome",
+                        EventKey.OUTCOME,
                         end.outcome(),
-                        "number",
+                        EventKey.NUMBER,
                         end.number(),
-                        "ran",
+                        EventKey.RAN,
                         run.runMilliseconds());
         loop.log().duration("run", run.runMilliseconds());
         handler.ended(run);
@@ -255,7 +263,15 @@
             }
         }
         for (LocalRun run : missing) {
-            loop.log().event("run-missing", "run", run.identity(), "phase", run.phase(), "fence", order.fence());
+            loop.log()
+                    .event(
+                            EventName.RUN_MISSING,
+                            EventKey.RUN,
+                            run.identity(),
+                            EventKey.PHASE,
+                            run.phase(),
+                            EventKey.FENCE,
+                            order.fence());
             book.end(run, RunOutcome.LAPSED, "not-listed", 0, loop.now());
             handler.ended(run);
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/Sidecar.java
@@ -1,14 +1,14 @@
 package io.caperturn.jobs.upstream;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
-import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.UpstreamDescription;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,8 +23,6 @@
  * here before the owner, or whoever adopts its jobs, takes it for ended.
  */
 public final class Sidecar {
-    /** Delay within which changes are gathered into one status, in milliseconds: short against a task of 50 ms. */
-    private static final long STATUS_DELAY_MILLISECONDS = 3;
     /** Interval of the look at leases, in milliseconds: a tenth of the shortest authority. */
     private static final long TICK_MILLISECONDS = 100;
 
@@ -36,9 +34,7 @@
     private final Map<String, OwnerLease> owners = new HashMap<>();
     private final UnclaimedRuns unclaimed;
     private final Set<String> fenced = new HashSet<>();
-    private boolean statusDue;
-    private long renewal;
-    private long lastStatus;
+    private final EntryNews news;
 
     /**
      * Creates a sidecar that knows nothing yet.
@@ -54,6 +50,7 @@
         this.settings = settings;
         this.unclaimed = new UnclaimedRuns(loop, links, book, owners);
         this.keeper = new UpstreamKeeper(upstream, loop, settings, book, new Reporter());
+        this.news = new EntryNews(loop, links, settings, book, keeper, owners);
     }
 
     /** Begins to look after leases. */
@@ -128,8 +125,8 @@
     public void linked(String incarnation) {
         owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, settings))
                 .reset(loop.now());
-        links.send(incarnation, inventory(owners.get(incarnation), ""));
-        sendStatus(incarnation);
+        news.sendInventory(owners.get(incarnation), "");
+        news.send(owners.get(incarnation));
     }
 
     /**
@@ -166,7 +163,7 @@
             case Frame.Settled settled -> settled(settled.run());
             case Frame.FenceOwner fence -> fence(incarnation, fence.incarnation());
             case Frame.JobOver over -> jobOver(over.job());
-            default -> loop.log().event("frame-unexpected", "from", incarnation, "frame", frame);
+            default -> loop.log().event(EventName.FRAME_UNEXPECTED, EventKey.FROM, incarnation, EventKey.FRAME, frame);
         }
     }
 
@@ -174,7 +171,7 @@
         owner.saw(dispatch.sequence());
         RunIdentity identity = dispatch.run();
         if (fenced.contains(owner.incarnation())) {
-            loop.log().event("dispatch-fenced", "run", identity, "owner", owner.incarnation());
+            loop.log().event(EventName.DISPATCH_FENCED, EventKey.RUN, identity, EventKey.OWNER, owner.incarnation());
             return;
         }
         long now = loop.now();
@@ -196,13 +193,21 @@
                 dispatch.payload(), dispatch.need(), dispatch.estimatedMilliseconds(), startBy, dispatch.urgency());
         String refusal = refusal(run);
         if (!refusal.isEmpty()) {
-            loop.log().event("dispatch-refused", "run", identity, "owner", owner.incarnation(), "reason", refusal);
+            loop.log()
+                    .event(
+                            EventName.DISPATCH_REFUSED,
+                            EventKey.RUN,
+                            identity,
+                            EventKey.OWNER,
+                            owner.incarnation(),
+                            EventKey.REASON,
+                            refusal);
             links.send(owner.incarnation(), new Frame.Report(identity, RunOutcome.REFUSED, 0, refusal));
-            statusSoon();
+            news.sendSoon();
             return;
         }
         book.enqueue(run);
-        statusSoon();
+        news.sendSoon();
         keeper.startNext();
     }
 
@@ -216,8 +221,7 @@
         if (book.hasOtherRun(run.identity())) {
             return "other-run";
         }
-        Resources free = keeper.state().capacity().minus(book.used()).minus(book.waitingNeed());
-        return free.covers(run.need()) ? "" : Frame.Report.NO_ROOM;
+        return news.freeRoom().covers(run.need()) ? "" : Frame.Report.NO_ROOM;
     }
 
     private void withdrawn(String incarnation, RunIdentity identity) {
@@ -238,7 +242,7 @@
 
     private void fence(String adopter, String lost) {
         if (fenced.add(lost)) {
-            loop.log().event("owner-fenced", "owner", lost, "adopter", adopter);
+            loop.log().event(EventName.OWNER_FENCED, EventKey.OWNER, lost, EventKey.ADOPTER, adopter);
         }
         for (LocalRun run : List.copyOf(book.queue())) {
             if (run.owner().equals(lost)) {
@@ -253,8 +257,8 @@
                 }
             }
         }
-        links.send(adopter, inventory(owners.get(adopter), lost));
-        statusSoon();
+        news.sendInventory(owners.get(adopter), lost);
+        news.sendSoon();
     }
 
     private void jobOver(String job) {
@@ -274,23 +278,13 @@
         }
     }
 
-    private Frame.Inventory inventory(OwnerLease asking, String lost) {
-        List<Frame.Report> reports = new ArrayList<>();
-        for (LocalRun run : book.all()) {
-            reports.add(new Frame.Report(run.identity(), run.outcome(), run.runMilliseconds(), run.reason()));
-        }
-        return new Frame.Inventory(lost, keeper.state().isListed(), asking.dispatchesSeen(), reports);
-    }
-
     private void tick() {
         loop.after(TICK_MILLISECONDS, this::tick);
         expireOwners();
         unclaimed.keepEnds();
         keeper.tick();
         unclaimed.ask();
-        if (loop.now() - lastStatus >= settings.renewalMilliseconds()) {
-            sendStatuses();
-        }
+        news.sendIfDue();
     }
 
     private void expireOwners() {
@@ -304,10 +298,18 @@
                 continue;
             }
             if (run.isIn(Phase.QUEUED)) {
-                loop.log().event("run-dropped", "run", run.identity(), "owner", run.owner(), "cause", "owner-silent");
+                loop.log()
+                        .event(
+                                EventName.RUN_DROPPED,
+                                EventKey.RUN,
+                                run.identity(),
+                                EventKey.OWNER,
+                                run.owner(),
+                                EventKey.CAUSE,
+                                "owner-silent");
                 book.end(run, RunOutcome.REFUSED, "owner-silent", 0, now);
                 report(run);
-                statusSoon();
+                news.sendSoon();
             } else if (run.holdsRoom() && !run.isStopWanted()) {
                 keeper.withdraw(run, "owner-silent");
             }
@@ -317,38 +319,6 @@
                         owner -> !owner.isLinked() && now > owner.heardAt() + 2 * settings.runAuthorityMilliseconds());
     }
 
-    private void statusSoon() {
-        if (!statusDue) {
-            statusDue = true;
-            loop.after(STATUS_DELAY_MILLISECONDS, this::sendStatuses);
-        }
-    }
-
-    private void sendStatuses() {
-        statusDue = false;
-        lastStatus = loop.now();
-        owners.values().stream().filter(owner -> owner.isLinked()).forEach(owner -> sendStatus(owner.incarnation()));
-    }
-
-    private void sendStatus(String incarnation) {
-        OwnerLease owner = owners.get(incarnation);
-        renewal++;
-        owner.asked(renewal, loop.now());
-        Resources free = keeper.state().capacity().minus(book.used()).minus(book.waitingNeed());
-        links.send(
-                incarnation,
-                new Frame.Status(
-                        keeper.isUsable(),
-                        keeper.state().service(),
-                        keeper.state().capacity(),
-                        free,
-                        book.waitingWork(),
-                        book.holdingCount(),
-                        keeper.state().labels(),
-                        owner.dispatchesSeen(),
-                        renewal));
-    }
-
     private void report(LocalRun run) {
         if (!run.owner().isEmpty()) {
             links.send(
@@ -374,14 +344,12 @@
 
         @Override
         public void changed() {
-            statusSoon();
+            news.sendSoon();
         }
 
         @Override
         public void listed() {
-            owners.values().stream()
-                    .filter(owner -> owner.isLinked())
-                    .forEach(owner -> links.send(owner.incarnation(), inventory(owner, "")));
+            owners.values().stream().filter(owner -> owner.isLinked()).forEach(owner -> news.sendInventory(owner, ""));
         }
 
         @Override
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.upstream;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.message.Frame;
@@ -42,7 +44,7 @@
             OwnerLease owner = owners.get(run.owner());
             boolean outOfTouch = owner == null || owner.heardAt() < silentSince;
             if (run.isIn(LocalRun.Phase.ENDED) && !run.isDurable() && outOfTouch && book.keepHere(run)) {
-                loop.log().event("end-kept", "run", run.identity(), "owner", run.owner());
+                loop.log().event(EventName.END_KEPT, EventKey.RUN, run.identity(), EventKey.OWNER, run.owner());
             }
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamKeeper.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.upstream;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
@@ -66,22 +68,29 @@
         Announcement known = state.announcement();
         if (known != null && isOutdated(news, known)) {
             loop.log()
-                    .event("announcement-dropped", "upstream", news.identity(), "born", news.born(), "cause", "older");
+                    .event(
+                            EventName.ANNOUNCEMENT_DROPPED,
+                            EventKey.UPSTREAM,
+                            news.identity(),
+                            EventKey.BORN,
+                            news.born(),
+                            EventKey.CAUSE,
+                            "older");
             return;
         }
         if (known == null || !known.identity().equals(news.identity()) || known.leaving() != news.leaving()) {
             loop.log()
                     .event(
-                            "upstream",
-                            "identity",
+                            EventName.UPSTREAM,
+                            EventKey.IDENTITY,
                             news.identity(),
-                            "born",
+                            EventKey.BORN,
                             news.born(),
-                            "leaving",
+                            EventKey.LEAVING,
                             news.leaving(),
-                            "service",
+                            EventKey.SERVICE,
                             news.description().service(),
-                            "capacity",
+                            EventKey.CAPACITY,
                             news.description().capacity().processorMillis());
         }
         if (state.answeredBy(news.identity(), news.born())) {
@@ -106,7 +115,7 @@
         if (state.announcement() == null || !state.announcement().identity().equals(who)) {
             return;
         }
-        loop.log().event("upstream-gone", "identity", who);
+        loop.log().event(EventName.UPSTREAM_GONE, EventKey.IDENTITY, who);
         state.announcement(null);
         endAll(LocalRun::holdsRoom, "upstream-gone");
         refuseQueue("upstream-gone");
@@ -179,16 +188,16 @@
         holds.leaseSent();
         loop.log()
                 .event(
-                        "run-ordered",
-                        "run",
+                        EventName.RUN_ORDERED,
+                        EventKey.RUN,
                         run.identity(),
-                        "upstream",
+                        EventKey.UPSTREAM,
                         state.identity(),
-                        "fence",
+                        EventKey.FENCE,
                         order.fence(),
-                        "waited",
+                        EventKey.WAITED,
                         loop.now() - run.since(),
-                        "slack",
+                        EventKey.SLACK,
                         run.startBy() - loop.now());
         port.start(run.identity(), run.payload(), order, answer -> startAnswered(run, order, answer));
     }
@@ -207,7 +216,13 @@
             }
             case Answer.Refused refused -> startRefused(run, order, refused);
             case Answer.Unanswered unanswered -> {
-                loop.log().event("start-doubtful", "run", run.identity(), "reason", unanswered.reason());
+                loop.log()
+                        .event(
+                                EventName.START_DOUBTFUL,
+                                EventKey.RUN,
+                                run.identity(),
+                                EventKey.REASON,
+                                unanswered.reason());
                 loop.log().count("start-doubtful");
                 if (run.isIn(Phase.STARTING)) {
                     run.enter(Phase.DOUBTFUL);
@@ -232,7 +247,15 @@
 
     private void startRefused(LocalRun run, Order order, Answer.Refused refused) {
         String reason = refused.reason().name().toLowerCase(Locale.ROOT);
-        loop.log().event("start-refused", "run", run.identity(), "reason", reason, "fence", order.fence());
+        loop.log()
+                .event(
+                        EventName.START_REFUSED,
+                        EventKey.RUN,
+                        run.identity(),
+                        EventKey.REASON,
+                        reason,
+                        EventKey.FENCE,
+                        order.fence());
         loop.log().count("start-refused-" + reason);
         if (refused.clock() > 0) {
             clock(refused.clock());
@@ -282,7 +305,15 @@
 
     private void stop(LocalRun run, String cause) {
         run.wantStop();
-        loop.log().event("stop-run", "run", run.identity(), "cause", cause, "fence", state.fence());
+        loop.log()
+                .event(
+                        EventName.STOP_RUN,
+                        EventKey.RUN,
+                        run.identity(),
+                        EventKey.CAUSE,
+                        cause,
+                        EventKey.FENCE,
+                        state.fence());
         port.stop(run.identity(), state.orderWithoutLease(), answer -> {
             if (!(answer instanceof Answer.Accepted) && run.holdsRoom()) {
                 loop.after(STOP_PAUSE_MILLISECONDS, () -> {
@@ -337,7 +368,7 @@
 
     private void endAll(Predicate<LocalRun> wanted, String cause) {
         for (LocalRun run : book.all().stream().filter(wanted).toList()) {
-            loop.log().event("run-lapsed", "run", run.identity(), "cause", cause);
+            loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, cause);
             book.end(run, RunOutcome.LAPSED, cause, 0, loop.now());
             listener.ended(run);
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -1,5 +1,7 @@
 package io.caperturn.jobs.upstream;
 
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.UpstreamDescription;
@@ -34,13 +36,13 @@
             return false;
         }
         fence = next;
-        loop.log().event("fence", "number", fence, "cause", "registered");
+        loop.log().event(EventName.FENCE, EventKey.NUMBER, fence, EventKey.CAUSE, "registered");
         return true;
     }
 
     void raiseFence(String cause) {
         fence++;
-        loop.log().event("fence", "number", fence, "cause", cause);
+        loop.log().event(EventName.FENCE, EventKey.NUMBER, fence, EventKey.CAUSE, cause);
     }
 
     long fence() {
@@ -109,7 +111,7 @@
         if (announcement == null && remembered != null && born != 0 && remembered.born() == born) {
             identity = remembered.identity();
             announcement = new Announcement(remembered, 0, false);
-            loop.log().event("upstream-recalled", "identity", identity, "born", born);
+            loop.log().event(EventName.UPSTREAM_RECALLED, EventKey.IDENTITY, identity, EventKey.BORN, born);
         }
     }
 
@@ -123,7 +125,17 @@
             return false;
         }
         boolean known = !identity.isEmpty();
-        loop.log().event("upstream-life", "identity", name, "born", when, "before", identity, "bornBefore", born);
+        loop.log()
+                .event(
+                        EventName.UPSTREAM_LIFE,
+                        EventKey.IDENTITY,
+                        name,
+                        EventKey.BORN,
+                        when,
+                        EventKey.BEFORE,
+                        identity,
+                        EventKey.BORN_BEFORE,
+                        born);
         identity = name;
         born = when;
         if (known) {
@@ -144,7 +156,7 @@
     boolean readClock(long reading) {
         boolean jumped = clock.read(reading, loop.now());
         if (jumped) {
-            loop.log().event("suspended", "clock", reading);
+            loop.log().event(EventName.SUSPENDED, EventKey.CLOCK, reading);
         }
         return jumped;
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
@@ -1,6 +1,8 @@
 package io.caperturn.jobs.simulation;
 
 import io.caperturn.jobs.DecisionLog;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.Loop;
 import java.util.ArrayList;
 import java.util.List;
@@ -78,10 +80,11 @@
     }
 
     @Override
-    public void event(String event, Object... pairs) {
-        StringBuilder line = new StringBuilder(time.now() + " " + name + " " + event);
-        for (Object part : pairs) {
-            line.append(' ').append(part);
+    public void event(EventName event, Object... pairs) {
+        StringBuilder line = new StringBuilder(time.now() + " " + name + " " + event.label());
+        for (int index = 0; index + 1 < pairs.length; index += 2) {
+            EventKey key = (EventKey) pairs[index];
+            line.append(' ').append(key.label()).append(' ').append(pairs[index + 1]);
         }
         if (lines.size() > MOST_LINES) {
             throw new IllegalStateException(
--- /dev/null
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/architecture/EventTableTest.java
@@ -0,0 +1,42 @@
+package io.caperturn.proofs.architecture;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.caperturn.jobs.EventName;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class EventTableTest {
+    private static final Path PAGE = Path.of("..", "docs", "OPERATIONS.md");
+    private static final String TABLE_HEAD = "| event | at | tells |";
+    private static final Pattern NAME = Pattern.compile("`([a-z-]+)`");
+
+    @Test
+    void tableOfEventsHoldsThoseThatProcessesWrite() throws IOException {
+        TreeSet<String> written =
+                Arrays.stream(EventName.values()).map(EventName::label).collect(Collectors.toCollection(TreeSet::new));
+        assertEquals(written, namesInTable(Files.readString(PAGE)));
+    }
+
+    private static TreeSet<String> namesInTable(String page) {
+        TreeSet<String> names = new TreeSet<>();
+        page.substring(page.indexOf(TABLE_HEAD))
+                .lines()
+                .skip(2)
+                .takeWhile(line -> line.startsWith("|"))
+                .forEach(line -> {
+                    Matcher matcher = NAME.matcher(line.split("\\|")[1]);
+                    while (matcher.find()) {
+                        names.add(matcher.group(1));
+                    }
+                });
+        return names;
+    }
+}
