The command line tells a job's story from collected logs

Cause: a complaint with an id was followed by hand through the lines of several processes; what was missing from them did not show.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/Main.java
@@ -14,6 +14,7 @@
 import io.caperturn.cli.command.TopCommand;
 import io.caperturn.cli.daemon.DaemonRunner;
 import io.caperturn.cli.explain.ExplainAction;
+import io.caperturn.cli.logs.LogsAction;
 import io.caperturn.cli.status.TopAction;
 import io.caperturn.cli.submit.SubmitAction;
 import io.caperturn.cli.table.TableAction;
@@ -69,7 +70,10 @@
             case SidecarCommand sidecar -> DaemonRunner.runSidecar(sidecar.settings(), terminal);
             case CheckSettingsCommand check -> SettingsReport.check(check.file(), check.role(), terminal);
             case SubmitCommand submit -> SubmitAction.run(submit, terminal);
-            case ExplainCommand explain -> ExplainAction.run(explain, terminal);
+            case ExplainCommand explain ->
+                explain.logs().isEmpty()
+                        ? ExplainAction.run(explain, terminal)
+                        : LogsAction.run(explain.subject(), explain.logs(), terminal);
             case ReplayTraceCommand replay -> replay(replay, terminal);
             case TopCommand top -> TopAction.run(top, terminal);
             case TableCommand table -> TableAction.run(table, terminal);
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/EntryAddresses.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/EntryAddresses.java
@@ -10,9 +10,8 @@
 
     @Parameter(
             names = "--entry",
-            description = "HOST:PORT of an entry; several by comma or by repeating, tried in turn",
-            required = true)
-    private List<String> addresses;
+            description = "HOST:PORT of an entry; several by comma or by repeating, tried in turn")
+    private List<String> addresses = List.of();
 
     /**
      * Returns the addresses in the order of trial.
@@ -29,6 +28,9 @@
      * @return one line for each mistake
      */
     public List<String> mistakes() {
+        if (addresses.isEmpty()) {
+            return List.of("--entry is required");
+        }
         return addresses.stream()
                 .filter(address -> !ADDRESS.matcher(address).matches())
                 .map(address -> "--entry is HOST:PORT, not " + address)
--- a/caperturn-cli/src/main/java/io/caperturn/cli/command/ExplainCommand.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/command/ExplainCommand.java
@@ -3,6 +3,8 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,7 +18,7 @@
     @ParametersDelegate
     private final EntryAddresses entries = new EntryAddresses();
 
-    @Parameter(description = "TEAM/KEY", required = true)
+    @Parameter(description = "TEAM/KEY, or with --logs the ID of a job", required = true)
     private List<String> submissions;
 
     @Parameter(names = "--task", description = "Tell everything of this task")
@@ -25,6 +27,12 @@
     @Parameter(names = "--all", description = "Tell every event of every task")
     private boolean all;
 
+    @Parameter(
+            names = "--logs",
+            variableArity = true,
+            description = "Tell the story of a job from these collected logs, without asking any entry")
+    private List<String> logs = List.of();
+
     @Parameter(names = "--json", description = "Print what the entry knows as JSON")
     private boolean json;
 
@@ -35,6 +43,9 @@
 
     @Override
     public List<String> mistakes() {
+        if (!logs.isEmpty()) {
+            return logMistakes();
+        }
         List<String> mistakes = new ArrayList<>(entries.mistakes());
         if (submissions.size() != 1 || !submissions.getFirst().matches("[^/]+/.+")) {
             mistakes.add("give one submission as TEAM/KEY");
@@ -42,6 +53,38 @@
         return mistakes;
     }
 
+    private List<String> logMistakes() {
+        List<String> mistakes = new ArrayList<>();
+        if (submissions.size() != 1) {
+            mistakes.add("give the ID of one job before --logs");
+        }
+        if (!entries.addresses().isEmpty() || all || json || task != null) {
+            mistakes.add("--logs takes no other option");
+        }
+        logs.stream()
+                .filter(file -> !Files.isReadable(Path.of(file)))
+                .forEach(file -> mistakes.add("can't read " + file));
+        return mistakes;
+    }
+
+    /**
+     * Returns the collected logs to read.
+     *
+     * @return the files; empty if entries are to be asked
+     */
+    public List<Path> logs() {
+        return logs.stream().map(Path::of).toList();
+    }
+
+    /**
+     * Returns what to explain, as it was given.
+     *
+     * @return {@code TEAM/KEY}, or the identity of a job
+     */
+    public String subject() {
+        return submissions.getFirst();
+    }
+
     /**
      * Returns the entries to ask in turn.
      *
