A stored job keeps the terms of its queue

Cause: a job that was adopted after its queue had been dropped from the configuration got made-up terms without a kind of upstream, so that no upstream suited its tasks and it never ended.

Change: the record of a job holds what was declared of its queue when it was accepted: kind of upstream, urgency, attempts, stretch and target. The terms in force go before them.

Tests: jobsOfADroppedQueueAreAdoptedAndDone, 2 of 2 failed first (owner killed, all processes killed); JobRecordTest.

A record of an earlier form reads with one attempt and no kind of upstream; none was ever stored at users.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.message;
 
 import io.caperturn.jobs.model.JobPlan;
+import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.io.IOException;
@@ -14,6 +15,7 @@
  * @param owner incarnation of the entry that owns it
  * @param generation how many owners it had before; run numbers of a generation are higher than those of earlier ones
  * @param plan what the caller wants done
+ * @param policy what was declared of its queue when it was accepted, without host and path: a job outlives its queue
  * @param acceptedMilliseconds time of day of its acceptance, in milliseconds since 1970
  * @param started whether a task was known to have started when this was written
  * @param progress what is known of tasks that have lasting ends, in any order
@@ -22,13 +24,18 @@
         String owner,
         int generation,
         JobPlan plan,
+        QueuePolicy policy,
         long acceptedMilliseconds,
         boolean started,
         List<TaskProgress> progress) {
+    /** Units of a stretch in its stored form. */
+    private static final double STRETCH_UNITS = 1_000;
+
     /** Copies the list. */
     public JobRecord {
         Objects.requireNonNull(owner, "owner");
         Objects.requireNonNull(plan, "plan");
+        Objects.requireNonNull(policy, "policy");
         progress = List.copyOf(progress);
     }
 
@@ -54,7 +61,8 @@
                 .text(3, plan.queue())
                 .text(4, plan.payload())
                 .number(5, acceptedMilliseconds)
-                .flag(8, started);
+                .flag(8, started)
+                .message(9, nested -> writePolicy(nested, policy));
         plan.steps().forEach(step -> writer.message(6, nested -> writeStep(nested, step)));
         progress.forEach(task -> writer.message(
                 7,
@@ -80,6 +88,7 @@
         String payload = "";
         long accepted = 0;
         boolean started = false;
+        FieldReader terms = new FieldReader(new byte[0]);
         List<StepPlan> steps = new ArrayList<>();
         List<TaskProgress> progress = new ArrayList<>();
         for (int field = reader.next(); field != 0; field = reader.next()) {
@@ -92,17 +101,51 @@
                 case 6 -> steps.add(readStep(reader.message()));
                 case 7 -> progress.add(readProgress(reader.message()));
                 case 8 -> started = reader.flag();
+                case 9 -> terms = reader.message();
                 default -> reader.skip();
             }
         }
         try {
             return new JobRecord(
-                    owner, generation, new JobPlan(queue, payload, steps, true), accepted, started, progress);
+                    owner,
+                    generation,
+                    new JobPlan(queue, payload, steps, true),
+                    readPolicy(queue, terms),
+                    accepted,
+                    started,
+                    progress);
         } catch (IllegalArgumentException e) {
             throw new IOException("stored job can't be: " + e.getMessage(), e);
         }
     }
 
+    private static void writePolicy(FieldWriter writer, QueuePolicy policy) {
+        writer.text(1, policy.service())
+                .number(2, policy.urgency())
+                .number(3, policy.mostAttempts())
+                .number(4, Math.round(policy.stretch() * STRETCH_UNITS))
+                .number(5, policy.targetMilliseconds());
+    }
+
+    private static QueuePolicy readPolicy(String queue, FieldReader reader) throws IOException {
+        String service = "";
+        int urgency = 0;
+        int mostAttempts = 1;
+        double stretch = 1;
+        long target = 0;
+        for (int field = reader.next(); field != 0; field = reader.next()) {
+            switch (field) {
+                case 1 -> service = reader.text();
+                case 2 -> urgency = reader.small();
+                case 3 -> mostAttempts = reader.small();
+                case 4 -> stretch = reader.number() / STRETCH_UNITS;
+                case 5 -> target = reader.number();
+                default -> reader.skip();
+            }
+        }
+        return new QueuePolicy(queue, "", "", service, urgency, mostAttempts, stretch, target);
+    }
+
     private static void writeStep(FieldWriter writer, StepPlan step) {
         writer.number(1, step.count())
                 .message(2, nested -> FrameCodec.writeResources(nested, step.need()))
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/Adoption.java
@@ -145,7 +145,7 @@
         }
         QueuePolicy policy = policies.apply(content.plan().queue()).orElse(null);
         if (policy == null) {
-            policy = new QueuePolicy(content.plan().queue(), "", "", "", 0, 1, 1, 0);
+            policy = content.policy();
             loop.log()
                     .event(
                             EventName.QUEUE_UNKNOWN,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
@@ -202,6 +202,7 @@
                 incarnation,
                 before.generation() + 1,
                 before.plan(),
+                policy,
                 before.acceptedMilliseconds(),
                 before.started(),
                 before.progress());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -75,7 +75,7 @@
                 progress.add(new JobRecord.TaskProgress(task.number(), done, task.failures(), task.lastFailure()));
             }
         }
-        return new JobRecord(owner, generation, plan, acceptedTimeOfDay, started, progress);
+        return new JobRecord(owner, generation, plan, policy, acceptedTimeOfDay, started, progress);
     }
 
     String identity() {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
@@ -5,6 +5,7 @@
 
 import io.caperturn.jobs.model.JobPlan;
 import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.io.IOException;
@@ -23,6 +24,7 @@
                 "entry~1",
                 3,
                 new JobPlan("queue", "payload", List.of(first, second), true),
+                new QueuePolicy("queue", "", "", "assay", 2, 3, 1.625, 400),
                 1_700_000_000_000L,
                 true,
                 List.of(new JobRecord.TaskProgress(2, true, 1, 3_001), new JobRecord.TaskProgress(5, false, 1, 9)));
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Stored jobs under faults: each ends once, and none of its tasks runs twice, by the upstreams' own record. */
 class FleetFaultsTest {
@@ -134,6 +135,21 @@
         assertEquals(accepted.size() * TASKS, fleet.record().doneCount());
     }
 
+    /** A queue may be dropped while its jobs run; a job that is adopted afterwards is done all the same. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void jobsOfADroppedQueueAreAdoptedAndDone(boolean allKilled) {
+        SimulatedFleet fleet = fleet();
+        fleet.submit(0, "job", SimulatedFleet.plan(10 * TASKS, true));
+        fleet.time().runUntil(fleet.time().now() + 50);
+        fleet.dropQueue();
+        (allKilled ? Strike.ALL_KILLED : Strike.ENTRY_KILLED).action.accept(fleet);
+        fleet.time().runUntil(fleet.time().now() + 20_000);
+
+        assertEquals(List.of(), fleet.record().breaches(), fleet::lines);
+        assertEquals(new Answers.Lookup.Found(JobState.COMPLETED), fleet.lookUp(1, "job"), fleet::lines);
+    }
+
     static List<Long> seeds() {
         return java.util.stream.LongStream.rangeClosed(1, 60).boxed().toList();
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -44,6 +44,7 @@
     private final Map<String, Process> processes = new HashMap<>();
     private final Map<String, SimulatedUpstream> upstreams = new HashMap<>();
     private final Set<String> cut = new HashSet<>();
+    private RoutingTable table = new RoutingTable(1, List.of(QUEUE), 100_000);
     private int lives;
 
     SimulatedFleet(int entries, int sidecars, ToLongFunction<TaskIdentity> durations) {
@@ -88,6 +89,14 @@
         return !cut.contains(one.node) && !cut.contains(other.node);
     }
 
+    /** Drops the queue from the configuration of all entries, also of those that start later. */
+    void dropQueue() {
+        table = new RoutingTable(2, List.of(), 100_000);
+        processes.values().stream()
+                .filter(process -> process.entry != null)
+                .forEach(process -> process.loop.run(() -> process.entry.configure(table)));
+    }
+
     VirtualTime time() {
         return time;
     }
@@ -253,7 +262,7 @@
         void begin() {
             entry = new Entry(
                     loop, store.of(loop), this, new OwnerSettings(node, incarnation, node + ":1", 120_000), this);
-            entry.configure(new RoutingTable(1, List.of(QUEUE), 100_000));
+            entry.configure(table);
             entry.start();
         }
 
