A request's id leads to its job

Jobs that a resent request joined left no line either.

Change: a line received joins a request's id to the job that it names, with how long its caller waits; joined is logged on all three ways. caperturn explain takes either id.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobStory.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobStory.java
@@ -54,12 +54,20 @@
     /**
      * Reads the story of a job.
      *
-     * @param job the job's identity
+     * @param id the job's identity, or that of a request for it
      * @param logs the logs
-     * @return the story, or empty if no line speaks of the job
+     * @return the story, or empty if no line speaks of it
      * @throws IOException if a file can't be read
      */
-    static Optional<JobStory> of(String job, CollectedLogs logs) throws IOException {
+    static Optional<JobStory> of(String id, CollectedLogs logs) throws IOException {
+        List<LogLine> named = logs.lines(line -> line.isAbout(id));
+        // A request's id is joined to its job's by the line that tells of its arrival.
+        String job = named.stream()
+                .filter(line -> id.equals(line.text(EventKey.REQUEST)))
+                .map(line -> line.text(EventKey.JOB))
+                .filter(text -> !text.isEmpty())
+                .findFirst()
+                .orElse(id);
         List<LogLine> own = logs.lines(line -> line.isAbout(job));
         if (own.isEmpty()) {
             return Optional.empty();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -28,6 +28,8 @@
     CLOCK("clock"),
     /** Number of lines. */
     COUNT("count"),
+    /** How long a caller waits, in milliseconds; 0 if it doesn't say. */
+    DEADLINE("deadline"),
     /** What follows. */
     EFFECT("effect"),
     /** Expected time of a run, in milliseconds. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -78,6 +78,8 @@
     PLACED,
     /** A stored job names a queue that the configuration has no longer. */
     QUEUE_UNKNOWN,
+    /** A request to take or cancel a job has come, with the job that it names and how long its caller waits. */
+    RECEIVED,
     /** A stored record can't be read. */
     RECORD_UNREADABLE,
     /** The runs of a lost entry are known. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobKeeper.java
@@ -83,11 +83,13 @@
 
     void submit(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
         if (owned.containsKey(identity) || closed.containsKey(identity)) {
+            joined(identity);
             receiver.accept(new Answers.Submission.Accepted(true));
             return;
         }
         List<Consumer<Answers.Submission>> waiting = inserting.get(identity);
         if (waiting != null) {
+            joined(identity);
             waiting.add(receiver);
             return;
         }
@@ -100,6 +102,7 @@
     void runTransient(String identity, JobPlan plan, QueuePolicy policy, Consumer<Answers.Submission> receiver) {
         List<Consumer<Answers.Submission>> waiting = callers.get(identity);
         if (waiting != null) {
+            joined(identity);
             waiting.add(receiver);
             return;
         }
@@ -121,6 +124,10 @@
         listener.stored(job);
     }
 
+    private void joined(String identity) {
+        loop.log().event(EventName.JOINED, EventKey.JOB, identity, EventKey.OPEN, !closed.containsKey(identity));
+    }
+
     /** Gives up a job that is not stored: its caller has gone, or can't wait any longer. */
     void abandon(String identity, String cause) {
         OwnedJob job = owned.get(identity);
