--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -99,6 +99,10 @@
             this.action = action;
         }
 
+        void strike(SimulatedFleet fleet) {
+            action.accept(fleet);
+        }
+
         private static void storeFault(SimulatedFleet fleet, MemoryStore.Fault fault) {
             fleet.store().fault(fault);
             fleet.time().after(2_500, () -> fleet.store().fault(MemoryStore.Fault.NONE));
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
@@ -22,6 +23,8 @@
     private static final long TIMEOUT = 250;
     /** Ends that are listed at a time. */
     private static final int MOST_ENDS = 500;
+
+    static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
     /** Speed of its clock against the true one; it may be two percent slow. */
     private static final long CLOCK_PERCENT = 98;
 
@@ -36,6 +39,8 @@
 
     private final Map<TaskIdentity, Integer> highest = new HashMap<>();
     private final List<Runnable> waiters = new ArrayList<>();
+    private String service = "service";
+    private List<String> labels = List.of("a", "rack");
     private long born;
     private long sequence;
     private long fence;
@@ -107,6 +112,20 @@
         nextOutcome = outcome;
     }
 
+    /** Says what it is from its next announcement on. */
+    void describeAs(String kind, List<String> all) {
+        service = kind;
+        labels = all;
+    }
+
+    String identity() {
+        return identity;
+    }
+
+    Set<RunIdentity> running() {
+        return running.keySet();
+    }
+
     int runningCount() {
         return running.size();
     }
@@ -116,8 +135,7 @@
     }
 
     UpstreamDescription description() {
-        return new UpstreamDescription(
-                identity, born, "service", new Resources(16_000, 32_768, 0), List.of("a", "rack"));
+        return new UpstreamDescription(identity, born, service, CAPACITY, labels);
     }
 
     /** Gives the port of one sidecar process. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
@@ -21,10 +21,30 @@
     private final Set<TaskIdentity> done = new HashSet<>();
     private final Set<TaskIdentity> counting = new HashSet<>();
     private final List<String> breaches = new ArrayList<>();
+    private Observer observer = (run, where) -> {};
     private int starts;
 
+    /** Looks at each start, before it counts. */
+    interface Observer {
+        /** A run starts at an upstream. */
+        void starts(RunIdentity run, String where);
+    }
+
+    void observe(Observer all) {
+        observer = all;
+    }
+
+    boolean isDone(TaskIdentity task) {
+        return done.contains(task);
+    }
+
+    void breach(String what) {
+        breaches.add(what);
+    }
+
     void started(RunIdentity run, String where, long now) {
         starts++;
+        observer.starts(run, where);
         lastStart.put(run.task(), now);
         RunIdentity other = running.put(run.task(), run);
         if (other != null) {
