Callers of the simulated fleet are one class

Cause: three load tests each kept callers, answers and times in a copy of their own. Change: Callers; no check changed.

--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
@@ -29,6 +29,7 @@
 
     private final SimulatedFleet fleet;
     private final int entries;
+    private final Callers calls;
     private final List<Caller> callers = new ArrayList<>();
     private final Map<String, Long> lengths = new HashMap<>();
 
@@ -42,6 +43,7 @@
         this.entries = entries;
         this.fleet = new SimulatedFleet(
                 entries, speeds.length, task -> lengths.get(task.job()) * (90 + task.index() * 37 % 21) / 100);
+        this.calls = new Callers(fleet);
         for (int number = 0; number < speeds.length; number++) {
             fleet.upstream(number).speed(speeds[number]);
         }
@@ -58,15 +60,14 @@
         }
     }
 
-    /** One job that was handed in, with its answers and the time of the first. */
-    record Caller(Kind kind, long sent, List<Answers.Submission> answers, long[] answeredAt) {
+    /** One job that was handed in. */
+    record Caller(Kind kind, Callers.Caller call) {
         double credit() {
-            long took = answeredAt[0] - sent;
-            boolean done = answers.contains(new Answers.Submission.Ended(JobState.COMPLETED));
-            if (!done || took > 3 * kind.objective()) {
+            boolean done = call.answers().contains(new Answers.Submission.Ended(JobState.COMPLETED));
+            if (!done || call.took() > 3 * kind.objective()) {
                 return 0;
             }
-            return kind.worth() * (took <= kind.objective() ? 1 : LATE_WORTH);
+            return kind.worth() * (call.took() <= kind.objective() ? 1 : LATE_WORTH);
         }
     }
 
@@ -96,11 +97,9 @@
                     submit(kind, random);
                 }
             }
-            pass();
-        }
-        for (int millisecond = 0; millisecond < 1_000 * SECONDS_AFTER; millisecond++) {
-            pass();
+            calls.pass();
         }
+        calls.pass(1_000 * SECONDS_AFTER);
     }
 
     private void submit(Kind kind, Random random) {
@@ -112,19 +111,7 @@
                 "payload",
                 List.of(new StepPlan(kind.tasks(), new Resources(1_600, 64, 0), estimate, List.of(), "", "", 0)),
                 false);
-        callers.add(new Caller(
-                kind, fleet.time().now(), fleet.submit(random.nextInt(entries), job, plan, kind.policy()), new long[] {
-                    -1
-                }));
-    }
-
-    private void pass() {
-        fleet.time().runUntil(fleet.time().now() + 1);
-        for (Caller caller : callers) {
-            if (caller.answeredAt()[0] < 0 && !caller.answers().isEmpty()) {
-                caller.answeredAt()[0] = fleet.time().now();
-            }
-        }
+        callers.add(new Caller(kind, calls.submit(random.nextInt(entries), job, plan, kind.policy())));
     }
 
     /** Gives what callers earned, as a share of what they were owed. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoadTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoadTest.java
@@ -35,7 +35,7 @@
         double earned = mixed.earnedShare(kind -> true);
         assertTrue(earned >= least, () -> "load " + load + ": " + earned + " of what is owed");
         for (MixedLoad.Caller caller : mixed.callers()) {
-            assertEquals(1, caller.answers().size(), "each is answered once");
+            assertEquals(1, caller.call().answers().size(), "each is answered once");
         }
         assertEquals(List.of(), mixed.fleet().record().breaches());
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OverloadTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OverloadTest.java
@@ -6,7 +6,6 @@
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.owner.Answers;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,65 +25,40 @@
     /** A refusal is at once: within a few round trips. */
     private static final long AT_ONCE_MILLISECONDS = 20;
 
-    private static final class Caller {
-        private final long sent;
-        private final List<Answers.Submission> answers;
-        private long answeredAt = -1;
-
-        Caller(long sent, List<Answers.Submission> answers) {
-            this.sent = sent;
-            this.answers = answers;
-        }
-    }
-
     @ParameterizedTest
     @CsvSource({"0.7, 1", "1.0, 2", "1.5, 3", "2.0, 4", "4.0, 5"})
     void capacityGoesToJobsThatEndInTime(double load, long seed) {
         Random random = new Random(seed);
         SimulatedFleet fleet = new SimulatedFleet(
                 2, 3, task -> Math.round(WORK_MILLISECONDS * (0.7 + 0.6 * new Random(task.hashCode()).nextDouble())));
-        List<Caller> callers = new ArrayList<>();
+        Callers callers = new Callers(fleet);
         double rate = load * CAPACITY_A_SECOND;
         long start = fleet.time().now();
         double next = start;
         while (fleet.time().now() < start + 1_000L * SECONDS) {
             if (fleet.time().now() >= next) {
                 next += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
-                String job = "job-" + callers.size();
-                callers.add(new Caller(
-                        fleet.time().now(),
-                        fleet.submit(
-                                random.nextInt(2), job, SimulatedFleet.plan(TASKS, false, WORK_MILLISECONDS), QUEUE)));
+                String job = "job-" + callers.all().size();
+                callers.submit(random.nextInt(2), job, SimulatedFleet.plan(TASKS, false, WORK_MILLISECONDS), QUEUE);
             }
-            pass(fleet, callers);
-        }
-        for (int millisecond = 0; millisecond < 5_000; millisecond++) {
-            pass(fleet, callers);
+            callers.pass();
         }
+        callers.pass(5_000);
 
-        long inTime = callers.stream()
-                .filter(caller -> caller.answers.contains(new Answers.Submission.Ended(JobState.COMPLETED))
-                        && caller.answeredAt - caller.sent <= OBJECTIVE_MILLISECONDS)
+        long inTime = callers.all().stream()
+                .filter(caller -> caller.answers().contains(new Answers.Submission.Ended(JobState.COMPLETED))
+                        && caller.took() <= OBJECTIVE_MILLISECONDS)
                 .count();
         double possible = Math.min(load, 1) * CAPACITY_A_SECOND * SECONDS;
         assertTrue(
                 inTime >= SHARE_IN_TIME * possible,
-                () -> inTime + " of " + callers.size() + " in time, " + possible + " possible");
-        for (Caller caller : callers) {
-            assertEquals(1, caller.answers.size(), "each is answered once");
-            if (caller.answers.getFirst() instanceof Answers.Submission.Refused) {
-                assertTrue(caller.answeredAt - caller.sent <= AT_ONCE_MILLISECONDS, "refused at once");
+                () -> inTime + " of " + callers.all().size() + " in time, " + possible + " possible");
+        for (Callers.Caller caller : callers.all()) {
+            assertEquals(1, caller.answers().size(), "each is answered once");
+            if (caller.answers().getFirst() instanceof Answers.Submission.Refused) {
+                assertTrue(caller.took() <= AT_ONCE_MILLISECONDS, "refused at once");
             }
         }
         assertEquals(List.of(), fleet.record().breaches());
     }
-
-    private static void pass(SimulatedFleet fleet, List<Caller> callers) {
-        fleet.time().runUntil(fleet.time().now() + 1);
-        for (Caller caller : callers) {
-            if (caller.answeredAt < 0 && !caller.answers.isEmpty()) {
-                caller.answeredAt = fleet.time().now();
-            }
-        }
-    }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RestartLoadTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RestartLoadTest.java
@@ -6,8 +6,6 @@
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.owner.Answers;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,18 +23,6 @@
     /** Time after the first entry's return for which jobs come; most upstreams are back then, as on the users' days. */
     private static final long GAP_MILLISECONDS = 400;
 
-    /** One job that was handed in, with its answers and the time of the first. */
-    private static final class Caller {
-        private final long sent;
-        private final List<Answers.Submission> answers;
-        private long answeredAt = -1;
-
-        Caller(long sent, List<Answers.Submission> answers) {
-            this.sent = sent;
-            this.answers = answers;
-        }
-    }
-
     /** The upstreams come back at once after a gap, or one by one. */
     @ParameterizedTest
     @CsvSource({"2, 400, 0", "5, 400, 0", "20, 400, 0", "2, 0, 200", "5, 0, 200", "5, 100, 150"})
@@ -45,33 +31,33 @@
         loseEverything(fleet);
         fleet.restart("entry-0");
         fleet.time().runUntil(fleet.time().now() + 50);
-        List<Caller> callers = new ArrayList<>();
+        Callers callers = new Callers(fleet);
         for (int millisecond = 0; millisecond < GAP_MILLISECONDS + 5_000; millisecond++) {
             if (millisecond < GAP_MILLISECONDS && millisecond % millisecondsBetweenJobs == 0) {
-                callers.add(new Caller(
-                        fleet.time().now(),
-                        fleet.submit(
-                                0, "job-" + millisecond, SimulatedFleet.plan(4, false, WORK_MILLISECONDS), QUEUE)));
+                callers.submit(0, "job-" + millisecond, SimulatedFleet.plan(4, false, WORK_MILLISECONDS), QUEUE);
             }
             for (int number = 0; number < SIDECARS; number++) {
                 if (millisecond == firstSidecar + number * betweenSidecars) {
                     fleet.restart("sidecar-" + number);
                 }
             }
-            pass(fleet, callers);
+            callers.pass();
         }
-        for (Caller caller : callers) {
-            assertEquals(1, caller.answers.size(), "each is answered once");
-            long took = caller.answeredAt - caller.sent;
-            if (caller.answers.getFirst() instanceof Answers.Submission.Refused) {
+        for (Callers.Caller caller : callers.all()) {
+            assertEquals(1, caller.answers().size(), "each is answered once");
+            long took = caller.took();
+            if (caller.answers().getFirst() instanceof Answers.Submission.Refused) {
                 assertTrue(took <= AT_ONCE_MILLISECONDS, "refused at once");
             } else {
-                assertEquals(new Answers.Submission.Ended(JobState.COMPLETED), caller.answers.getFirst());
+                assertEquals(
+                        new Answers.Submission.Ended(JobState.COMPLETED),
+                        caller.answers().getFirst());
                 assertTrue(took <= LATE_FACTOR * OBJECTIVE_MILLISECONDS, () -> "took " + took);
             }
         }
         assertTrue(
-                callers.stream().anyMatch(caller -> caller.answers.getFirst() instanceof Answers.Submission.Ended),
+                callers.all().stream()
+                        .anyMatch(caller -> caller.answers().getFirst() instanceof Answers.Submission.Ended),
                 "what can be served is");
     }
 
@@ -84,13 +70,4 @@
         fleet.kill("entry-1");
         fleet.time().runUntil(fleet.time().now() + 1_500);
     }
-
-    private static void pass(SimulatedFleet fleet, List<Caller> callers) {
-        fleet.time().runUntil(fleet.time().now() + 1);
-        for (Caller caller : callers) {
-            if (caller.answeredAt < 0 && !caller.answers.isEmpty()) {
-                caller.answeredAt = fleet.time().now();
-            }
-        }
-    }
 }
