--- a/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobStory.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobStory.java
@@ -124,6 +124,13 @@
     }
 
     private String outcome() {
+        Optional<LogLine> givenUp =
+                own.stream().filter(line -> line.is(EventName.ABANDONED)).findFirst();
+        if (givenUp.isPresent()) {
+            LogLine line = givenUp.get();
+            return job + " was given up at " + line.at() + " after " + line.number(EventKey.AFTER) + " ms: "
+                    + line.text(EventKey.CAUSE);
+        }
         for (LogLine line : own.reversed()) {
             switch (line.event()) {
                 case SHOWN -> {
@@ -133,9 +140,6 @@
                     return job + " was refused at " + line.at() + ": " + line.text(EventKey.REASON)
                             + ", to come back after " + line.number(EventKey.RETRY_AFTER) + " ms";
                 }
-                case ABANDONED -> {
-                    return job + " was given up at " + line.at() + ": " + line.text(EventKey.CAUSE);
-                }
                 case UNSERVED -> {
                     return job + " asks for what is not served";
                 }
--- a/caperturn-cli/src/test/java/io/caperturn/cli/logs/LogsActionTest.java
+++ b/caperturn-cli/src/test/java/io/caperturn/cli/logs/LogsActionTest.java
@@ -31,6 +31,9 @@
             event=shown time=1610 at=entry-1 job=a1 queue=assay state=COMPLETED after=610 objective=400
             event=refused time=1700 at=entry-1 job=b2 queue=assay reason=load retryAfter=48 waiting=10
             event=taken time=1800 at=entry-1 job=c3 queue=assay tasks=1 objective=400
+            event=taken time=1900 at=entry-1 job=d4 queue=assay tasks=1 objective=300
+            event=abandoned time=2800 at=entry-1 job=d4 cause=too-late after=900
+            event=shown time=2800 at=entry-1 job=d4 queue=assay state=CANCELLED after=900 objective=300
             event=taken time=5000 at=entry-1 job=a11 queue=assay tasks=1 objective=400
             event=lines-omitted time=1650 at=entry-1 of=placed count=12
             event=cut-o""";
@@ -102,9 +105,10 @@
             delimiter = '|',
             value = {
                 "b2 | b2 was refused at entry-1: load, to come back after 48 ms",
+                "d4 | d4 was given up at entry-1 after 900 ms: too-late",
                 "c3 | what the caller was told: no entry wrote an end"
             })
-    void refusedAndUnendedJobsSaySo(String job, String expected) {
+    void refusedGivenUpAndUnendedJobsSaySo(String job, String expected) {
         assertEquals(ExitCode.DONE, explain(job, entry, sidecar));
         assertTrue(output.toString().contains(expected), output::toString);
     }
