Tell three entries of each change, renew leases at an interval, and hold once for each completion

Cause: a sidecar sent its full status to every linked entry within 3 ms of each change, and each entry answered each one with a lease.

Change: a lease is renewed on request (300 ms for owners of runs, 600 ms for others, or with a status that goes anyway); changes go to three entries chosen by rendezvous hashing, what decides whether tasks can be sent at all goes to all; an entry counts the resources of its own ended runs before the next status. Completions of jobs that are not stored are acknowledged with the next hold, which waits, and are discarded by the sidecar after the next renewal instead of by a frame each.

Found on the way, OwnerLeaseTest failing first: the opening of a link prolonged the lease on stored runs and allowed starts without any answer of the entry, so one that others had declared lost could start tasks and keep its runs beyond the time for which its adopter waits. A renewal requested in the millisecond of the opening was ignored. Now only an answer that confirms the ownership renews.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -68,7 +68,7 @@
         this.links = new LinkManager(eventLoop, loop, this);
         SidecarTimings timings = SidecarTimings.forLease(settings.leaseMilliseconds());
         ExecutorClient executor = new ExecutorClient(eventLoop, upstream, timings.answerTimeoutMilliseconds());
-        this.sidecar = new SidecarController(loop, executor, links, timings);
+        this.sidecar = new SidecarController(loop, executor, links, timings, settings.node());
         this.incarnation = Main.newIncarnation(settings.node());
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -33,8 +33,8 @@
     }
 
     /**
-     * State of a sidecar and its upstream, sent on changes and at an interval; also requests the renewal of the entry's
-     * lease on its tasks.
+     * State of a sidecar and its upstream, sent on changes and at an interval; if it has a renewal number, it also
+     * requests the renewal of the entry's lease on its tasks.
      *
      * @param usable whether new tasks are accepted
      * @param service kind of upstream; empty until one has announced itself
@@ -44,7 +44,7 @@
      * @param runningTasks number of active tasks
      * @param labels labels of the upstream, including its rack
      * @param dispatchesSeen highest sequence number of a {@link Dispatch} received over this link
-     * @param renewal number of the renewal request, answered by {@link Lease}
+     * @param renewal number of the renewal request, answered by {@link Lease}; {@link #NO_RENEWAL} if none is requested
      */
     record Status(
             boolean usable,
@@ -57,6 +57,9 @@
             long dispatchesSeen,
             long renewal)
             implements JobFrame {
+        /** Number of a status that requests no renewal. */
+        public static final long NO_RENEWAL = 0;
+
         /** Copies the list. */
         public Status {
             labels = List.copyOf(labels);
@@ -64,7 +67,8 @@
     }
 
     /**
-     * Answer to a {@link Status}: the entry renews the lease on the tasks that it has dispatched.
+     * Answer to a {@link Status} that requests a renewal: the entry renews the lease on the tasks that it has
+     * dispatched.
      *
      * @param renewal number of the renewal request
      * @param authority whether the entry also knows that no other entry has adopted its stored jobs; if not, the lease
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -168,12 +168,10 @@
         }
     }
 
-    /** Records a completed run; the sidecar can discard it once it is stored, or at once if the job is transient. */
+    /** Records a completed run of a durable job, to be stored; the sidecar discards others after the next renewal. */
     void recordCompletion(OwnedJob job, RunIdentity run, String sidecar) {
         if (job.plan().durable()) {
             job.addPendingCompletion(run, sidecar, loop.monotonicMilliseconds());
-        } else {
-            listener.completionsDiscardable(List.of(new OwnedJob.PendingCompletion(run, sidecar)));
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -144,6 +144,16 @@
         dispatchSequence = sequence;
     }
 
+    /** Returns whether the task was last sent over a link, given its number over all links to that sidecar. */
+    boolean wasSentOverLink(int linkNumber) {
+        return dispatchLinkNumber == linkNumber;
+    }
+
+    /** Returns the sequence number of the last dispatch of the task on its link. */
+    long dispatchSequence() {
+        return dispatchSequence;
+    }
+
     /**
      * Returns whether this task was sent before a sidecar made an inventory, the list of all its runs: over an earlier
      * link (connection), or over the same link with a sequence number that the inventory includes. If such an inventory
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -22,6 +22,10 @@
     private JobFrame.Status status;
     private boolean linked = true;
     private long leaseSentAt;
+    private long statusReceivedAt;
+    /** Resources of runs that have ended since the last status. */
+    private Resources released = Resources.NONE;
+
     private long lastSequence;
     private int currentLinkNumber;
     private int consecutiveFailures;
@@ -69,15 +73,24 @@
 
     /**
      * Applies a status of the sidecar, which includes all dispatches up to the sequence number {@code dispatchesSeen}.
-     * The entry answers each status by renewing its lease.
+     * The entry renews its lease at once if the status requests it.
      */
     void updateStatus(JobFrame.Status newStatus, long now) {
         status = newStatus;
+        statusReceivedAt = now;
+        released = Resources.NONE;
         refusedForCapacity = false;
         while (!unacknowledged.isEmpty() && unacknowledged.peek().sequence() <= newStatus.dispatchesSeen()) {
             unacknowledged.poll();
         }
-        leaseSentAt = now;
+        if (newStatus.renewal() != JobFrame.Status.NO_RENEWAL) {
+            leaseSentAt = now;
+        }
+    }
+
+    /** Returns when the last status arrived, in milliseconds of the monotonic clock; 0 before the first. */
+    long statusReceivedAt() {
+        return statusReceivedAt;
     }
 
     /** Returns when the entry last renewed its lease, in milliseconds of the monotonic clock; 0 if it never did. */
@@ -92,6 +105,18 @@
         return lastSequence;
     }
 
+    /**
+     * Records that a run has ended, whose resources are therefore free before the next status.
+     *
+     * @param sequence sequence number of its dispatch on the current link; 0 if it was sent over another link
+     * @param resources resources that the run needed
+     */
+    void recordRunEnd(long sequence, Resources resources) {
+        if (!unacknowledged.removeIf(dispatch -> dispatch.sequence() == sequence)) {
+            released = released.plus(resources);
+        }
+    }
+
     /** Handles a new link (connection), on which dispatches are numbered from 1 again. */
     void linkOpened() {
         linked = true;
@@ -121,14 +146,15 @@
     }
 
     /**
-     * Returns the free capacity according to the last status, less the resources of dispatches that it does not include
-     * yet; {@link Resources#NONE} after a refusal for lack of capacity, until the next status.
+     * Returns the free capacity according to the last status, plus the resources of runs that have ended since, less
+     * those of dispatches that it does not include yet; {@link Resources#NONE} after a refusal for lack of capacity,
+     * until the next status.
      */
     Resources freeResources() {
         if (refusedForCapacity) {
             return Resources.NONE;
         }
-        Resources free = status.free();
+        Resources free = status.free().plus(released);
         for (UnacknowledgedDispatch dispatch : unacknowledged) {
             free = free.minus(dispatch.resources());
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
@@ -7,6 +7,7 @@
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.upstream.SidecarTimings;
 import java.util.Collection;
@@ -22,10 +23,6 @@
 final class TaskDispatcher {
     /** A placement pass ends after this number of tasks that fit no upstream: later tasks are as unlikely to fit. */
     private static final int MAX_UNPLACED_TASKS = 6;
-    /** Consecutive failures, each of another job, after which an upstream is ejected: gets no tasks for a time. */
-    private static final int EJECTION_FAILURES = 3;
-    /** Time after which an ejected upstream gets a single task as a probe, in milliseconds. */
-    private static final long EJECTION_MILLISECONDS = 2_000;
     /** Maximum time to stop a run, in milliseconds: the upstream's lease, clock drift, the stop itself and a margin. */
     private static final long MAX_STOP_MILLISECONDS = 1_500;
     /** Maximum time from the last renewal of the lease until the runs on a sidecar have stopped, in milliseconds. */
@@ -41,6 +38,7 @@
     private final DurationModel durations = new DurationModel();
     private final UpstreamSelector selector = new UpstreamSelector(durations);
     private final TaskBacklog backlog = new TaskBacklog();
+    private final UpstreamEjection ejection;
     private final Map<String, SidecarView> sidecars = new HashMap<>();
     private boolean placementScheduled;
     private long lastNewSidecarAt;
@@ -49,6 +47,7 @@
         this.loop = loop;
         this.links = links;
         this.jobs = jobs;
+        this.ejection = new UpstreamEjection(loop);
         this.lastNewSidecarAt = loop.monotonicMilliseconds();
     }
 
@@ -90,7 +89,9 @@
             return;
         }
         view.updateStatus(status, loop.monotonicMilliseconds());
-        links.send(incarnation, new JobFrame.Lease(status.renewal(), renewStoredRuns));
+        if (status.renewal() != JobFrame.Status.NO_RENEWAL) {
+            links.send(incarnation, new JobFrame.Lease(status.renewal(), renewStoredRuns));
+        }
         schedulePlacement();
     }
 
@@ -148,7 +149,7 @@
                         EventKey.FREE,
                         view.freeResources().processorMillis(),
                         EventKey.STATUS_AGE,
-                        loop.monotonicMilliseconds() - view.leaseSentAt(),
+                        loop.monotonicMilliseconds() - view.statusReceivedAt(),
                         EventKey.EXPECTED,
                         task.expectedRunMilliseconds());
         send(task, view, best.get().expectedMilliseconds());
@@ -228,6 +229,13 @@
         SidecarView view = sidecars.get(incarnation);
         task.raiseRunNumber(run.number());
         boolean isCurrent = task.isIn(OwnedTask.Phase.SENT) && run.equals(task.currentRun());
+        if (isCurrent && view != null && report.outcome().isFinished() && report.outcome() != RunOutcome.REFUSED) {
+            // Its resources can be used again before the sidecar's next status.
+            boolean sameLink = task.wasSentOverLink(view.currentLinkNumber());
+            view.recordRunEnd(
+                    sameLink ? task.dispatchSequence() : 0, task.step().resourcesPerTask());
+            schedulePlacement();
+        }
         switch (report.outcome()) {
             case QUEUED -> {}
             case RUNNING -> {
@@ -246,7 +254,7 @@
                     if (view != null && report.reason().equals(JobFrame.Report.NO_ROOM)) {
                         view.markRefusedForCapacity();
                     } else if (view != null && report.reason().equals("unhealthy")) {
-                        countFailure(task, view);
+                        ejection.countFailure(task, view);
                     }
                     requeue(task, report.outcome() + "-" + report.reason());
                 }
@@ -299,7 +307,7 @@
                         EventKey.ALLOWED,
                         job.policy().maximumAttempts());
         if (view != null) {
-            countFailure(task, view);
+            ejection.countFailure(task, view);
         }
         if (task.failures() >= job.policy().maximumAttempts()) {
             jobs.finish(job, JobState.FAILED);
@@ -325,24 +333,10 @@
         loop.log().count("stalled");
         task.markStopOrdered();
         task.failedNodes().add(view.node());
-        countFailure(task, view);
+        ejection.countFailure(task, view);
         links.send(task.sidecarIncarnation(), new JobFrame.Withdraw(task.currentRun()));
     }
 
-    private void countFailure(OwnedTask task, SidecarView view) {
-        if (view.recordFailure(task.identity().job()) >= EJECTION_FAILURES) {
-            view.eject(loop.monotonicMilliseconds() + EJECTION_MILLISECONDS);
-            loop.log()
-                    .event(
-                            EventName.EJECTED,
-                            EventKey.NODE,
-                            view.node(),
-                            EventKey.JOB,
-                            task.identity().job());
-            loop.log().count("ejected");
-        }
-    }
-
     private void requeue(OwnedTask task, String cause) {
         if (!task.isIn(OwnedTask.Phase.SENT) || task.job().finalState() != null) {
             return;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -146,9 +146,7 @@
         }
         long sentAt = loop.monotonicMilliseconds();
         long acknowledged = registry.acknowledgeableUpTo();
-        long waitMilliseconds = state.isListedUnderCurrentToken() && acknowledged == registry.acknowledgedUpTo()
-                ? timings.holdWaitMilliseconds()
-                : 0;
+        long waitMilliseconds = state.isListedUnderCurrentToken() ? timings.holdWaitMilliseconds() : 0;
         port.hold(order, acknowledged, waitMilliseconds, answer -> {
             holdInFlight = false;
             handleAnswer(order, acknowledged, waitMilliseconds, sentAt, answer);
@@ -279,9 +277,11 @@
                         run.runMilliseconds());
         loop.log().duration("run", run.runMilliseconds());
         handler.runFinished(run);
-        // Owners confirm only successes and failures; other runs need not be kept.
         if (!completion.outcome().isRecorded()) {
-            registry.removeFinished(run);
+            registry.removeFinished(run); // owners confirm only successes and failures
+        } else if (!run.isDurable()) {
+            // A job that is not stored need not survive this process, so the next hold can acknowledge its completion.
+            registry.retainLocally(run);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.message.JobFrame;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Lease of an entry process on the runs that it owns at this sidecar process: a queued run starts, and an active one
@@ -28,9 +29,17 @@
      * Like {@link #confirmedAt}, but counts only renewals for which the entry knew that no other one had adopted its
      * stored jobs.
      */
-    private long ownershipConfirmedAt;
+    private long ownershipConfirmedAt = Long.MIN_VALUE / 2;
+
+    /**
+     * Until when active runs of stored jobs continue without a renewal over the present link, in milliseconds of the
+     * loop's clock. The opening of a link renews nothing: a lost entry can open links too.
+     */
+    private long firstAnswerExpectedBy;
 
     private long highestDispatchSequence;
+    /** When a renewal was last requested on the current link, in milliseconds of the loop's clock. */
+    private long lastRenewalRequestedAt = Long.MIN_VALUE / 2;
 
     OwnerLease(String incarnation, SidecarTimings timings) {
         this.incarnation = incarnation;
@@ -41,14 +50,16 @@
         linked = true;
         highestDispatchSequence = 0;
         renewalRequestedAt.clear();
+        lastRenewalRequestedAt = Long.MIN_VALUE / 2;
         confirmedAt = Math.max(confirmedAt, now);
-        ownershipConfirmedAt = Math.max(ownershipConfirmedAt, now);
+        firstAnswerExpectedBy = now + SidecarTimings.FIRST_ANSWER_MILLISECONDS;
     }
 
     /** Expires the lease after a suspension of this process, as the confirmations may be older than its clock shows. */
     void expire() {
         confirmedAt = Long.MIN_VALUE / 2;
         ownershipConfirmedAt = Long.MIN_VALUE / 2;
+        firstAnswerExpectedBy = 0;
         renewalRequestedAt.clear();
     }
 
@@ -84,29 +95,35 @@
 
     void recordRenewalRequest(long number, long requestedAt) {
         renewalRequestedAt.put(number, requestedAt);
+        lastRenewalRequestedAt = requestedAt;
         renewalRequestedAt.keySet().removeIf(pending -> pending <= number - MAXIMUM_PENDING_RENEWALS);
     }
 
+    /** Returns when a renewal was last requested, in milliseconds of the loop's clock; far in the past if never. */
+    long lastRenewalRequestedAt() {
+        return lastRenewalRequestedAt;
+    }
+
     /**
-     * Renews the lease from the time at which the renewal was requested; returns false if the request is not known or
-     * not newer than the last one that was answered.
+     * Renews the lease from the time at which the renewal was requested. Returns that time, in milliseconds of the
+     * loop's clock, or empty if the request is not known.
      */
-    boolean renew(JobFrame.Lease answer) {
+    OptionalLong renew(JobFrame.Lease answer) {
         Long requestedAt = renewalRequestedAt.remove(answer.renewal());
-        if (requestedAt != null && requestedAt > confirmedAt) {
-            confirmedAt = requestedAt;
-            if (answer.authority()) {
-                ownershipConfirmedAt = requestedAt;
-            }
-            return true;
+        if (requestedAt == null) {
+            return OptionalLong.empty();
+        }
+        confirmedAt = Math.max(confirmedAt, requestedAt);
+        if (answer.authority()) {
+            ownershipConfirmedAt = Math.max(ownershipConfirmedAt, requestedAt);
         }
-        return false;
+        return OptionalLong.of(requestedAt);
     }
 
     /** Returns when the lease on a run expires unless it is renewed, in milliseconds of the loop's clock. */
     long expiryFor(LocalRun run) {
         return run.isDurable()
-                ? ownershipConfirmedAt + timings.ownerLeaseOnStoredRunsMilliseconds()
+                ? Math.max(ownershipConfirmedAt + timings.ownerLeaseOnStoredRunsMilliseconds(), firstAnswerExpectedBy)
                 : confirmedAt + timings.ownerLeaseOnTransientRunsMilliseconds();
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -37,6 +37,7 @@
     private final Map<String, OwnerLease> owners = new HashMap<>();
 
     private final UnclaimedRuns unclaimedRuns;
+    private final FinishedRuns finishedRuns;
     /** Incarnations of lost entries, from which no dispatch is accepted any more. */
     private final Set<String> fencedEntries = new HashSet<>();
 
@@ -49,14 +50,18 @@
      * @param upstream port to the upstream
      * @param links port to the entries
      * @param timings leases, intervals and time-outs
+     * @param node name of the instance of this sidecar
      */
-    public SidecarController(DecisionLoop loop, UpstreamPort upstream, LinkPort links, SidecarTimings timings) {
+    public SidecarController(
+            DecisionLoop loop, UpstreamPort upstream, LinkPort links, SidecarTimings timings, String node) {
         this.loop = loop;
         this.links = links;
         this.timings = timings;
         this.unclaimedRuns = new UnclaimedRuns(loop, links, registry, owners);
         this.upstreamController = new UpstreamController(upstream, loop, timings, registry, new OwnerReporter());
-        this.statusSender = new StatusSender(loop, links, timings, registry, upstreamController, owners);
+        this.finishedRuns = new FinishedRuns(registry, upstreamController);
+        this.statusSender = new StatusSender(
+                loop, links, timings, registry, upstreamController, owners, new PromptRecipients(node));
     }
 
     /** Starts the periodic check of leases. */
@@ -159,16 +164,16 @@
             return;
         }
         switch (frame) {
-            case JobFrame.Lease lease -> {
-                if (owner.renew(lease)) {
+            case JobFrame.Lease lease ->
+                owner.renew(lease).ifPresent(requestedAt -> {
+                    finishedRuns.discardReceived(owner, requestedAt);
                     upstreamController.startQueued();
-                }
-            }
+                });
             case JobFrame.Dispatch dispatch -> handleDispatch(owner, dispatch);
             case JobFrame.Withdraw withdraw -> handleWithdrawal(incarnation, withdraw.run());
-            case JobFrame.Settled settled -> handleSettled(settled.run());
+            case JobFrame.Settled settled -> finishedRuns.discardSettled(settled.run());
             case JobFrame.FenceOwner fence -> fenceOwner(incarnation, fence.incarnation());
-            case JobFrame.JobOver over -> handleJobFinished(over.job());
+            case JobFrame.JobOver over -> finishedRuns.discardUnclaimed(over.job());
             default -> loop.log().event(EventName.FRAME_UNEXPECTED, EventKey.FROM, incarnation, EventKey.FRAME, frame);
         }
     }
@@ -216,11 +221,13 @@
             links.send(
                     owner.incarnation(),
                     new JobFrame.Report(identity, RunOutcome.REFUSED, /* runMilliseconds= */ 0, refusal));
-            statusSender.scheduleStatus();
             return;
         }
         registry.enqueue(run);
-        statusSender.scheduleStatus();
+        statusSender.scheduleStatusAfterDispatch();
+        if (!owner.isStartAllowed(run, now)) {
+            statusSender.requestRenewal(owner);
+        }
         upstreamController.startQueued();
     }
 
@@ -247,14 +254,6 @@
         }
     }
 
-    /** Handles the confirmation that the completion of a run is stored or need not be. */
-    private void handleSettled(RunIdentity identity) {
-        LocalRun run = registry.findRun(identity);
-        if (run != null && run.isInPhase(Phase.ENDED)) {
-            upstreamController.removeFinished(run);
-        }
-    }
-
     /**
      * Accepts nothing more from a lost entry, refuses its queued runs, and sends all known runs to the entry that
      * adopts its jobs. Discards the lost entry's runs of jobs that are not stored, because no entry adopts these jobs.
@@ -273,7 +272,7 @@
             if (run.owner().equals(lost)) {
                 run.setOwner(/* incarnation= */ "", loop.monotonicMilliseconds());
                 if (!run.isDurable()) {
-                    discard(run, "owner-lost");
+                    finishedRuns.discard(run, "owner-lost");
                 }
             }
         }
@@ -281,31 +280,13 @@
         statusSender.scheduleStatus();
     }
 
-    /** Discards the runs of a finished job that have no owner. */
-    private void handleJobFinished(String job) {
-        for (LocalRun run : List.copyOf(registry.allRuns())) {
-            if (run.identity().task().job().equals(job) && run.owner().isEmpty()) {
-                discard(run, "job-over");
-            }
-        }
-    }
-
-    /** Stops a run that no entry will own again, or removes it if it has finished. */
-    private void discard(LocalRun run, String cause) {
-        if (run.isInPhase(Phase.ENDED)) {
-            upstreamController.removeFinished(run);
-        } else {
-            upstreamController.withdraw(run, cause);
-        }
-    }
-
     private void tick() {
         loop.after(LEASE_CHECK_MILLISECONDS, this::tick);
         expireOwners();
         unclaimedRuns.retainCompletionsLocally();
         upstreamController.tick();
         unclaimedRuns.askEntries();
-        statusSender.sendStatusIfDue();
+        statusSender.sendDueRenewalRequests();
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
@@ -15,7 +15,7 @@
  *     another entry adopts the jobs of a lost owner within that time
  * @param ownerLeaseOnTransientRunsMilliseconds how long after the owner's last confirmation runs of jobs that are not
  *     stored continue; no other entry adopts these
- * @param statusIntervalMilliseconds interval of status frames, which request the confirmation of owners
+ * @param statusIntervalMilliseconds interval of status frames to an owner of runs, which request its confirmation
  */
 public record SidecarTimings(
         long upstreamLeaseMilliseconds,
@@ -39,11 +39,23 @@
      * owner is lost, the caller submits such a job again after 1.3 s; the earlier runs must be stopped by then.
      */
     public static final long OWNER_LEASE_ON_TRANSIENT_RUNS_MILLISECONDS = 1_000;
+    /**
+     * Time after the opening of a link within which its entry answers for the first time, in milliseconds. Until then
+     * active runs that it has taken over continue; short compared with the margin with which other entries wait for the
+     * end of a lost entry's runs.
+     */
+    public static final long FIRST_ANSWER_MILLISECONDS = 300;
     /**
      * Interval of status frames, in milliseconds: less than a third of the shortest owner's lease, so that two of these
      * frames can be lost.
      */
     public static final long STATUS_INTERVAL_MILLISECONDS = 300;
+    /**
+     * Interval of status frames to entries that own no run here, in milliseconds: half of the lease for starts, so that
+     * a dispatch can be started without waiting for a renewal, and less than a third of the time after which a link
+     * without frames is closed.
+     */
+    public static final long IDLE_STATUS_INTERVAL_MILLISECONDS = 600;
     /**
      * Time-out of an order, in milliseconds. An upstream on the same machine answers within a few milliseconds; a busy
      * processor adds tens.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -5,16 +5,34 @@
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Sender of a sidecar's frames to entries (processes that own jobs): its status, on each change and at an interval, and
+ * Sender of a sidecar's frames to entries (processes that own jobs): its status, on changes and at an interval, and
  * inventories (lists) of all runs that the sidecar knows.
+ *
+ * <p>Some entries are told of each change of the free resources. An entry that is not, and the owner of a run that
+ * ends, know of it from the periodic status and from the report on the run. A change that decides whether tasks can be
+ * sent here at all goes to all entries.
  */
 final class StatusSender {
-    /** Delay in milliseconds within which changes are combined into one status; short compared with a task of 50 ms. */
-    private static final long STATUS_DELAY_MILLISECONDS = 3;
+    /**
+     * Delay in milliseconds within which changes are combined into one status; short compared with a task of 50 ms. The
+     * owner of a run that has ended can use its resources before.
+     */
+    private static final long STATUS_DELAY_MILLISECONDS = 10;
+    /**
+     * Delay in milliseconds of a status after a dispatch. Its sender has already counted it; other entries that have
+     * not heard of it may send a task that is refused, which costs that task a few milliseconds.
+     */
+    private static final long DISPATCH_STATUS_DELAY_MILLISECONDS = 20;
+    /** Age of the last renewal request from which a status that is sent anyway also requests a renewal. */
+    private static final long RENEWAL_AGE_MILLISECONDS = 200;
+
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final DecisionLoop loop;
     private final LinkPort links;
@@ -22,10 +40,13 @@
     private final RunRegistry registry;
     private final UpstreamController upstreamController;
     private final Map<String, OwnerLease> owners;
-    private boolean statusScheduled;
+    private final PromptRecipients promptRecipients;
+    /** When the next status is due after a change, in milliseconds of the loop's clock. */
+    private long statusDueAt = NEVER;
+
     private long lastRenewalRequestNumber;
-    /** When a status was last sent to all entries, in milliseconds of the loop's clock. */
-    private long lastStatusSentAt;
+    /** Last status that was sent after a change; null before the first. */
+    private JobFrame.Status lastStatus;
 
     StatusSender(
             DecisionLoop loop,
@@ -33,52 +54,104 @@
             SidecarTimings timings,
             RunRegistry registry,
             UpstreamController controller,
-            Map<String, OwnerLease> owners) {
+            Map<String, OwnerLease> owners,
+            PromptRecipients promptRecipients) {
         this.loop = loop;
         this.links = links;
         this.timings = timings;
         this.registry = registry;
         this.upstreamController = controller;
         this.owners = owners;
+        this.promptRecipients = promptRecipients;
     }
 
-    /** Schedules a status to all entries in a few milliseconds, which also covers the changes until then. */
+    /** Schedules a status after a change in a few milliseconds, which also covers the changes until then. */
     void scheduleStatus() {
-        if (!statusScheduled) {
-            statusScheduled = true;
-            loop.after(STATUS_DELAY_MILLISECONDS, this::sendStatusToAll);
+        scheduleStatus(STATUS_DELAY_MILLISECONDS);
+    }
+
+    /** Schedules a status after a dispatch, by which free resources only decrease. */
+    void scheduleStatusAfterDispatch() {
+        scheduleStatus(DISPATCH_STATUS_DELAY_MILLISECONDS);
+    }
+
+    private void scheduleStatus(long delayMilliseconds) {
+        long dueAt = loop.monotonicMilliseconds() + delayMilliseconds;
+        if (dueAt < statusDueAt) {
+            statusDueAt = dueAt;
+            loop.after(delayMilliseconds, this::sendScheduledStatus);
         }
     }
 
-    /** Sends a status to all entries if the status interval has passed since the last one. */
-    void sendStatusIfDue() {
-        if (loop.monotonicMilliseconds() - lastStatusSentAt >= timings.statusIntervalMilliseconds()) {
-            sendStatusToAll();
+    private void sendScheduledStatus() {
+        if (loop.monotonicMilliseconds() < statusDueAt) {
+            return; // sent by an earlier timer
+        }
+        statusDueAt = NEVER;
+        JobFrame.Status current = status(/* dispatchesSeen= */ 0, JobFrame.Status.NO_RENEWAL);
+        JobFrame.Status previous = lastStatus;
+        lastStatus = current;
+        if (previous == null || !acceptsSameTasks(current, previous)) {
+            owners.values().stream().filter(OwnerLease::isLinked).forEach(this::sendStatus);
+        } else if (!current.free().equals(previous.free()) || current.waitingWork() != previous.waitingWork()) {
+            promptRecipients.select(owners.values()).forEach(this::sendStatus);
         }
     }
 
-    private void sendStatusToAll() {
-        statusScheduled = false;
-        lastStatusSentAt = loop.monotonicMilliseconds();
-        owners.values().stream().filter(OwnerLease::isLinked).forEach(this::sendStatus);
+    /** Returns whether the same tasks can be sent here by two statuses, but for the resources that are free. */
+    private static boolean acceptsSameTasks(JobFrame.Status first, JobFrame.Status second) {
+        return first.usable() == second.usable()
+                && first.service().equals(second.service())
+                && first.capacity().equals(second.capacity())
+                && first.labels().equals(second.labels());
     }
 
-    /** Sends one entry the current status, which also asks the entry to renew the lease on its runs. */
+    /** Sends the periodic status, which requests a renewal of the lease, to the entries for which it is due. */
+    void sendDueRenewalRequests() {
+        long now = loop.monotonicMilliseconds();
+        Set<String> ownersOfRuns = new HashSet<>();
+        for (LocalRun run : registry.allRuns()) {
+            if (!run.isInPhase(LocalRun.Phase.ENDED)) {
+                ownersOfRuns.add(run.owner());
+            }
+        }
+        for (OwnerLease owner : owners.values()) {
+            long interval = ownersOfRuns.contains(owner.incarnation())
+                    ? timings.statusIntervalMilliseconds()
+                    : SidecarTimings.IDLE_STATUS_INTERVAL_MILLISECONDS;
+            if (owner.isLinked() && now - owner.lastRenewalRequestedAt() >= interval) {
+                requestRenewal(owner);
+            }
+        }
+    }
+
+    /** Sends one entry the current status, which requests a renewal of its lease if the last request is old. */
     void sendStatus(OwnerLease owner) {
+        if (loop.monotonicMilliseconds() - owner.lastRenewalRequestedAt() >= RENEWAL_AGE_MILLISECONDS) {
+            requestRenewal(owner);
+        } else {
+            links.send(owner.incarnation(), status(owner.highestDispatchSequence(), JobFrame.Status.NO_RENEWAL));
+        }
+    }
+
+    /** Sends one entry the current status, which requests a renewal of the lease on its runs. */
+    void requestRenewal(OwnerLease owner) {
         lastRenewalRequestNumber++;
         owner.recordRenewalRequest(lastRenewalRequestNumber, loop.monotonicMilliseconds());
-        links.send(
-                owner.incarnation(),
-                new JobFrame.Status(
-                        upstreamController.isUsable(),
-                        upstreamController.state().service(),
-                        upstreamController.state().capacity(),
-                        freeResources(),
-                        registry.queuedWork(),
-                        registry.activeCount(),
-                        upstreamController.state().labels(),
-                        owner.highestDispatchSequence(),
-                        lastRenewalRequestNumber));
+        links.send(owner.incarnation(), status(owner.highestDispatchSequence(), lastRenewalRequestNumber));
+    }
+
+    private JobFrame.Status status(long dispatchesSeen, long renewal) {
+        return new JobFrame.Status(
+                upstreamController.isUsable(),
+                upstreamController.state().service(),
+                upstreamController.state().capacity(),
+                freeResources(),
+                registry.queuedWork(),
+                registry.activeCount(),
+                upstreamController.state().labels(),
+                dispatchesSeen,
+                renewal);
     }
 
     /** Returns the resources that neither active nor queued runs need; negative if they need more than the capacity. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -155,9 +155,6 @@
             }
         }
         fitting.forEach(this::start);
-        if (!fitting.isEmpty()) {
-            listener.statusChanged();
-        }
     }
 
     /** Stops a run, or removes it if it is queued. */
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameCountTest.java
@@ -0,0 +1,48 @@
+package io.caperturn.jobs.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests that the number of frames for each task does not grow with the number of entry processes: with each frame that
+ * every entry receives for every task, the cost of the whole fleet grows with the product of entries and sidecars.
+ */
+class FrameCountTest {
+    /** Maximum number of frames of all types for each task, at any size of the fleet. */
+    private static final double MAX_FRAMES_PER_TASK = 8;
+    /** Minimum value earned, as a fraction of the possible value: the target of the users at their usual load. */
+    private static final double MIN_EARNED_FRACTION = 0.9;
+    /** Arrival rate for each upstream at which about three quarters of the capacity are used. */
+    private static final double USUAL_LOAD_PER_UPSTREAM = 0.31;
+
+    private static final int ARRIVAL_SECONDS = 3;
+    private static final double[] SPEEDS = {0.55, 1.2, 1.2, 1.2};
+
+    @ParameterizedTest
+    @CsvSource({"4, 11, 1", "8, 40, 2", "15, 80, 3"})
+    void framesForEachTaskDoNotGrowWithTheNumberOfEntries(int entries, int sidecars, long seed) {
+        double[] speeds = IntStream.range(0, sidecars)
+                .mapToDouble(number -> SPEEDS[number % SPEEDS.length])
+                .toArray();
+        MixedLoad mixed = new MixedLoad(entries, speeds);
+        Map<String, Integer> before = mixed.fleet().frameCounts();
+        mixed.submitAll(USUAL_LOAD_PER_UPSTREAM * sidecars, seed, ARRIVAL_SECONDS);
+        Map<String, Integer> counts = mixed.fleet().frameCounts();
+        int tasks = mixed.fleet().recordOfStarts().succeededTaskCount();
+        mixed.awaitCompletion();
+
+        before.forEach((type, count) -> counts.merge(type, -count, Integer::sum));
+        int frames = counts.values().stream().mapToInt(Integer::intValue).sum();
+        double framesPerTask = (double) frames / tasks;
+        double earned = mixed.earnedFraction(kind -> true);
+        assertTrue(framesPerTask <= MAX_FRAMES_PER_TASK, () -> framesPerTask + " frames for each task: " + counts);
+        assertTrue(earned >= MIN_EARNED_FRACTION, () -> earned + " of the possible value");
+        assertEquals(List.of(), mixed.fleet().recordOfStarts().violations());
+    }
+}
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
@@ -107,17 +107,29 @@
         return submittedJobs;
     }
 
+    /** Submits jobs at a load for 12 s, and waits until they have finished. */
+    void run(double load, long seed) {
+        submitAll(load, seed, ARRIVAL_SECONDS);
+        awaitCompletion();
+    }
+
+    /** Waits until all jobs have finished. */
+    void awaitCompletion() {
+        simulatedCallers.advance(1_000 * DRAIN_SECONDS);
+    }
+
     /**
-     * Submits jobs at a load, and waits until they have finished.
+     * Submits jobs at a load.
      *
      * @param load factor by which the rates of all kinds are multiplied
      * @param seed seed of arrivals and estimates
+     * @param arrivalSeconds time for which jobs arrive, in seconds
      */
-    void run(double load, long seed) {
+    void submitAll(double load, long seed, int arrivalSeconds) {
         Random random = new Random(seed);
         long start = fleet.time().now();
         double[] nextArrivals = {start, start, start};
-        while (fleet.time().now() < start + 1_000L * ARRIVAL_SECONDS) {
+        while (fleet.time().now() < start + 1_000L * arrivalSeconds) {
             for (int index = 0; index < KINDS.size(); index++) {
                 JobKind kind = KINDS.get(index);
                 if (fleet.time().now() >= nextArrivals[index]) {
@@ -128,7 +140,6 @@
             }
             simulatedCallers.advance();
         }
-        simulatedCallers.advance(1_000 * DRAIN_SECONDS);
     }
 
     private void submit(JobKind kind, Random random) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.ToLongFunction;
 
 /**
@@ -51,6 +52,9 @@
     private final Set<String> isolatedNodes = new HashSet<>();
     private RoutingTable routingTable =
             new RoutingTable(/* version= */ 1, List.of(QUEUE), /* maximumBodyBytes= */ 100_000);
+    /** Number of frames sent, by the type of the frame. */
+    private final Map<String, Integer> frameCounts = new TreeMap<>();
+
     private int incarnationCount;
 
     /**
@@ -124,6 +128,11 @@
         return recordOfStarts;
     }
 
+    /** Returns the number of frames sent between processes so far, by the type of the frame. */
+    Map<String, Integer> frameCounts() {
+        return new TreeMap<>(frameCounts);
+    }
+
     SimulatedUpstream upstream(int number) {
         return upstreams.get("sidecar-" + number);
     }
@@ -197,7 +206,8 @@
                 process.loop,
                 upstreams.get(node).portFor(process.loop),
                 process,
-                SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000));
+                SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000),
+                node);
         process.sidecar.start();
         new ProcessRegistration(
                         store.viewFor(process.loop),
@@ -321,6 +331,7 @@
 
         @Override
         public void send(String to, JobFrame frame) {
+            frameCounts.merge(frame.getClass().getSimpleName(), 1, Integer::sum);
             byte[] bytes = JobFrameCodec.encode(frame);
             for (SimulatedProcess peer : peers) {
                 if (peer.incarnation.equals(to) && canReach(this, peer)) {
