Let time-outs of orders follow the upstream's answers, and list runs at once after an order in doubt

A lost hold left its sidecar without any news for 500 ms (wait 250 plus time-out 250), a lost start delayed its task by 250 ms plus the rest of the waiting hold, because the listing that resolves the doubt had to wait for it; jobs of eight tasks meet a lost order in more than a third of the cases.

Change: the time-out is estimated from earlier answers (60 to 250 ms, doubled by silence); while silence is recent a hold waits 50 ms; the listing under a raised token is sent beside a waiting hold, on an order's connection. Leases cease to be extended after 750 ms without an answer and two unanswered holds (before: two holds, 1 s), at once only if connections are refused. A listing under an older token no longer replaces a newer one. Ruled out: fewer recipients of changes, capacity of the crashed upstreams (2 of 11).

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -67,7 +67,7 @@
         this.store = new StoreClient(eventLoop, settings.store());
         this.links = new LinkManager(eventLoop, loop, this);
         SidecarTimings timings = SidecarTimings.forLease(settings.leaseMilliseconds());
-        ExecutorClient executor = new ExecutorClient(eventLoop, upstream, timings.answerTimeoutMilliseconds());
+        ExecutorClient executor = new ExecutorClient(eventLoop, upstream);
         this.sidecar = new SidecarController(loop, executor, links, timings, settings.node());
         this.incarnation = Main.newIncarnation(settings.node());
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -14,9 +14,9 @@
 import java.util.Set;
 
 /**
- * Sequence of hold requests to the upstream, one at a time. A hold request extends the lease of all active runs and
- * acknowledges completions of runs, which the upstream then discards. It waits for new completions, and is answered
- * with a listing of the upstream's runs.
+ * Sequence of hold requests to the upstream, one at a time but for listings under a raised fencing token. A hold
+ * request extends the lease of all active runs and acknowledges completions of runs, which the upstream then discards.
+ * It waits for new completions, and is answered with a listing of the upstream's runs.
  *
  * <p>Each request carries a fencing token, a number that this process raises; the upstream refuses lower numbers than
  * it has seen.
@@ -29,8 +29,18 @@
     private static final long IDLE_PAUSE_MILLISECONDS = 25;
     /** Pause after a refusal or repeated time-outs, in milliseconds. */
     private static final long FAULT_PAUSE_MILLISECONDS = 100;
-    /** Number of consecutive unanswered holds after which leases are no longer extended. */
+    /** Minimum number of consecutive unanswered holds after which leases are no longer extended. */
     private static final int MAXIMUM_UNANSWERED_HOLDS = 2;
+    /**
+     * Minimum time without an answer after which leases are no longer extended, in milliseconds, unless the upstream
+     * refuses connections.
+     */
+    private static final long SILENCE_MILLISECONDS = 750;
+    /**
+     * Maximum wait of a hold request after an order stayed unanswered, in milliseconds. Completions are not seen while
+     * a hold stays unanswered, which is found out only after its wait.
+     */
+    private static final long SHORT_HOLD_WAIT_MILLISECONDS = 50;
     /** Maximum percentage by which the upstream's clock is slower than the local one. */
     private static final long CLOCK_DRIFT_PERCENT = 2;
     /**
@@ -47,9 +57,18 @@
     private final RunRegistry registry;
     private final UpstreamState state;
     private final Handler handler;
+    private final AnswerTimeout answerTimeout;
     private boolean holdInFlight;
+    /** Whether a hold is in flight that lists the runs under a raised token at once; another one may be waiting. */
+    private boolean listingInFlight;
+
     private boolean holdRequested;
     private long unansweredHolds;
+    /** Whether too many holds stayed unanswered since the last answer. */
+    private boolean upstreamSilent;
+    /** When the first of the unanswered holds was sent, in milliseconds of the loop's clock. */
+    private long unansweredSince;
+
     /** When an order that extends the lease was last sent, in milliseconds of the loop's clock. */
     private long lastLeaseSentAt;
 
@@ -61,12 +80,14 @@
             SidecarTimings timings,
             RunRegistry registry,
             UpstreamState state,
+            AnswerTimeout answerTimeout,
             Handler handler) {
         this.port = port;
         this.loop = loop;
         this.timings = timings;
         this.registry = registry;
         this.state = state;
+        this.answerTimeout = answerTimeout;
         this.handler = handler;
     }
 
@@ -100,7 +121,7 @@
 
     /** Returns whether several consecutive holds went unanswered. */
     boolean isUpstreamSilent() {
-        return unansweredHolds >= MAXIMUM_UNANSWERED_HOLDS;
+        return upstreamSilent;
     }
 
     /** Records that an order which extends the lease was sent. */
@@ -132,11 +153,12 @@
         if (state.fenceToken() == 0) {
             return;
         }
-        if (holdInFlight || loop.monotonicMilliseconds() < holdsPausedUntil) {
+        boolean listing = !state.isListedUnderCurrentToken();
+        if ((listing ? listingInFlight : holdInFlight) || loop.monotonicMilliseconds() < holdsPausedUntil) {
             holdRequested = true;
             return;
         }
-        holdInFlight = true;
+        setInFlight(listing, true);
         holdRequested = false;
         Order order = !isUpstreamSilent() && state.isListedUnderCurrentToken()
                 ? state.leaseOrder()
@@ -146,17 +168,32 @@
         }
         long sentAt = loop.monotonicMilliseconds();
         long acknowledged = registry.acknowledgeableUpTo();
-        long waitMilliseconds = state.isListedUnderCurrentToken() ? timings.holdWaitMilliseconds() : 0;
-        port.hold(order, acknowledged, waitMilliseconds, answer -> {
-            holdInFlight = false;
+        long waitMilliseconds = listing ? 0 : waitMilliseconds(sentAt);
+        port.hold(order, acknowledged, waitMilliseconds, answerTimeout.milliseconds(), answer -> {
+            setInFlight(listing, false);
             handleAnswer(order, acknowledged, waitMilliseconds, sentAt, answer);
         });
     }
 
+    private void setInFlight(boolean listing, boolean inFlight) {
+        if (listing) {
+            listingInFlight = inFlight;
+        } else {
+            holdInFlight = inFlight;
+        }
+    }
+
+    private long waitMilliseconds(long now) {
+        return answerTimeout.isSilenceRecent(now)
+                ? Math.min(SHORT_HOLD_WAIT_MILLISECONDS, timings.holdWaitMilliseconds())
+                : timings.holdWaitMilliseconds();
+    }
+
     private void handleAnswer(Order order, long acknowledged, long waitMilliseconds, long sentAt, Answer answer) {
         switch (answer) {
             case Answer.Listing listing -> {
                 unansweredHolds = 0;
+                upstreamSilent = false;
                 if (state.recordIncarnation(listing.identity(), listing.upstreamStartEpochMilliseconds())) {
                     handler.upstreamRestarted();
                 } else {
@@ -169,23 +206,36 @@
             }
             case Answer.Refused refused -> handleRefusal(order, refused);
             case Answer.Unanswered unanswered -> {
-                unansweredHolds++;
-                loop.log()
-                        .event(
-                                EventName.HOLD_UNANSWERED,
-                                EventKey.MISSED,
-                                unansweredHolds,
-                                EventKey.REASON,
-                                unanswered.reason());
-                if (unansweredHolds == MAXIMUM_UNANSWERED_HOLDS) {
-                    handler.upstreamSilent();
-                }
+                handleUnanswered(sentAt, unanswered);
                 pause(isUpstreamSilent() ? FAULT_PAUSE_MILLISECONDS : 0);
             }
             case Answer.Accepted ignored -> throw new IllegalStateException("a hold must be answered with a listing");
         }
     }
 
+    private void handleUnanswered(long sentAt, Answer.Unanswered unanswered) {
+        long now = loop.monotonicMilliseconds();
+        boolean refusedConnection = now - sentAt < answerTimeout.milliseconds();
+        answerTimeout.recordUnanswered(now);
+        if (unansweredHolds == 0) {
+            unansweredSince = sentAt;
+        }
+        unansweredHolds++;
+        loop.log()
+                .event(
+                        EventName.HOLD_UNANSWERED,
+                        EventKey.MISSED,
+                        unansweredHolds,
+                        EventKey.REASON,
+                        unanswered.reason());
+        if (!upstreamSilent
+                && unansweredHolds >= MAXIMUM_UNANSWERED_HOLDS
+                && (refusedConnection || now - unansweredSince >= SILENCE_MILLISECONDS)) {
+            upstreamSilent = true;
+            handler.upstreamSilent();
+        }
+    }
+
     private void handleRefusal(Order order, Answer.Refused refused) {
         loop.log().event(EventName.HOLD_REFUSED, EventKey.REASON, refused.reason(), EventKey.FENCE, order.fenceToken());
         if (refused.clock() > 0) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamAnnouncement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamAnnouncement.java
@@ -38,4 +38,18 @@
     public long startEpochMilliseconds() {
         return description.startEpochMilliseconds();
     }
+
+    /**
+     * Returns whether another announcement was sent after this one, or is the same.
+     *
+     * @param known the other announcement
+     * @return false if this announcement has to be applied
+     */
+    boolean isOutdated(UpstreamAnnouncement known) {
+        boolean sameIncarnation = startEpochMilliseconds() == known.startEpochMilliseconds()
+                && identity().equals(known.identity());
+        return sameIncarnation
+                ? sequence <= known.sequence()
+                : startEpochMilliseconds() < known.startEpochMilliseconds();
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -35,6 +35,7 @@
     private final RunListener listener;
     private final UpstreamState state;
     private final HoldCycle holdCycle;
+    private final AnswerTimeout answerTimeout;
     /** Time until which no run is started, in milliseconds of the loop's clock. */
     private long startsPausedUntil;
 
@@ -49,7 +50,8 @@
         this.registry = registry;
         this.listener = listener;
         this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds());
-        this.holdCycle = new HoldCycle(port, loop, timings, registry, state, this);
+        this.answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
+        this.holdCycle = new HoldCycle(port, loop, timings, registry, state, answerTimeout, this);
     }
 
     UpstreamState state() {
@@ -71,7 +73,7 @@
     /** Handles an announcement of the upstream, unless it is older than the known one. */
     void handleAnnouncement(UpstreamAnnouncement announcement) {
         UpstreamAnnouncement known = state.announcement();
-        if (known != null && isOutdated(announcement, known)) {
+        if (known != null && announcement.isOutdated(known)) {
             loop.log()
                     .event(
                             EventName.ANNOUNCEMENT_DROPPED,
@@ -112,14 +114,6 @@
         startQueued();
     }
 
-    private static boolean isOutdated(UpstreamAnnouncement announcement, UpstreamAnnouncement known) {
-        boolean sameIncarnation = announcement.startEpochMilliseconds() == known.startEpochMilliseconds()
-                && announcement.identity().equals(known.identity());
-        return sameIncarnation
-                ? announcement.sequence() <= known.sequence()
-                : announcement.startEpochMilliseconds() < known.startEpochMilliseconds();
-    }
-
     /** Handles the stop of the upstream, with which all its runs have ended. */
     void handleDeparture(String identity) {
         if (state.announcement() == null || !state.announcement().identity().equals(identity)) {
@@ -211,7 +205,11 @@
                         loop.monotonicMilliseconds() - run.ownerChangedOrFinishedAt(),
                         EventKey.SLACK,
                         run.latestStartAt() - loop.monotonicMilliseconds());
-        port.start(run.identity(), run.payload(), order, answer -> handleStartAnswer(run, order, answer));
+        long sentAt = loop.monotonicMilliseconds();
+        port.start(run.identity(), run.payload(), order, answerTimeout.milliseconds(), answer -> {
+            answerTimeout.record(answer, sentAt, loop.monotonicMilliseconds());
+            handleStartAnswer(run, order, answer);
+        });
     }
 
     private void handleStartAnswer(LocalRun run, Order order, Answer answer) {
@@ -329,7 +327,7 @@
                         cause,
                         EventKey.FENCE,
                         state.fenceToken());
-        port.stop(run.identity(), state.orderWithoutLease(), answer -> {
+        port.stop(run.identity(), state.orderWithoutLease(), answerTimeout.milliseconds(), answer -> {
             if (!(answer instanceof Answer.Accepted) && run.isActive()) {
                 loop.after(STOP_RETRY_MILLISECONDS, () -> {
                     if (run.isActive()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
@@ -16,18 +16,20 @@
      * @param run the run
      * @param payload text passed to the task
      * @param order fields common to all orders
+     * @param timeoutMilliseconds time after which the order counts as unanswered, in milliseconds
      * @param receiver receiver of the answer
      */
-    void start(RunIdentity run, String payload, Order order, Consumer<Answer> receiver);
+    void start(RunIdentity run, String payload, Order order, long timeoutMilliseconds, Consumer<Answer> receiver);
 
     /**
      * Orders the upstream to stop a run.
      *
      * @param run the run
      * @param order fields common to all orders; the lease is ignored
+     * @param timeoutMilliseconds time after which the order counts as unanswered, in milliseconds
      * @param receiver receiver of the answer
      */
-    void stop(RunIdentity run, Order order, Consumer<Answer> receiver);
+    void stop(RunIdentity run, Order order, long timeoutMilliseconds, Consumer<Answer> receiver);
 
     /**
      * Orders the upstream to hold (keep running) its active runs: extends their lease and acknowledges completions. The
@@ -36,9 +38,12 @@
      * @param order fields common to all orders
      * @param acknowledged number up to which the upstream may discard completions
      * @param waitMilliseconds maximum wait, in milliseconds
+     * @param timeoutMilliseconds time after the maximum wait after which the order counts as unanswered, in
+     *     milliseconds
      * @param receiver receiver of the answer
      */
-    void hold(Order order, long acknowledged, long waitMilliseconds, Consumer<Answer> receiver);
+    void hold(
+            Order order, long acknowledged, long waitMilliseconds, long timeoutMilliseconds, Consumer<Answer> receiver);
 
     /**
      * Fields common to all orders.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -71,8 +71,8 @@
 
     /** Records a listing; returns true if it is the first under its fencing token. */
     boolean recordListing(long listingFenceToken) {
-        boolean first = lastListingFenceToken != listingFenceToken;
-        lastListingFenceToken = listingFenceToken;
+        boolean first = listingFenceToken > lastListingFenceToken;
+        lastListingFenceToken = Math.max(lastListingFenceToken, listingFenceToken);
         return first;
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -24,7 +25,8 @@
  */
 final class SimulatedUpstream {
     private static final long MAX_RUN_LEASE_MILLISECONDS = 1_000;
-    private static final long ORDER_TIMEOUT_MILLISECONDS = 250;
+    /** Delay after which an order that was left unanswered is executed. */
+    private static final long LATE_MILLISECONDS = 3_000;
     /** Maximum number of completions in one listing. */
     private static final int MAX_LISTED_COMPLETIONS = 500;
 
@@ -59,6 +61,8 @@
     private long restartCount;
 
     private long orderDelayMilliseconds;
+    private double unansweredShare;
+    private Random unansweredChoice;
     private boolean nextRunsStall;
     private boolean refusingConnections;
     private int holdCount;
@@ -97,6 +101,22 @@
         orderDelayMilliseconds = milliseconds;
     }
 
+    /**
+     * Leaves a part of all orders unanswered, and executes these three seconds later.
+     *
+     * @param share fraction of the orders
+     * @param seed seed of the choice
+     */
+    void leaveUnanswered(double share, long seed) {
+        unansweredShare = share;
+        unansweredChoice = new Random(seed);
+    }
+
+    /** Returns whether the next order is left unanswered. */
+    private boolean isNextLeftUnanswered() {
+        return unansweredShare > 0 && unansweredChoice.nextDouble() < unansweredShare;
+    }
+
     /** Sets whether connections are refused. */
     void refuseConnections(boolean refuse) {
         refusingConnections = refuse;
@@ -243,6 +263,17 @@
         return new UpstreamPort.Answer.Accepted(clock());
     }
 
+    /** Executes a hold whose answer nobody waits for any more. */
+    private void extendLeaseLate(UpstreamPort.Order order, long acknowledged) {
+        if (order.fenceToken() >= highestFencingToken) {
+            highestFencingToken = order.fenceToken();
+            acknowledge(acknowledged);
+            if (order.leaseExpiryMilliseconds() > 0) {
+                extendLease(order.leaseExpiryMilliseconds());
+            }
+        }
+    }
+
     private final class Port implements UpstreamPort {
         private final VirtualLoop loop;
 
@@ -251,21 +282,21 @@
         }
 
         @Override
-        public void start(RunIdentity run, String payload, Order order, Consumer<Answer> receiver) {
-            executeOrder(receiver, () -> doStart(run, order));
+        public void start(
+                RunIdentity run, String payload, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
+            executeOrder(timeoutMilliseconds, receiver, () -> doStart(run, order));
         }
 
         @Override
-        public void stop(RunIdentity run, Order order, Consumer<Answer> receiver) {
-            executeOrder(receiver, () -> doStop(run, order));
+        public void stop(RunIdentity run, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
+            executeOrder(timeoutMilliseconds, receiver, () -> doStop(run, order));
         }
 
-        private void executeOrder(Consumer<Answer> receiver, java.util.function.Supplier<Answer> action) {
-            if (orderDelayMilliseconds > 0) {
-                time.after(orderDelayMilliseconds, action::get);
-                time.after(
-                        ORDER_TIMEOUT_MILLISECONDS,
-                        () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
+        private void executeOrder(
+                long timeoutMilliseconds, Consumer<Answer> receiver, java.util.function.Supplier<Answer> action) {
+            if (orderDelayMilliseconds > 0 || isNextLeftUnanswered()) {
+                time.after(orderDelayMilliseconds > 0 ? orderDelayMilliseconds : LATE_MILLISECONDS, action::get);
+                time.after(timeoutMilliseconds, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
             } else {
                 time.after(1, () -> {
                     Answer answer = action.get();
@@ -275,12 +306,24 @@
         }
 
         @Override
-        public void hold(Order order, long acknowledged, long waitMilliseconds, Consumer<Answer> receiver) {
+        public void hold(
+                Order order,
+                long acknowledged,
+                long waitMilliseconds,
+                long timeoutMilliseconds,
+                Consumer<Answer> receiver) {
             holdCount++;
             if (refusingConnections) {
                 time.after(1, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("connection refused"))));
                 return;
             }
+            if (isNextLeftUnanswered()) {
+                time.after(LATE_MILLISECONDS, () -> extendLeaseLate(order, acknowledged));
+                time.after(
+                        waitMilliseconds + timeoutMilliseconds,
+                        () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
+                return;
+            }
             time.after(1, () -> {
                 if (order.fenceToken() < highestFencingToken) {
                     loop.run(() -> receiver.accept(new Answer.Refused(Refusal.FENCED, clock())));
