Keep processes working after a malformed member record or an unexpected exception

Looked for: one malformed message or unexpected error took a whole process down. Found, each with a test that failed first: MemberRecord.decode and ClosedRecord.of let an ArithmeticException out for a number beyond 32 bits, and a member record with an address without port was accepted and failed at the connection; both left the method that follows the table of processes, which then never followed it again, so that the process no longer learned who joins or leaves (MalformedRecordTest, TableFollowerFaultTest). Exceptions in timers were swallowed by the event loop and reached no log (ProcessLoopTest).

Change: such records are rejected with an IOException; a record whose handling fails is logged as record-unreadable and the next ones are handled; an exception in an action is logged as event=exception with the first line of its stack. Ruled out: frames between processes, random and truncated (JobFrameCodecTest), and an exception while a frame is handled, which closes that link only.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
@@ -39,8 +39,8 @@
     /** Maximum size of a frame, in bytes: enough for a list of a few thousand runs of tasks. */
     private static final int MAXIMUM_FRAME_BYTES = 1 << 20;
     /**
-     * Time without a received frame after which a link is closed, in milliseconds: four times the maximum interval of
-     * heartbeats.
+     * Time without a received frame after which a link is closed, in milliseconds: more than twice the maximum interval
+     * of heartbeats, which is that of status frames to entries without runs, and of their answers.
      */
     private static final long READ_TIMEOUT_MILLISECONDS = 1_800;
     /** Delay before a link that was lost or could not be opened is opened again, in milliseconds. */
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/ProcessLoop.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/ProcessLoop.java
@@ -2,6 +2,8 @@
 
 import io.caperturn.jobs.DecisionLog;
 import io.caperturn.jobs.DecisionLoop;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 
@@ -34,12 +36,27 @@
     @Override
     public void after(long milliseconds, Runnable action) {
         if (milliseconds == 0) {
-            eventLoop.execute(action);
+            eventLoop.execute(() -> run(action));
         } else {
-            eventLoop.schedule(action, milliseconds, TimeUnit.MILLISECONDS);
+            eventLoop.schedule(() -> run(action), milliseconds, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** Runs an action; an unexpected exception ends that action only, and is logged. */
+    private void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            log.event(EventName.EXCEPTION, EventKey.CAUSE, e, EventKey.REASON, topFrameOf(e));
+            log.count("exception");
+        }
+    }
+
+    private static String topFrameOf(RuntimeException exception) {
+        StackTraceElement[] frames = exception.getStackTrace();
+        return frames.length == 0 ? "" : frames[0].toString();
+    }
+
     @Override
     public DecisionLog log() {
         return log;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -41,6 +41,8 @@
     END_KEPT,
     /** A run has finished at its upstream. */
     ENDED,
+    /** A process continues after an unexpected exception, which ended the handling of one event. */
+    EXCEPTION,
     /** A sidecar uses a new fencing token; its upstream refuses orders with a lower one. */
     FENCE,
     /** A process received a frame (message) of a kind that it does not handle. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/FieldReader.java
@@ -31,7 +31,11 @@
     }
 
     int readInt() throws IOException {
-        return Math.toIntExact(input.readInt64());
+        long value = input.readInt64();
+        if (value != (int) value) {
+            throw new IOException("number out of range: " + value);
+        }
+        return (int) value;
     }
 
     boolean readBoolean() throws IOException {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
@@ -20,13 +20,32 @@
  */
 public record MemberRecord(
         ProcessRole role, String node, String incarnation, String address, Optional<UpstreamIncarnation> upstream) {
-    /** Checks that nothing is null. */
+    private static final int MAXIMUM_PORT = 65_535;
+
+    /**
+     * Checks that nothing is null and that the address, if there is one, has a port.
+     *
+     * @throws IllegalArgumentException if the address is neither empty nor {@code host:port}
+     */
     public MemberRecord {
         Objects.requireNonNull(role, "role");
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(incarnation, "incarnation");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(upstream, "upstream");
+        if (!address.isEmpty() && !isHostAndPort(address)) {
+            throw new IllegalArgumentException("not an address with a port: " + address);
+        }
+    }
+
+    private static boolean isHostAndPort(String address) {
+        int colon = address.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            return colon > 0 && port > 0 && port <= MAXIMUM_PORT;
+        } catch (NumberFormatException e) {
+            return false;
+        }
     }
 
     /**
@@ -68,12 +87,16 @@
                 default -> reader.skip();
             }
         }
-        return new MemberRecord(
-                role == 0 ? ProcessRole.ENTRY : ProcessRole.SIDECAR,
-                node,
-                incarnation,
-                address,
-                Optional.ofNullable(upstream));
+        try {
+            return new MemberRecord(
+                    role == 0 ? ProcessRole.ENTRY : ProcessRole.SIDECAR,
+                    node,
+                    incarnation,
+                    address,
+                    Optional.ofNullable(upstream));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("invalid record of a process: " + e.getMessage(), e);
+        }
     }
 
     private static void write(FieldWriter writer, UpstreamIncarnation description) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
@@ -113,7 +113,7 @@
             StoredRecord known = records.get(name);
             if (known == null || known.version() < stored.version()) {
                 records.put(name, stored);
-                listener.handleChange(stored);
+                notifyOfChange(stored);
             }
         });
         replicaVersion = newVersion;
@@ -151,7 +151,7 @@
                 }
             } else {
                 records.put(name, change);
-                listener.handleChange(change);
+                notifyOfChange(change);
             }
         }
         if (!changes.isEmpty()) {
@@ -159,6 +159,23 @@
         }
     }
 
+    /** Notifies the listener; an unexpected exception must not keep later records from being handled. */
+    private void notifyOfChange(StoredRecord stored) {
+        try {
+            listener.handleChange(stored);
+        } catch (RuntimeException e) {
+            loop.log()
+                    .event(
+                            EventName.RECORD_UNREADABLE,
+                            EventKey.TABLE,
+                            table,
+                            EventKey.MEMBER,
+                            stored.key().name(),
+                            EventKey.REASON,
+                            e);
+        }
+    }
+
     private void recordFailure(String reason) {
         if (storeReachable) {
             storeReachable = false;
