Do not record an upstream that is leaving for the sidecar's next incarnation

Looked for: after a restart a server that had left was in use again. A sidecar stores the description of its upstream so that its next incarnation can use it before the next announcement. The description said nothing of an upstream that had announced that it leaves, so a sidecar killed meanwhile sent it tasks again for up to an announcement interval. Shown by StoredUpstreamTest, which fails with the earlier rule.

Left: the record is written within 500 ms of the announcement, and not while the store is away.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -94,20 +94,21 @@
 
     /**
      * Returns this sidecar's new member record, with the upstream of the {@code previous} one until the upstream
-     * announces itself.
+     * announces itself; without an upstream while it is leaving.
      */
     private MemberRecord createRecord(Optional<MemberRecord> previous) {
         Optional<UpstreamIncarnation> earlier = previous.flatMap(MemberRecord::upstream);
         earlier.ifPresent(sidecar::restoreUpstream);
-        registeredUpstream = sidecar.upstream().or(() -> earlier);
+        registeredUpstream = sidecar.upstreamToStore(earlier);
         // The address is empty, because a sidecar accepts no links.
         return new MemberRecord(ProcessRole.SIDECAR, settings.node(), incarnation, "", registeredUpstream);
     }
 
     /** Registers the upstream again if its description differs from the registered one. */
     private void checkUpstream() {
-        if (sidecar.upstream().isPresent() && !sidecar.upstream().equals(registeredUpstream)) {
-            registeredUpstream = sidecar.upstream();
+        Optional<UpstreamIncarnation> current = sidecar.upstreamToStore(registeredUpstream);
+        if (!current.equals(registeredUpstream)) {
+            registeredUpstream = current;
             // The fencing token of orders, the version last passed to setRegistration, stays the same: after an order
             // with a higher one, the upstream would refuse every order in flight.
             register(version -> {});
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -89,12 +89,19 @@
     }
 
     /**
-     * Returns the description of the upstream.
+     * Returns the description of the upstream to be stored for the next incarnation of this sidecar, which uses the
+     * upstream by it before the upstream announces itself again.
      *
-     * @return the description, or empty while it is unknown
+     * @param stored the description that is stored now
+     * @return the description; the stored one while the upstream is unknown, and empty if it is leaving, because the
+     *     next incarnation must not use it
      */
-    public Optional<UpstreamIncarnation> upstream() {
-        return Optional.ofNullable(upstreamController.state().announcement()).map(UpstreamAnnouncement::description);
+    public Optional<UpstreamIncarnation> upstreamToStore(Optional<UpstreamIncarnation> stored) {
+        UpstreamAnnouncement announcement = upstreamController.state().announcement();
+        if (announcement == null) {
+            return stored;
+        }
+        return announcement.leaving() ? Optional.empty() : Optional.of(announcement.description());
     }
 
     /**
