Trust the estimated time-out of a start only after sixteen answers

The estimate rested on a few quick answers, and the sidecar itself was slow, having just started; each doubt raises the fencing token and makes the sidecar unusable until its runs are listed again.

Change: until sixteen orders are answered a start has the maximum of 250 ms; a hold, which can be repeated without any doubt, uses the estimate from the first answer on, and waits 30 ms instead of 50 while silence is recent.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
@@ -14,6 +14,9 @@
     /** Time after an unanswered order for which others are likely to stay unanswered too, in milliseconds. */
     private static final long SILENCE_MEMORY_MILLISECONDS = 2_000;
 
+    /** Number of answers from which the estimate is used: a process that has just started is slow itself. */
+    private static final int MINIMUM_ANSWERS = 16;
+
     private static final double MEAN_GAIN = 1.0 / 8;
     private static final double DEVIATION_GAIN = 1.0 / 4;
     private static final double DEVIATION_FACTOR = 4;
@@ -21,12 +24,12 @@
     private final long maximumMilliseconds;
     private double mean;
     private double deviation;
-    private boolean measured;
+    private int answers;
     private long backOffFactor = 1;
     private long lastUnansweredAt = Long.MIN_VALUE / 2;
 
     /**
-     * Creates an estimate without measurements, which is the maximum.
+     * Creates an estimate, which is the maximum until enough orders have been answered.
      *
      * @param maximumMilliseconds maximum time-out, in milliseconds
      */
@@ -51,28 +54,33 @@
 
     /** Records the time in milliseconds that the upstream took to answer an order. */
     void recordAnswer(long tookMilliseconds) {
-        if (measured) {
+        if (answers > 0) {
             deviation += DEVIATION_GAIN * (Math.abs(tookMilliseconds - mean) - deviation);
             mean += MEAN_GAIN * (tookMilliseconds - mean);
         } else {
-            measured = true;
             mean = tookMilliseconds;
             deviation = tookMilliseconds / 2.0;
         }
+        answers++;
         backOffFactor = 1;
     }
 
     /** Records an unanswered order; {@code now} is in milliseconds of the loop's clock. */
     void recordUnanswered(long now) {
         lastUnansweredAt = now;
-        if (milliseconds() < maximumMilliseconds) {
+        if (repeatableMilliseconds() < maximumMilliseconds) {
             backOffFactor *= 2;
         }
     }
 
     /** Returns the present time-out, in milliseconds. */
     long milliseconds() {
-        if (!measured) {
+        return answers < MINIMUM_ANSWERS ? maximumMilliseconds : repeatableMilliseconds();
+    }
+
+    /** Returns the present time-out of a hold, which can be repeated without any doubt, in milliseconds. */
+    long repeatableMilliseconds() {
+        if (answers == 0) {
             return maximumMilliseconds;
         }
         double estimate = Math.max(MINIMUM_MILLISECONDS, mean + DEVIATION_FACTOR * deviation);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -40,7 +40,7 @@
      * Maximum wait of a hold request after an order stayed unanswered, in milliseconds. Completions are not seen while
      * a hold stays unanswered, which is found out only after its wait.
      */
-    private static final long SHORT_HOLD_WAIT_MILLISECONDS = 50;
+    private static final long SHORT_HOLD_WAIT_MILLISECONDS = 30;
     /** Maximum percentage by which the upstream's clock is slower than the local one. */
     private static final long CLOCK_DRIFT_PERCENT = 2;
     /**
@@ -169,7 +169,7 @@
         long sentAt = loop.monotonicMilliseconds();
         long acknowledged = registry.acknowledgeableUpTo();
         long waitMilliseconds = listing ? 0 : waitMilliseconds(sentAt);
-        port.hold(order, acknowledged, waitMilliseconds, answerTimeout.milliseconds(), answer -> {
+        port.hold(order, acknowledged, waitMilliseconds, answerTimeout.repeatableMilliseconds(), answer -> {
             setInFlight(listing, false);
             handleAnswer(order, acknowledged, waitMilliseconds, sentAt, answer);
         });
@@ -215,7 +215,7 @@
 
     private void handleUnanswered(long sentAt, Answer.Unanswered unanswered) {
         long now = loop.monotonicMilliseconds();
-        boolean refusedConnection = now - sentAt < answerTimeout.milliseconds();
+        boolean refusedConnection = now - sentAt < answerTimeout.repeatableMilliseconds();
         answerTimeout.recordUnanswered(now);
         if (unansweredHolds == 0) {
             unansweredSince = sentAt;
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/AnswerTimeoutTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/AnswerTimeoutTest.java
@@ -25,6 +25,19 @@
         assertEquals(expected, timeout.milliseconds());
     }
 
+    /**
+     * A process that has just started is slow itself. An estimate from its first answers made it give up 25 starts at
+     * once after a loss of all processes.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 250", "1, 250", "15, 250", "16, 60"})
+    void startsWithTheMaximumUntilEnoughOrdersAreAnswered(int answers, long expected) {
+        for (int number = 0; number < answers; number++) {
+            timeout.recordAnswer(2);
+        }
+        assertEquals(expected, timeout.milliseconds());
+    }
+
     /** A slow upstream is not given up again and again: each unanswered order allows the next one twice the time. */
     @ParameterizedTest
     @CsvSource({"1, 120", "2, 240", "3, 250", "100, 250"})
