--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
@@ -51,9 +51,9 @@
      */
     public static final long STATUS_INTERVAL_MILLISECONDS = 300;
     /**
-     * Interval of status frames to entries that own no run here, in milliseconds: half of the lease for starts, so that
-     * a dispatch can be started without waiting for a renewal, and less than a third of the time after which a link
-     * without frames is closed.
+     * Interval of status frames to entries that own no run here, in milliseconds: less than the lease for starts, so
+     * that a dispatch can be started without waiting for a renewal, and a third of the time after which a link without
+     * frames is closed.
      */
     public static final long IDLE_STATUS_INTERVAL_MILLISECONDS = 600;
     /**
