--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -14,9 +14,9 @@
  * Sender of a sidecar's frames to entries (processes that own jobs): its status, on changes and at an interval, and
  * inventories (lists) of all runs that the sidecar knows.
  *
- * <p>Some entries are told of each change of the free resources. An entry that is not, and the owner of a run that
- * ends, know of it from the periodic status and from the report on the run. A change that decides whether tasks can be
- * sent here at all goes to all entries.
+ * <p>Only the entries that {@link PromptRecipients} selects are sent each change of the free resources. The others
+ * learn of it from the next periodic status, and the owner of a run that ends from the report on that run. A change
+ * that decides whether tasks can be sent here at all goes to all entries.
  */
 final class StatusSender {
     /**
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -9,6 +9,7 @@
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -86,7 +87,7 @@
                 changed[at + offset] = (byte) 0xff; // as a variable-length number: more than 32 bits
             }
         }
-        return random.nextInt(4) == 0 ? java.util.Arrays.copyOf(changed, random.nextInt(changed.length)) : changed;
+        return random.nextInt(4) == 0 ? Arrays.copyOf(changed, random.nextInt(changed.length)) : changed;
     }
 
     /** An address without a port can't be connected to. */
