Tell crashes of an upstream from its silence in logs and counters

Cause: run-lapsed and again named upstream-silent both for an upstream that was cut off and for one that had crashed, so the hypotheses on crashing tasks could not be told apart; nothing named the queues that had runs there. Change: a sidecar logs upstream-crashed when connections are refused or a later incarnation answers without an announced end, and crash-retracted if the same incarnation answers again; runs lost so lapse with that cause. No decision uses it yet. Evidence: FleetFaultsTest, HoldCountTest, LostAnswersTest, UnreachableOwnerTest pass.

--- a/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobReport.java
+++ b/caperturn-cli/src/main/java/io/caperturn/cli/logs/JobReport.java
@@ -35,6 +35,7 @@
             EventName.HOLD_UNANSWERED, // an upstream did not answer a request to extend leases
             EventName.EJECTED, // an entry avoids an upstream at which runs failed
             EventName.UPSTREAM,
+            EventName.UPSTREAM_CRASHED,
             EventName.UPSTREAM_GONE,
             EventName.UPSTREAM_LIFE, // a sidecar learned which incarnation of its upstream answers
             EventName.CONFIGURED);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -100,6 +100,8 @@
     QUEUE("queue"),
     /** Number of queues. */
     QUEUES("queues"),
+    /** Names of queues, separated by commas. */
+    QUEUE_NAMES("queueNames"),
     /** Duration of a run, in milliseconds. */
     RAN("ran"),
     /** Number of entries that come before this one in removing the record of a process. */
@@ -114,6 +116,8 @@
     ROLE("role"),
     /** Identity of a run. */
     RUN("run"),
+    /** Number of runs. */
+    RUNS("runs"),
     /** Kind of upstream. */
     SERVICE("service"),
     /** Incarnation of a sidecar. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -31,6 +31,8 @@
     CONFIGURATION_UNREADABLE,
     /** An entry applied a configuration. */
     CONFIGURED,
+    /** An upstream that its sidecar took for crashed answered, in the same incarnation. */
+    CRASH_RETRACTED,
     /** A sidecar dropped a task dispatched by a fenced entry (declared lost; nothing more is accepted from it). */
     DISPATCH_FENCED,
     /** A sidecar refused a task, with the reason. */
@@ -171,6 +173,8 @@
     UNSERVED,
     /** A sidecar learned which upstream it has, or that this upstream is leaving. */
     UPSTREAM,
+    /** A sidecar takes its upstream for crashed, with the number and the queues of the runs that were active there. */
+    UPSTREAM_CRASHED,
     /** An upstream has stopped. */
     UPSTREAM_GONE,
     /** A sidecar learned which incarnation of its upstream answers its requests. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -184,6 +184,8 @@
         public static final String STANDS_STILL = "stands-still";
         /** Reason of a refusal: tasks of other entries use the resources that the dispatching entry counted as free. */
         public static final String NO_ROOM = "no-room";
+        /** Reason of a lapse: the upstream crashed while the run was active there, or its start was ordered. */
+        public static final String UPSTREAM_CRASHED = "upstream-crashed";
 
         /** Checks that nothing is null. */
         public Report {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
@@ -112,8 +113,16 @@
         /** Called when another incarnation of the upstream answered. */
         void upstreamRestarted();
 
-        /** Called when several consecutive holds went unanswered. */
-        void upstreamSilent();
+        /**
+         * Called when several consecutive holds went unanswered.
+         *
+         * @param connectionsRefused whether the last one failed before its time-out, as connections to a stopped
+         *     process do
+         */
+        void upstreamSilent(boolean connectionsRefused);
+
+        /** Called when the known incarnation of the upstream answers after several holds went unanswered. */
+        void upstreamAnsweredAgain();
 
         /** Called with each reading of the upstream's clock, in milliseconds. */
         void clockRead(long reading);
@@ -192,12 +201,16 @@
     private void handleAnswer(Order order, long acknowledged, long waitMilliseconds, long sentAt, Answer answer) {
         switch (answer) {
             case Answer.Listing listing -> {
+                boolean wasSilent = upstreamSilent;
                 unansweredHolds = 0;
                 upstreamSilent = false;
                 if (state.recordIncarnation(listing.identity(), listing.upstreamStartEpochMilliseconds())) {
                     handler.upstreamRestarted();
                 } else {
                     registry.setAcknowledgedUpTo(acknowledged);
+                    if (wasSilent) {
+                        handler.upstreamAnsweredAgain();
+                    }
                 }
                 handler.clockRead(listing.clock());
                 boolean changed = applyListing(listing, order, sentAt);
@@ -232,7 +245,7 @@
                 && unansweredHolds >= MAXIMUM_UNANSWERED_HOLDS
                 && (refusedConnection || now - unansweredSince >= SILENCE_MILLISECONDS)) {
             upstreamSilent = true;
-            handler.upstreamSilent();
+            handler.upstreamSilent(refusedConnection);
         }
     }
 
@@ -362,7 +375,11 @@
                             EventKey.FENCE,
                             order.fenceToken());
             registry.finish(
-                    run, RunOutcome.LAPSED, "not-listed", /* completionNumber= */ 0, loop.monotonicMilliseconds());
+                    run,
+                    RunOutcome.LAPSED,
+                    run.hasUpstreamCrashed() ? JobFrame.Report.UPSTREAM_CRASHED : "not-listed",
+                    /* completionNumber= */ 0,
+                    loop.monotonicMilliseconds());
             handler.runFinished(run);
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -57,6 +57,10 @@
     private long progressChangedAt;
 
     private boolean stallReported;
+
+    /** Whether the upstream crashed while the run was active. */
+    private boolean upstreamCrashed;
+
     /**
      * Whether the job of the run is stored and so outlives its owner; assumed for a run that was discovered at the
      * upstream.
@@ -235,6 +239,15 @@
         return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
     }
 
+    void setUpstreamCrashed(boolean crashed) {
+        upstreamCrashed = crashed;
+    }
+
+    /** Returns whether the upstream crashed while the run was active. */
+    boolean hasUpstreamCrashed() {
+        return upstreamCrashed;
+    }
+
     void requestStop() {
         stopRequested = true;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
@@ -26,8 +27,6 @@
     private static final long MAXIMUM_ORDER_DELAY_MILLISECONDS = 13_000;
     /** Pause of starts after a refusal for lack of resources or bad health, in milliseconds. */
     private static final long REFUSAL_PAUSE_MILLISECONDS = 100;
-    /** Pause before a stop that was not accepted is sent again, in milliseconds. */
-    private static final long STOP_RETRY_MILLISECONDS = 25;
 
     private final UpstreamPort port;
     private final DecisionLoop loop;
@@ -36,6 +35,8 @@
     private final UpstreamState state;
     private final HoldCycle holdCycle;
     private final AnswerTimeout answerTimeout;
+    private final UpstreamCrashes crashes;
+    private final StopOrders stopOrders;
     /** Time until which no run is started, in milliseconds of the loop's clock. */
     private long startsPausedUntil;
 
@@ -51,7 +52,9 @@
         this.listener = listener;
         this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds());
         this.answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
+        this.crashes = new UpstreamCrashes(loop, registry, state);
         this.holdCycle = new HoldCycle(port, loop, timings, registry, state, answerTimeout, this);
+        this.stopOrders = new StopOrders(port, loop, state, answerTimeout, holdCycle);
     }
 
     UpstreamState state() {
@@ -162,7 +165,7 @@
             }
             // The stop is sent once the start is confirmed.
             case STARTING, DOUBTFUL -> run.requestStop();
-            case RUNNING -> stop(run, cause);
+            case RUNNING -> stopOrders.stop(run, cause);
             case ENDED -> {}
         }
     }
@@ -251,7 +254,7 @@
     public void startConfirmed(LocalRun run) {
         listener.runStarted(run);
         if (run.isStopRequested()) {
-            stop(run, "withdrawn-at-start");
+            stopOrders.stop(run, "withdrawn-at-start");
         }
         holdCycle.startHoldIfNeeded();
     }
@@ -316,29 +319,6 @@
         listener.runFinished(run);
     }
 
-    private void stop(LocalRun run, String cause) {
-        run.requestStop();
-        loop.log()
-                .event(
-                        EventName.STOP_RUN,
-                        EventKey.RUN,
-                        run.identity(),
-                        EventKey.CAUSE,
-                        cause,
-                        EventKey.FENCE,
-                        state.fenceToken());
-        port.stop(run.identity(), state.orderWithoutLease(), answerTimeout.milliseconds(), answer -> {
-            if (!(answer instanceof Answer.Accepted) && run.isActive()) {
-                loop.after(STOP_RETRY_MILLISECONDS, () -> {
-                    if (run.isActive()) {
-                        stop(run, "stop-not-accepted");
-                    }
-                });
-            }
-        });
-        holdCycle.startHoldIfNeeded();
-    }
-
     @Override
     public void runFinished(LocalRun run) {
         listener.runFinished(run);
@@ -361,17 +341,27 @@
 
     @Override
     public void upstreamRestarted() {
+        crashes.recordCrash("restarted");
+        crashes.forgetIncarnation();
         registry.resetCompletions();
         // An order may already have reached the new incarnation, so only its listing shows which runs are active.
         registry.allRuns().stream().filter(LocalRun::isActive).forEach(run -> run.enterPhase(Phase.DOUBTFUL));
     }
 
     @Override
-    public void upstreamSilent() {
+    public void upstreamSilent(boolean connectionsRefused) {
+        if (connectionsRefused) {
+            crashes.recordCrash("connections-refused");
+        }
         refuseQueuedRuns("upstream-silent");
         listener.statusChanged();
     }
 
+    @Override
+    public void upstreamAnsweredAgain() {
+        crashes.retract();
+    }
+
     @Override
     public void clockRead(long reading) {
         if (state.readClock(reading)) {
@@ -381,8 +371,9 @@
 
     private void expireRuns(Predicate<LocalRun> selected, String cause) {
         for (LocalRun run : registry.allRuns().stream().filter(selected).toList()) {
-            loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, cause);
-            registry.finish(run, RunOutcome.LAPSED, cause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
+            String runCause = run.hasUpstreamCrashed() ? JobFrame.Report.UPSTREAM_CRASHED : cause;
+            loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, runCause);
+            registry.finish(run, RunOutcome.LAPSED, runCause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
             listener.runFinished(run);
         }
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -86,9 +86,10 @@
     }
 
     private void announcePeriodically(String node) {
-        SimulatedProcess process = processes.get(node);
-        process.loop.run(
-                () -> process.sidecar.handleAnnouncement(upstreams.get(node).announcement()));
+        SimulatedUpstream upstream = upstreams.get(node);
+        if (!upstream.isDown()) {
+            loop(node).run(() -> processes.get(node).sidecar.handleAnnouncement(upstream.announcement()));
+        }
         time.after(ANNOUNCEMENT_INTERVAL_MILLISECONDS, () -> announcePeriodically(node));
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -13,10 +13,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToLongFunction;
 
@@ -27,8 +28,6 @@
  */
 final class SimulatedUpstream {
     private static final long MAX_RUN_LEASE_MILLISECONDS = 1_000;
-    /** Delay after which an order that was left unanswered is executed. */
-    private static final long LATE_MILLISECONDS = 3_000;
     /** Maximum number of completions in one listing. */
     private static final int MAX_LISTED_COMPLETIONS = 500;
 
@@ -36,6 +35,10 @@
     static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
     /** Speed of the upstream's clock in percent of true time; a clock may be two percent slow. */
     private static final long CLOCK_PERCENT = 98;
+    /** Time from the start of a run of a crashing task until the upstream crashes. */
+    private static final long CRASH_DELAY_MILLISECONDS = 10;
+    /** Time from a crash until the upstream has started again. */
+    private static final long CRASH_DOWNTIME_MILLISECONDS = 3_200;
 
     private final VirtualTime time;
     private final String identity;
@@ -47,7 +50,7 @@
     private final Map<Long, Long> completionTimesWithinLease = new HashMap<>();
 
     private final Map<TaskIdentity, Integer> highestRunNumbers = new HashMap<>();
-    private final List<Runnable> pendingHolds = new ArrayList<>();
+    private final List<PendingHold> pendingHolds = new ArrayList<>();
     private String service = "service";
     private List<String> labels = List.of("a", "rack");
     /** Virtual time of the last start, plus 1, because 0 would mean that it is unknown. */
@@ -67,12 +70,18 @@
     private Random unansweredChoice;
     private boolean nextRunsStall;
     private boolean refusingConnections;
+    private boolean down;
     private int holdCount;
     private double speedFactor = 1;
     /** Runs that slow each other down; null if runs take as long as alone. */
     private InterferingRuns interferingRuns;
 
     private final Map<RunIdentity, Long> runDurationsMilliseconds = new HashMap<>();
+    /** Tasks that crash the upstream whenever they start. */
+    private Predicate<TaskIdentity> crashingTasks = task -> false;
+
+    /** Resources of the upstream, as announced. */
+    private Resources capacity = CAPACITY;
     /** Virtual time until which the upstream announces that it is cold, in milliseconds. */
     private long coldUntil;
 
@@ -87,6 +96,38 @@
         this.incarnationStartedAt = 1 + time.now();
     }
 
+    /** Hold that waits for a completion. */
+    interface PendingHold {
+        void answer();
+
+        /** Closes the connection without an answer. */
+        void close();
+    }
+
+    /** Makes the upstream crash shortly after each start of a run of certain tasks. */
+    void setCrashingTasks(Predicate<TaskIdentity> tasks) {
+        crashingTasks = tasks;
+    }
+
+    /** Sets the capacity, from the next announcement on. */
+    void setCapacity(Resources newCapacity) {
+        capacity = newCapacity;
+    }
+
+    /** Stops the upstream, which refuses connections until it has started again. */
+    void crash() {
+        startTimesOfActiveRuns.keySet().forEach(run -> startRecord.recordCrash(run.task()));
+        restart();
+        down = true;
+        List<PendingHold> closed = List.copyOf(pendingHolds);
+        pendingHolds.clear();
+        closed.forEach(PendingHold::close);
+        time.after(CRASH_DOWNTIME_MILLISECONDS, () -> {
+            down = false;
+            incarnationStartedAt = 1 + time.now();
+        });
+    }
+
     /** Restarts the upstream under the same name, without any state. */
     void restart() {
         startTimesOfActiveRuns.keySet().forEach(startRecord::recordCompletion);
@@ -121,7 +162,7 @@
     }
 
     /** Returns whether the next order is left unanswered. */
-    private boolean isNextLeftUnanswered() {
+    boolean isNextLeftUnanswered() {
         return unansweredShare > 0 && unansweredChoice.nextDouble() < unansweredShare;
     }
 
@@ -188,15 +229,15 @@
     }
 
     UpstreamIncarnation description() {
-        return new UpstreamIncarnation(identity, incarnationStartedAt, service, CAPACITY, labels);
+        return new UpstreamIncarnation(identity, incarnationStartedAt, service, capacity, labels);
     }
 
     /** Returns the port to this upstream for a sidecar process with an event loop. */
     UpstreamPort portFor(VirtualLoop loop) {
-        return new Port(loop);
+        return new SimulatedUpstreamPort(this, time, loop);
     }
 
-    private long clock() {
+    long clock() {
         return (time.now() - incarnationStartedAt) * CLOCK_PERCENT / 100;
     }
 
@@ -224,9 +265,9 @@
             lastCompletionNumber++;
             completions.put(lastCompletionNumber, new UpstreamPort.Completion(lastCompletionNumber, run, outcome));
             completionTimesWithinLease.put(lastCompletionNumber, time.now());
-            List<Runnable> notified = List.copyOf(pendingHolds);
+            List<PendingHold> notified = List.copyOf(pendingHolds);
             pendingHolds.clear();
-            notified.forEach(Runnable::run);
+            notified.forEach(PendingHold::answer);
         }
     }
 
@@ -241,7 +282,7 @@
         acknowledgedCompletions.clear();
     }
 
-    private UpstreamPort.Answer doStart(RunIdentity run, UpstreamPort.Order order) {
+    UpstreamPort.Answer doStart(RunIdentity run, UpstreamPort.Order order) {
         if (!order.identity().isEmpty() && !order.identity().equals(identity)) {
             return new UpstreamPort.Answer.Refused(UpstreamPort.Refusal.OTHER_INSTANCE, clock());
         }
@@ -264,6 +305,13 @@
         startRecord.recordStart(run, identity, time.now());
         RunOutcome outcome = nextOutcome;
         long restartCountAtStart = restartCount;
+        if (crashingTasks.test(run.task())) {
+            time.after(CRASH_DELAY_MILLISECONDS, () -> {
+                if (restartCount == restartCountAtStart) {
+                    crash();
+                }
+            });
+        }
         boolean stalled = nextRunsStall;
         // A stalled run always reports a progress of 0 percent.
         runDurationsMilliseconds.put(run, stalled ? Long.MAX_VALUE / 200 : durationOf(run.task()));
@@ -280,7 +328,7 @@
         return new UpstreamPort.Answer.Accepted(clock());
     }
 
-    private UpstreamPort.Answer doStop(RunIdentity run, UpstreamPort.Order order) {
+    UpstreamPort.Answer doStop(RunIdentity run, UpstreamPort.Order order) {
         if (order.fenceToken() < highestFencingToken) {
             return new UpstreamPort.Answer.Refused(UpstreamPort.Refusal.FENCED, clock());
         }
@@ -291,7 +339,7 @@
     }
 
     /** Executes a hold whose answer nobody waits for any more. */
-    private void extendLeaseLate(UpstreamPort.Order order, long acknowledged) {
+    void extendLeaseLate(UpstreamPort.Order order, long acknowledged) {
         if (order.fenceToken() >= highestFencingToken) {
             highestFencingToken = order.fenceToken();
             acknowledge(acknowledged);
@@ -301,97 +349,52 @@
         }
     }
 
-    private final class Port implements UpstreamPort {
-        private final VirtualLoop loop;
-
-        Port(VirtualLoop loop) {
-            this.loop = loop;
+    /** Executes a hold; returns the refusal, or empty if it is to be answered with a listing. */
+    Optional<UpstreamPort.Answer> doHold(UpstreamPort.Order order, long acknowledged) {
+        if (order.fenceToken() < highestFencingToken) {
+            return Optional.of(new UpstreamPort.Answer.Refused(UpstreamPort.Refusal.FENCED, clock()));
         }
-
-        @Override
-        public void start(
-                RunIdentity run, String payload, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
-            executeOrder(timeoutMilliseconds, receiver, () -> doStart(run, order));
+        highestFencingToken = order.fenceToken();
+        acknowledge(acknowledged);
+        if (order.leaseExpiryMilliseconds() > 0) {
+            extendLease(order.leaseExpiryMilliseconds());
         }
+        return Optional.empty();
+    }
 
-        @Override
-        public void stop(RunIdentity run, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
-            executeOrder(timeoutMilliseconds, receiver, () -> doStop(run, order));
-        }
+    void recordHold() {
+        holdCount++;
+    }
 
-        private void executeOrder(
-                long timeoutMilliseconds, Consumer<Answer> receiver, java.util.function.Supplier<Answer> action) {
-            if (orderDelayMilliseconds > 0 || isNextLeftUnanswered()) {
-                time.after(orderDelayMilliseconds > 0 ? orderDelayMilliseconds : LATE_MILLISECONDS, action::get);
-                time.after(timeoutMilliseconds, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
-            } else {
-                time.after(1, () -> {
-                    Answer answer = action.get();
-                    loop.run(() -> receiver.accept(answer));
-                });
-            }
-        }
+    boolean isRefusingConnections() {
+        return down || refusingConnections;
+    }
 
-        @Override
-        public void hold(
-                Order order,
-                long acknowledged,
-                long waitMilliseconds,
-                long timeoutMilliseconds,
-                Consumer<Answer> receiver) {
-            holdCount++;
-            if (refusingConnections) {
-                time.after(1, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("connection refused"))));
-                return;
-            }
-            if (isNextLeftUnanswered()) {
-                time.after(LATE_MILLISECONDS, () -> extendLeaseLate(order, acknowledged));
-                time.after(
-                        waitMilliseconds + timeoutMilliseconds,
-                        () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
-                return;
-            }
-            time.after(1, () -> {
-                if (order.fenceToken() < highestFencingToken) {
-                    loop.run(() -> receiver.accept(new Answer.Refused(Refusal.FENCED, clock())));
-                    return;
-                }
-                highestFencingToken = order.fenceToken();
-                acknowledge(acknowledged);
-                if (order.leaseExpiryMilliseconds() > 0) {
-                    extendLease(order.leaseExpiryMilliseconds());
-                }
-                boolean[] answered = {false};
-                Runnable answer = () -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        List<Running> listedRuns = startTimesOfActiveRuns.keySet().stream()
-                                .map(run -> new Running(
-                                        run,
-                                        100
-                                                * (time.now() - startTimesOfActiveRuns.get(run))
-                                                / runDurationsMilliseconds.get(run)))
-                                .toList();
-                        List<Completion> listedCompletions = completions.values().stream()
-                                .limit(MAX_LISTED_COMPLETIONS)
-                                .toList();
-                        Answer listing = new Answer.Listing(
-                                clock(),
-                                incarnationStartedAt,
-                                identity,
-                                listedRuns,
-                                listedCompletions,
-                                listedCompletions.size() < MAX_LISTED_COMPLETIONS);
-                        loop.run(() -> receiver.accept(listing));
-                    }
-                };
-                if (waitMilliseconds == 0 || !completions.isEmpty()) {
-                    answer.run();
-                } else {
-                    pendingHolds.add(answer);
-                    time.after(waitMilliseconds, answer);
-                }
-            });
-        }
+    /** Returns whether the upstream has crashed and not started again. */
+    boolean isDown() {
+        return down;
+    }
+
+    long orderDelayMilliseconds() {
+        return orderDelayMilliseconds;
+    }
+
+    boolean hasCompletions() {
+        return !completions.isEmpty();
+    }
+
+    void addPendingHold(PendingHold hold) {
+        pendingHolds.add(hold);
+    }
+
+    UpstreamPort.Answer.Listing listing() {
+        List<UpstreamPort.Running> running = startTimesOfActiveRuns.keySet().stream()
+                .map(run -> new UpstreamPort.Running(
+                        run, 100 * (time.now() - startTimesOfActiveRuns.get(run)) / runDurationsMilliseconds.get(run)))
+                .toList();
+        List<UpstreamPort.Completion> listed =
+                completions.values().stream().limit(MAX_LISTED_COMPLETIONS).toList();
+        return new UpstreamPort.Answer.Listing(
+                clock(), incarnationStartedAt, identity, running, listed, listed.size() < MAX_LISTED_COMPLETIONS);
     }
 }
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
@@ -0,0 +1,127 @@
+package io.caperturn.jobs.simulation;
+
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.upstream.UpstreamPort;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Port of a sidecar process to a simulated upstream: calls take a millisecond, unless a fault is simulated. */
+final class SimulatedUpstreamPort implements UpstreamPort {
+    private static final long LATENCY_MILLISECONDS = 1;
+    /** Delay after which an order that was left unanswered is executed. */
+    private static final long LATE_MILLISECONDS = 3_000;
+
+    private final SimulatedUpstream upstream;
+    private final VirtualTime time;
+    private final VirtualLoop loop;
+
+    SimulatedUpstreamPort(SimulatedUpstream upstream, VirtualTime time, VirtualLoop loop) {
+        this.upstream = upstream;
+        this.time = time;
+        this.loop = loop;
+    }
+
+    @Override
+    public void start(
+            RunIdentity run, String payload, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
+        executeOrder(timeoutMilliseconds, receiver, () -> upstream.doStart(run, order));
+    }
+
+    @Override
+    public void stop(RunIdentity run, Order order, long timeoutMilliseconds, Consumer<Answer> receiver) {
+        executeOrder(timeoutMilliseconds, receiver, () -> upstream.doStop(run, order));
+    }
+
+    private void executeOrder(long timeoutMilliseconds, Consumer<Answer> receiver, Supplier<Answer> action) {
+        if (upstream.isRefusingConnections()) {
+            refuseConnection(receiver);
+        } else if (upstream.orderDelayMilliseconds() > 0 || upstream.isNextLeftUnanswered()) {
+            long delay = upstream.orderDelayMilliseconds() > 0 ? upstream.orderDelayMilliseconds() : LATE_MILLISECONDS;
+            time.after(delay, action::get);
+            leaveUnanswered(timeoutMilliseconds, receiver);
+        } else {
+            time.after(LATENCY_MILLISECONDS, () -> {
+                if (upstream.isRefusingConnections()) {
+                    refuseConnection(receiver);
+                    return;
+                }
+                Answer answer = action.get();
+                loop.run(() -> receiver.accept(answer));
+            });
+        }
+    }
+
+    private void refuseConnection(Consumer<Answer> receiver) {
+        time.after(
+                LATENCY_MILLISECONDS,
+                () -> loop.run(() -> receiver.accept(new Answer.Unanswered("connection refused"))));
+    }
+
+    private void leaveUnanswered(long timeoutMilliseconds, Consumer<Answer> receiver) {
+        time.after(timeoutMilliseconds, () -> loop.run(() -> receiver.accept(new Answer.Unanswered("late"))));
+    }
+
+    @Override
+    public void hold(
+            Order order,
+            long acknowledged,
+            long waitMilliseconds,
+            long timeoutMilliseconds,
+            Consumer<Answer> receiver) {
+        upstream.recordHold();
+        if (upstream.isRefusingConnections()) {
+            refuseConnection(receiver);
+        } else if (upstream.isNextLeftUnanswered()) {
+            time.after(LATE_MILLISECONDS, () -> upstream.extendLeaseLate(order, acknowledged));
+            leaveUnanswered(waitMilliseconds + timeoutMilliseconds, receiver);
+        } else {
+            time.after(LATENCY_MILLISECONDS, () -> executeHold(order, acknowledged, waitMilliseconds, receiver));
+        }
+    }
+
+    private void executeHold(Order order, long acknowledged, long waitMilliseconds, Consumer<Answer> receiver) {
+        if (upstream.isRefusingConnections()) {
+            refuseConnection(receiver);
+            return;
+        }
+        Optional<Answer> refusal = upstream.doHold(order, acknowledged);
+        if (refusal.isPresent()) {
+            loop.run(() -> receiver.accept(refusal.get()));
+            return;
+        }
+        WaitingHold hold = new WaitingHold(receiver);
+        if (waitMilliseconds == 0 || upstream.hasCompletions()) {
+            hold.answer();
+        } else {
+            upstream.addPendingHold(hold);
+            time.after(waitMilliseconds, hold::answer);
+        }
+    }
+
+    private final class WaitingHold implements SimulatedUpstream.PendingHold {
+        private final Consumer<Answer> receiver;
+        private boolean answered;
+
+        WaitingHold(Consumer<Answer> receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        public void answer() {
+            if (!answered) {
+                answered = true;
+                Answer listing = upstream.listing();
+                loop.run(() -> receiver.accept(listing));
+            }
+        }
+
+        @Override
+        public void close() {
+            if (!answered) {
+                answered = true;
+                loop.run(() -> receiver.accept(new Answer.Unanswered("connection closed")));
+            }
+        }
+    }
+}
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
@@ -23,6 +23,8 @@
     private final Set<TaskIdentity> succeededTasks = new HashSet<>();
     private final Set<TaskIdentity> acknowledgedTasks = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
+    private final Map<TaskIdentity, Integer> crashesByTask = new HashMap<>();
+    private int startsAfterThreeCrashes;
     private Observer observer = (run, upstream) -> {};
     private int startCount;
 
@@ -46,6 +48,9 @@
 
     void recordStart(RunIdentity run, String upstream, long now) {
         startCount++;
+        if (crashesUnder(run.task()) >= 3) {
+            startsAfterThreeCrashes++;
+        }
         observer.beforeStart(run, upstream);
         lastStartTimes.put(run.task(), now);
         RunIdentity other = runningByTask.put(run.task(), run);
@@ -77,6 +82,21 @@
         }
     }
 
+    /** Records that an upstream crashed while a run of a task was active. */
+    void recordCrash(TaskIdentity task) {
+        crashesByTask.merge(task, 1, Integer::sum);
+    }
+
+    /** Returns how often an upstream crashed while a run of a task was active. */
+    int crashesUnder(TaskIdentity task) {
+        return crashesByTask.getOrDefault(task, 0);
+    }
+
+    /** Returns the number of starts of tasks under which three upstreams had crashed before. */
+    int startsAfterThreeCrashes() {
+        return startsAfterThreeCrashes;
+    }
+
     int startCount() {
         return startCount;
     }
