--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
@@ -8,9 +8,11 @@
 import io.caperturn.jobs.owner.CallerAnswers;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -38,6 +40,8 @@
     private final Callers simulatedCallers;
     private final List<SubmittedJob> submittedJobs = new ArrayList<>();
     private final Map<String, Long> taskMillisecondsByJob = new HashMap<>();
+    private final Set<String> crashingJobs = new HashSet<>();
+    private double crashingShare;
 
     /**
      * Creates a fleet.
@@ -55,6 +59,7 @@
         this.simulatedCallers = new Callers(fleet);
         for (int number = 0; number < speeds.length; number++) {
             fleet.upstream(number).setSpeedFactor(speeds[number]);
+            fleet.upstream(number).setCrashingTasks(task -> task.index() == 0 && crashingJobs.contains(task.job()));
         }
     }
 
@@ -99,6 +104,11 @@
         }
     }
 
+    /** Makes the first task of a share of the next {@link #CHECK} jobs crash each upstream that starts it. */
+    void setCrashingShare(double share) {
+        crashingShare = share;
+    }
+
     SimulatedFleet fleet() {
         return fleet;
     }
@@ -145,6 +155,9 @@
     private void submit(JobKind kind, Random random) {
         String job = kind.name() + submittedJobs.size();
         taskMillisecondsByJob.put(job, kind.taskMilliseconds());
+        if (kind == CHECK && crashingShare > 0 && random.nextDouble() < crashingShare) {
+            crashingJobs.add(job);
+        }
         long estimate = Math.round(kind.taskMilliseconds() * (1 + ESTIMATE_ERROR * (2 * random.nextDouble() - 1)));
         // The tasks need 1.6 cores and 64 MB each, run on any upstream, and are not limited per upstream.
         JobPlan plan = new JobPlan(
