Count the crashes of upstreams under each task, and give a task up after three

Callers saw: a stored job with a task that crashes its upstream was never answered, and each start took all other work of an upstream with it; innocent jobs beside it stayed unfinished. Cause: a run lost with its upstream counted as nothing. It was repeated like one whose order was lost, without a bound, and beside other tasks. Change: a sidecar reports a run that was active when its upstream crashed with that reason, also afterwards if only the next incarnation shows that a silence was a crash. The owner counts crashes by task and stores the count at once. After two crashes a task runs alone on an upstream, the same one for all entries; after a third its job fails.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -36,6 +36,8 @@
     CLOCK("clock"),
     /** Number of lines that were omitted or dropped. */
     COUNT("count"),
+    /** Number of runs of a task under which an upstream crashed. */
+    CRASHES("crashes"),
     /** Maximum time that a caller waits, in milliseconds; 0 if unknown. */
     DEADLINE("deadline"),
     /** Periodic duty of an entry. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -115,6 +115,10 @@
     RELOAD_FAILED,
     /** An entry that another entry declared lost gives up its jobs and restarts. */
     RESIGNED,
+    /**
+     * An upstream crashed under a run, with the number of such runs of its task; at the allowed number, its job fails.
+     */
+    RUN_CRASHED,
     /** A sidecar dropped a queued run, because the entry that owns its job is silent. */
     RUN_DROPPED,
     /** A run failed, with the number of failures of its task. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -116,6 +116,7 @@
      * @param durable whether the job of the run is stored and outlives its owner
      * @param withoutStartReport whether the owner needs no {@link Report} of the start; false from older builds
      * @param queue name of its job's queue; empty if the entry is too old to tell it and to accept {@link Slowdowns}
+     * @param exclusive whether the run has to be the only one on the upstream; false from older builds
      */
     record Dispatch(
             long sequence,
@@ -127,7 +128,8 @@
             int urgency,
             boolean durable,
             boolean withoutStartReport,
-            String queue)
+            String queue,
+            boolean exclusive)
             implements JobFrame {
         /** Checks that nothing is null. */
         public Dispatch {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -48,8 +48,16 @@
      * @param succeeded whether it succeeded
      * @param failedRunCount number of its failed runs
      * @param lastFailedRun number of the run that failed last; 0 if none failed
+     * @param crashedRunCount number of its runs under which the upstream crashed
+     * @param lastCrashedRun number of the run under which the upstream crashed last; 0 if it never did
      */
-    public record TaskProgress(int taskNumber, boolean succeeded, int failedRunCount, int lastFailedRun) {}
+    public record TaskProgress(
+            int taskNumber,
+            boolean succeeded,
+            int failedRunCount,
+            int lastFailedRun,
+            int crashedRunCount,
+            int lastCrashedRun) {}
 
     /**
      * Encodes this record.
@@ -71,7 +79,9 @@
                 nested -> nested.writeLong(1, task.taskNumber())
                         .writeBoolean(2, task.succeeded())
                         .writeLong(3, task.failedRunCount())
-                        .writeLong(4, task.lastFailedRun())));
+                        .writeLong(4, task.lastFailedRun())
+                        .writeLong(5, task.crashedRunCount())
+                        .writeLong(6, task.lastCrashedRun())));
         return writer.toBytes();
     }
 
@@ -206,15 +216,19 @@
         boolean succeeded = false;
         int failedRunCount = 0;
         int lastFailedRun = 0;
+        int crashedRunCount = 0;
+        int lastCrashedRun = 0;
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> taskNumber = reader.readInt();
                 case 2 -> succeeded = reader.readBoolean();
                 case 3 -> failedRunCount = reader.readInt();
                 case 4 -> lastFailedRun = reader.readInt();
+                case 5 -> crashedRunCount = reader.readInt();
+                case 6 -> lastCrashedRun = reader.readInt();
                 default -> reader.skip();
             }
         }
-        return new TaskProgress(taskNumber, succeeded, failedRunCount, lastFailedRun);
+        return new TaskProgress(taskNumber, succeeded, failedRunCount, lastFailedRun, crashedRunCount, lastCrashedRun);
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/RunFields.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/RunFields.java
@@ -21,7 +21,8 @@
                 .writeLong(7, dispatch.urgency())
                 .writeBoolean(8, dispatch.durable())
                 .writeBoolean(9, dispatch.withoutStartReport())
-                .writeText(10, dispatch.queue());
+                .writeText(10, dispatch.queue())
+                .writeBoolean(11, dispatch.exclusive());
     }
 
     static JobFrame.Dispatch readDispatch(FieldReader reader) throws IOException {
@@ -35,6 +36,7 @@
         boolean durable = false;
         boolean withoutStartReport = false;
         String queue = "";
+        boolean exclusive = false;
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> sequence = reader.readLong();
@@ -47,6 +49,7 @@
                 case 8 -> durable = reader.readBoolean();
                 case 9 -> withoutStartReport = reader.readBoolean();
                 case 10 -> queue = reader.readText();
+                case 11 -> exclusive = reader.readBoolean();
                 default -> reader.skip();
             }
         }
@@ -60,7 +63,8 @@
                 urgency,
                 durable,
                 withoutStartReport,
-                queue);
+                queue,
+                exclusive);
     }
 
     static void writeReport(FieldWriter writer, JobFrame.Report report) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -39,6 +39,7 @@
     private long version;
     private boolean started;
     private boolean writing;
+    private boolean writeRequired;
     private boolean recovering;
     private JobState finalState;
     private long oldestPendingCompletionAt = Long.MAX_VALUE;
@@ -85,9 +86,7 @@
         job.started = stored.started();
         for (JobRecord.TaskProgress progress : stored.progress()) {
             if (progress.taskNumber() >= 0 && progress.taskNumber() < job.tasks.size()) {
-                job.tasks
-                        .get(progress.taskNumber())
-                        .restore(progress.succeeded(), progress.failedRunCount(), progress.lastFailedRun());
+                job.tasks.get(progress.taskNumber()).restore(progress);
             }
         }
         return job;
@@ -97,9 +96,8 @@
     JobRecord toRecord(String owner) {
         List<JobRecord.TaskProgress> progress = new ArrayList<>();
         for (OwnedTask task : tasks) {
-            boolean done = task.isIn(OwnedTask.Phase.DONE);
-            if (done || task.failures() > 0) {
-                progress.add(new JobRecord.TaskProgress(task.number(), done, task.failures(), task.lastFailedRun()));
+            if (task.isIn(OwnedTask.Phase.DONE) || task.failures() > 0 || task.crashes() > 0) {
+                progress.add(task.progress());
             }
         }
         return new JobRecord(owner, generation, plan, policy, acceptedWallClockMilliseconds, started, progress);
@@ -177,6 +175,19 @@
         writing = inProgress;
     }
 
+    /** Returns whether the job has progress that has to be stored as soon as the write in progress has ended. */
+    boolean isWriteRequired() {
+        return writeRequired;
+    }
+
+    void requireWrite() {
+        writeRequired = true;
+    }
+
+    void clearWriteRequirement() {
+        writeRequired = false;
+    }
+
     /**
      * Returns whether the runs that a lost owner started are still to be collected from the sidecars and assigned to
      * the tasks. Until that is done, no task of the job is enqueued.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -14,8 +14,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -38,24 +36,20 @@
     private final DecisionLoop loop;
     private final JobWriter writer;
     private final String incarnation;
-    private final long finishedJobRetentionMilliseconds;
+    private final FinishedJobs finishedJobs;
     private final Listener listener;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByJobBeingInserted = new HashMap<>();
-    private final Map<String, FinishedJob> finishedJobs = new LinkedHashMap<>();
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByTransientJob = new HashMap<>();
 
     OwnedJobRepository(DecisionLoop loop, JobWriter writer, EntryParameters parameters, Listener listener) {
         this.loop = loop;
         this.writer = writer;
         this.incarnation = parameters.incarnation();
-        this.finishedJobRetentionMilliseconds = parameters.finishedJobRetentionMilliseconds();
+        this.finishedJobs = new FinishedJobs(loop, parameters.finishedJobRetentionMilliseconds());
         this.listener = listener;
     }
 
-    /** Final state of a job, and when it was reached, in milliseconds of the monotonic clock. */
-    private record FinishedJob(JobState state, long finishedAt) {}
-
     /** Listener for changes of the owned jobs. */
     interface Listener {
         /** A job was accepted (and stored, if it is durable), so its tasks can start. */
@@ -82,8 +76,7 @@
 
     /** Returns the final state of a recently finished job, or null if this entry knows none. */
     JobState findFinalState(String job) {
-        FinishedJob found = finishedJobs.get(job);
-        return found == null ? null : found.state();
+        return finishedJobs.find(job);
     }
 
     /** Returns whether the first write of a new job is in progress. */
@@ -93,7 +86,7 @@
 
     /** Stores a new job; a job that was submitted before is accepted without a change. */
     void submitDurable(String identity, JobPlan plan, QueuePolicy policy, Consumer<CallerAnswers.Submission> receiver) {
-        if (ownedJobs.containsKey(identity) || finishedJobs.containsKey(identity)) {
+        if (ownedJobs.containsKey(identity) || finishedJobs.contains(identity)) {
             logDuplicateSubmission(identity);
             receiver.accept(new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ true));
             return;
@@ -139,7 +132,7 @@
     }
 
     private void logDuplicateSubmission(String identity) {
-        loop.log().event(EventName.JOINED, EventKey.JOB, identity, EventKey.OPEN, !finishedJobs.containsKey(identity));
+        loop.log().event(EventName.JOINED, EventKey.JOB, identity, EventKey.OPEN, !finishedJobs.contains(identity));
     }
 
     /** Abandons a transient job, for a cause that is logged; does nothing to durable or unknown jobs. */
@@ -175,6 +168,14 @@
         }
     }
 
+    /** Stores the progress of a durable job at once, with all completions that are not stored yet. */
+    void storeProgress(OwnedJob job) {
+        if (job.plan().durable()) {
+            job.requireWrite();
+            write(job);
+        }
+    }
+
     private void handleInsertResult(OwnedJob job, JobWriter.Result result) {
         CallerAnswers.Submission answer = switch (result) {
             case JobWriter.Result.Stored stored -> {
@@ -238,7 +239,7 @@
                         identity,
                         after,
                         policy,
-                        loop.monotonicMilliseconds() - Math.min(age, finishedJobRetentionMilliseconds));
+                        loop.monotonicMilliseconds() - Math.min(age, finishedJobs.retentionMilliseconds()));
                 job.setVersion(stored.version());
                 ownedJobs.put(identity, job);
                 loop.log()
@@ -276,11 +277,7 @@
                 write(job);
             }
         }
-        long expiredBefore = loop.monotonicMilliseconds() - finishedJobRetentionMilliseconds;
-        Iterator<FinishedJob> oldest = finishedJobs.values().iterator();
-        while (oldest.hasNext() && oldest.next().finishedAt() < expiredBefore) {
-            oldest.remove();
-        }
+        finishedJobs.forgetOld();
     }
 
     /** Abandons transient jobs and forgets all others, because other entries own them now. */
@@ -294,6 +291,7 @@
         if (job.isWriting()) {
             return;
         }
+        job.clearWriteRequirement();
         List<OwnedJob.PendingCompletion> completions = job.drainPendingCompletions();
         job.setWriting(true);
         JobState state = job.finalState();
@@ -320,7 +318,7 @@
             case JobWriter.Result.Stored stored -> {
                 job.setVersion(stored.version());
                 listener.completionsDiscardable(completions);
-                if (job.finalState() != null) {
+                if (job.finalState() != null || job.isWriteRequired()) {
                     write(job);
                 }
             }
@@ -367,7 +365,7 @@
     /** Reports a final state, which is stored if the job is durable, to the listener and to waiting callers. */
     private void publishFinalState(OwnedJob job, JobState state, List<OwnedJob.PendingCompletion> completions) {
         ownedJobs.remove(job.identity());
-        finishedJobs.put(job.identity(), new FinishedJob(state, loop.monotonicMilliseconds()));
+        finishedJobs.add(job.identity(), state);
         loop.log()
                 .event(
                         EventName.SHOWN,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -1,5 +1,6 @@
 package io.caperturn.jobs.owner;
 
+import io.caperturn.jobs.message.JobRecord;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.model.TaskIdentity;
@@ -27,6 +28,9 @@
     private long dispatchSequence;
     private int failures;
     private int lastFailedRun;
+    private int crashes;
+    private int lastCrashedRun;
+    private long waitingSince;
     private boolean stopOrdered;
     /** Whether the sidecar was asked to report the start of the current run. */
     private boolean startReportExpected;
@@ -192,21 +196,50 @@
         return failures;
     }
 
-    /** Returns the number of the last run that failed; 0 if none did. */
-    int lastFailedRun() {
-        return lastFailedRun;
+    /** Returns the number of runs under which the upstream crashed. */
+    int crashes() {
+        return crashes;
+    }
+
+    /** Returns the stored form of the progress. */
+    JobRecord.TaskProgress progress() {
+        return new JobRecord.TaskProgress(
+                number, phase == Phase.DONE, failures, lastFailedRun, crashes, lastCrashedRun);
     }
 
     /** Restores the stored progress of the task. */
-    void restore(boolean done, int failureCount, int lastFailedRunNumber) {
-        failures = failureCount;
-        lastFailedRun = lastFailedRunNumber;
-        currentRunNumber = Math.max(currentRunNumber, lastFailedRunNumber);
-        if (done) {
+    void restore(JobRecord.TaskProgress stored) {
+        failures = stored.failedRunCount();
+        lastFailedRun = stored.lastFailedRun();
+        crashes = stored.crashedRunCount();
+        lastCrashedRun = stored.lastCrashedRun();
+        currentRunNumber = Math.max(currentRunNumber, Math.max(lastFailedRun, lastCrashedRun));
+        if (stored.succeeded()) {
             phase = Phase.DONE;
         }
     }
 
+    /** Counts a crash of the upstream under a run, unless it was counted before; returns whether it was counted now. */
+    boolean recordCrash(int runNumber) {
+        if (runNumber <= lastCrashedRun) {
+            return false;
+        }
+        lastCrashedRun = runNumber;
+        crashes++;
+        return true;
+    }
+
+    /** Records that the task waits for free capacity from now on, in milliseconds of the monotonic clock. */
+    void startWaiting(long now) {
+        phase = Phase.WAITING;
+        waitingSince = now;
+    }
+
+    /** Returns since when the task has waited for free capacity, in milliseconds of the monotonic clock. */
+    long waitingSince() {
+        return waitingSince;
+    }
+
     /** Counts a failed run on an instance, unless it was counted before; returns whether it was counted now. */
     boolean recordFailure(int runNumber, String node) {
         failedNodes.add(node);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -58,17 +58,24 @@
         return placements;
     }
 
-    private boolean tryPlace(OwnedTask task) {
+    private TaskBacklog.Decision tryPlace(OwnedTask task) {
         if (remainingAssessments < sidecars.size()) {
             endedEarly = true;
-            return false;
+            return TaskBacklog.Decision.REFUSED;
         }
         remainingAssessments -= sidecars.size();
         Selection selection = selector.select(task, sidecars, now);
         selections.put(task, selection);
-        if (!(selection instanceof Selection.Chosen chosen)) {
-            return false;
-        }
+        return switch (selection) {
+            case Selection.Waiting waiting -> waiting.reason().toDecision();
+            case Selection.Chosen chosen -> {
+                place(task, chosen);
+                yield TaskBacklog.Decision.ACCEPTED;
+            }
+        };
+    }
+
+    private void place(OwnedTask task, Selection.Chosen chosen) {
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
         chosen.sidecar().startProbeIfOnProbation();
         TaskPlacement.takeCapacity(task, chosen.sidecar(), expectedMilliseconds, now);
@@ -79,7 +86,6 @@
             interference.addRun(
                     chosen.sidecar().incarnation(), task.job().policy().name(), expectedMilliseconds);
         }
-        return true;
     }
 
     private static PlacementExplanation.Placement toPlacement(OwnedTask task, Optional<Selection> selection) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -22,6 +22,7 @@
     private final TaskPlacement placement;
     private final DurationModel durations;
     private final UpstreamEjection ejection;
+    private final CrashedRuns crashes;
 
     RunReportHandler(
             DecisionLoop loop,
@@ -37,6 +38,7 @@
         this.placement = placement;
         this.durations = durations;
         this.ejection = new UpstreamEjection(loop);
+        this.crashes = new CrashedRuns(loop, jobs, placement);
     }
 
     void handleReport(String incarnation, JobFrame.Report report) {
@@ -74,7 +76,9 @@
             case FAILED -> handleFailure(task, incarnation, report, isCurrent);
             case STOPPED, LAPSED, REFUSED -> {
                 sidecar.ifPresent(SidecarView::endProbe);
-                if (isCurrent) {
+                boolean givenUp = report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED)
+                        && crashes.handleCrash(task, report.run(), sidecar);
+                if (isCurrent && !givenUp) {
                     sidecar.ifPresent(view -> recordRefusal(task, view, report));
                     placement.requeue(task, report.outcome() + "-" + report.reason());
                 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.function.Predicate;
+import java.util.function.Function;
 
 /**
  * Tasks that wait for free capacity, in the order in which they should start.
@@ -45,9 +45,18 @@
         }
     }
 
+    /** Decision of an acceptor about a waiting task. */
+    enum Decision {
+        ACCEPTED,
+        /** There is no room for the task; later tasks are as unlikely to find some. */
+        REFUSED,
+        /** The task waits for upstreams that other tasks do not use, so it tells nothing about them. */
+        SET_APART
+    }
+
     /** Adds a task, which waits from now on; {@code now} is in milliseconds of the monotonic clock. */
     void add(OwnedTask task, long now) {
-        task.setPhase(OwnedTask.Phase.WAITING);
+        task.startWaiting(now);
         positions.add(new Position(
                 isLate(task, now), latestStart(task, now), task.job().policy().urgency(), nextInsertionNumber++, task));
     }
@@ -125,11 +134,11 @@
      * Offers tasks in order to an acceptor, and removes those that it accepts and those that no longer wait. A task
      * whose latest start has passed is not offered but moved to its new position.
      *
-     * @param acceptor returns whether it accepts a task
+     * @param acceptor decides about a task
      * @param now the time of the monotonic clock, in milliseconds
      * @param maxRefusals number of tasks that the acceptor can refuse before no more are offered
      */
-    void offer(Predicate<OwnedTask> acceptor, long now, int maxRefusals) {
+    void offer(Function<OwnedTask, Decision> acceptor, long now, int maxRefusals) {
         List<Position> removed = new ArrayList<>();
         List<Position> moved = new ArrayList<>();
         int refusals = 0;
@@ -145,10 +154,15 @@
                         position.urgency(),
                         position.insertionNumber(),
                         task));
-            } else if (acceptor.test(task)) {
-                removed.add(position);
-            } else if (++refusals >= maxRefusals) {
-                break;
+            } else {
+                switch (acceptor.apply(task)) {
+                    case ACCEPTED -> removed.add(position);
+                    case REFUSED -> refusals++;
+                    case SET_APART -> {}
+                }
+                if (refusals >= maxRefusals) {
+                    break;
+                }
             }
         }
         removed.forEach(positions::remove);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -108,12 +108,12 @@
         }
     }
 
-    private boolean tryDispatch(OwnedTask task) {
+    private TaskBacklog.Decision tryDispatch(OwnedTask task) {
         return switch (selector.select(task, sidecars.views(), loop.monotonicMilliseconds())) {
-            case Selection.Waiting waiting -> false;
+            case Selection.Waiting waiting -> waiting.reason().toDecision();
             case Selection.Chosen chosen -> {
                 dispatch(task, chosen);
-                yield true;
+                yield TaskBacklog.Decision.ACCEPTED;
             }
         };
     }
@@ -141,7 +141,9 @@
 
     /** Takes the capacity for a task in the view of a sidecar; returns the sequence number of the dispatch. */
     static long takeCapacity(OwnedTask task, SidecarView view, long expectedMilliseconds, long now) {
-        Resources resources = task.step().resourcesPerTask();
+        Resources resources = CrashedRuns.needsExclusiveRun(task)
+                ? view.status().capacity()
+                : task.step().resourcesPerTask();
         return view.recordDispatch(resources, resources.processorMillis() * expectedMilliseconds, now);
     }
 
@@ -165,6 +167,7 @@
                         task.job().policy().urgency(),
                         task.job().plan().durable(),
                         !task.isStartReportExpected(),
-                        task.job().policy().name()));
+                        task.job().policy().name(),
+                        CrashedRuns.needsExclusiveRun(task)));
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -58,10 +58,15 @@
         if (hasRecentMoreUrgentWork(task, now) && isCapacityReserved(task, sidecars)) {
             return WaitReason.CAPACITY_RESERVED.selection();
         }
+        boolean exclusive = CrashedRuns.needsExclusiveRun(task);
+        String exclusivePlace = exclusive ? ExclusivePlace.select(task, sidecars, now) : "";
         SidecarView best = null;
         PlacementCost lowestCost = null;
         long shortestMilliseconds = Long.MAX_VALUE;
         for (SidecarView sidecar : sidecars) {
+            if (exclusive && !sidecar.node().equals(exclusivePlace)) {
+                continue;
+            }
             switch (assess(task, sidecar, now)) {
                 case Candidacy.Excluded excluded -> {}
                 case Candidacy.Full full ->
@@ -77,7 +82,7 @@
             }
         }
         if (best == null) {
-            return WaitReason.NO_FREE_CAPACITY.selection();
+            return (exclusive ? WaitReason.EXCLUSIVE_PLACE_TAKEN : WaitReason.NO_FREE_CAPACITY).selection();
         }
         if (shouldWaitForFasterUpstream(task, lowestCost.expectedRunMilliseconds(), shortestMilliseconds, now)) {
             return WaitReason.FASTER_UPSTREAM_FULL.selection();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
@@ -51,9 +51,11 @@
         if (registry.hasOtherRun(run.identity())) {
             return Optional.of("other-run");
         }
-        return statusSender.freeResources().covers(run.requiredResources())
-                ? Optional.empty()
-                : Optional.of(JobFrame.Report.NO_ROOM);
+        // An exclusive run may wait here until the others have ended.
+        boolean hasRoom = run.isExclusive()
+                ? !registry.hasExclusiveRun()
+                : statusSender.freeResources().covers(run.requiredResources());
+        return hasRoom ? Optional.empty() : Optional.of(JobFrame.Report.NO_ROOM);
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -23,6 +23,9 @@
     /** Name of its job's queue; empty if unknown. */
     private String queue = "";
 
+    /** Whether the run has to be the only one on the upstream. */
+    private boolean exclusive;
+
     private String payload = "";
     private Resources requiredResources = Resources.NONE;
     /** Estimated work, in thousandths of a core times milliseconds. */
@@ -117,6 +120,15 @@
         urgency = newUrgency;
     }
 
+    void setExclusive(boolean newExclusive) {
+        exclusive = newExclusive;
+    }
+
+    /** Returns whether the run has to be the only one on the upstream. */
+    boolean isExclusive() {
+        return exclusive;
+    }
+
     void setQueue(String newQueue) {
         queue = newQueue;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
@@ -60,6 +60,11 @@
                         && !run.isInPhase(LocalRun.Phase.ENDED));
     }
 
+    /** Returns whether a run that has to be the only one on the upstream is queued or active. */
+    boolean hasExclusiveRun() {
+        return runs.values().stream().anyMatch(run -> run.isExclusive() && !run.isInPhase(LocalRun.Phase.ENDED));
+    }
+
     void enqueue(LocalRun run) {
         runs.put(run.identity(), run);
         run.enterPhase(LocalRun.Phase.QUEUED);
@@ -93,17 +98,12 @@
     }
 
     /** Sets the details of a run from a dispatch, as a run that was discovered at the upstream has none. */
-    void updateDetails(LocalRun run, JobFrame.Dispatch dispatch, long latestStartAt) {
+    void updateDetails(LocalRun run, JobFrame.Dispatch dispatch, Resources need, long latestStartAt) {
         boolean active = run.isActive();
         if (active) {
             reservedResources = reservedResources.minus(run.requiredResources());
         }
-        run.setDetails(
-                dispatch.payload(),
-                dispatch.need(),
-                dispatch.estimatedMilliseconds(),
-                latestStartAt,
-                dispatch.urgency());
+        run.setDetails(dispatch.payload(), need, dispatch.estimatedMilliseconds(), latestStartAt, dispatch.urgency());
         if (active) {
             reservedResources = reservedResources.plus(run.requiredResources());
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -28,7 +28,6 @@
     private static final long LEASE_CHECK_MILLISECONDS = 100;
 
     private final DecisionLoop loop;
-    private final LinkPort links;
     private final SidecarTimings timings;
     private final RunRegistry registry = new RunRegistry();
     private final UpstreamController upstreamController;
@@ -40,6 +39,7 @@
     private final EntryFences fences;
 
     private final StatusSender statusSender;
+    private final OwnerReports reports;
     private final ZoneStartGate zoneGate;
     private final DispatchCheck dispatchCheck;
     private final SlowdownSender slowdownSender;
@@ -62,7 +62,6 @@
             String node,
             ZoneStartGate zoneGate) {
         this.loop = loop;
-        this.links = links;
         this.timings = timings;
         this.zoneGate = zoneGate;
         this.unclaimedRuns = new UnclaimedRuns(loop, links, registry, owners);
@@ -71,6 +70,7 @@
         this.fences = new EntryFences(loop, registry, finishedRuns);
         this.statusSender = new StatusSender(
                 loop, links, timings, registry, upstreamController, owners, new PromptRecipients(node), zoneGate);
+        this.reports = new OwnerReports(links, owners, statusSender);
         this.dispatchCheck = new DispatchCheck(loop, registry, upstreamController, statusSender, zoneGate);
         this.slowdownSender = new SlowdownSender(loop, links, registry);
     }
@@ -145,7 +145,7 @@
 
     private void returnRunsOfEvacuatedZone() {
         List<LocalRun> refused = dispatchCheck.refuseQueuedInEvacuatedZone();
-        refused.forEach(this::reportToOwner);
+        refused.forEach(reports::report);
         if (!refused.isEmpty()) {
             statusSender.scheduleStatus();
         }
@@ -237,9 +237,9 @@
             known.setDurable(dispatch.durable());
             known.setWithoutStartReport(dispatch.withoutStartReport());
             if (!known.isInPhase(Phase.ENDED)) {
-                registry.updateDetails(known, dispatch, latestStartAt);
+                registry.updateDetails(known, dispatch, upstreamController.needOf(dispatch), latestStartAt);
             }
-            reportToOwner(known);
+            reports.report(known);
             return;
         }
         LocalRun run = new LocalRun(identity, now);
@@ -247,22 +247,16 @@
         run.setDurable(dispatch.durable());
         run.setQueue(dispatch.queue());
         run.setWithoutStartReport(dispatch.withoutStartReport());
+        run.setExclusive(dispatch.exclusive());
         run.setDetails(
                 dispatch.payload(),
-                dispatch.need(),
+                upstreamController.needOf(dispatch),
                 dispatch.estimatedMilliseconds(),
                 latestStartAt,
                 dispatch.urgency());
         Optional<String> refusal = dispatchCheck.refuse(run);
         if (refusal.isPresent()) {
-            links.send(
-                    owner.incarnation(),
-                    new JobFrame.Report(
-                            identity,
-                            RunOutcome.REFUSED,
-                            /* runMilliseconds= */ 0,
-                            refusal.get(),
-                            statusSender.tellRoom(owner, RunOutcome.REFUSED, refusal.get())));
+            reports.reportOutcome(owner, identity, RunOutcome.REFUSED, refusal.get());
             return;
         }
         registry.enqueue(run);
@@ -277,9 +271,7 @@
     private void handleWithdrawal(OwnerLease owner, RunIdentity identity) {
         LocalRun run = registry.findRun(identity);
         if (run == null) {
-            String reason = "unknown";
-            Optional<JobFrame.Room> room = statusSender.tellRoom(owner, RunOutcome.STOPPED, reason);
-            links.send(owner.incarnation(), new JobFrame.Report(identity, RunOutcome.STOPPED, 0, reason, room));
+            reports.reportOutcome(owner, identity, RunOutcome.STOPPED, "unknown");
         } else {
             upstreamController.withdraw(run, "withdrawn");
         }
@@ -321,7 +313,7 @@
                                 EventKey.CAUSE,
                                 "owner-silent");
                 registry.finish(run, RunOutcome.REFUSED, "owner-silent", /* completionNumber= */ 0, now);
-                reportToOwner(run);
+                reports.report(run);
                 statusSender.scheduleStatus();
             } else if (run.isActive() && !run.isStopRequested()) {
                 upstreamController.withdraw(run, "owner-silent");
@@ -332,42 +324,31 @@
                         && now > owner.confirmedAt() + 2 * timings.ownerLeaseOnStoredRunsMilliseconds());
     }
 
-    private void reportToOwner(LocalRun run) {
-        if (!run.owner().isEmpty()) {
-            links.send(
-                    run.owner(),
-                    new JobFrame.Report(
-                            run.identity(),
-                            run.outcome(),
-                            run.runMilliseconds(),
-                            run.reason(),
-                            Optional.ofNullable(owners.get(run.owner()))
-                                    .flatMap(owner -> statusSender.tellRoom(owner, run.outcome(), run.reason()))));
-        }
-    }
-
     private final class OwnerReporter implements RunListener {
         @Override
         public void runStarted(LocalRun run) {
             if (!run.isWithoutStartReport()) {
-                reportToOwner(run);
+                reports.report(run);
             }
             slowdownSender.runStarted(run);
         }
 
         @Override
         public void runStalled(LocalRun run) {
-            links.send(
-                    run.owner(),
-                    new JobFrame.Report(run.identity(), RunOutcome.RUNNING, 0, JobFrame.Report.STANDS_STILL));
+            reports.reportStall(run);
         }
 
         @Override
         public void runFinished(LocalRun run) {
-            reportToOwner(run);
+            reports.report(run);
             slowdownSender.runEnded(run);
         }
 
+        @Override
+        public void crashFoundAfterLapse(LocalRun run) {
+            reports.reportCrashAfterLapse(run);
+        }
+
         @Override
         public void statusChanged() {
             statusSender.scheduleStatus();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Returns the resources that a dispatched run takes: all of the upstream's if it has to be the only one there. */
+    Resources needOf(JobFrame.Dispatch dispatch) {
+        return dispatch.exclusive() ? state.capacity() : dispatch.need();
+    }
+
     /** Returns whether new runs are accepted. */
     boolean isUsable() {
         return state.isAccepting() && !sidecarLeaving && !holdCycle.isUpstreamSilent();
@@ -342,7 +347,7 @@
     @Override
     public void upstreamRestarted() {
         crashes.recordCrash("restarted");
-        crashes.forgetIncarnation();
+        crashes.replaceIncarnation().forEach(listener::crashFoundAfterLapse);
         registry.resetCompletions();
         // An order may already have reached the new incarnation, so only its listing shows which runs are active.
         registry.allRuns().stream().filter(LocalRun::isActive).forEach(run -> run.enterPhase(Phase.DOUBTFUL));
@@ -371,6 +376,7 @@
 
     private void expireRuns(Predicate<LocalRun> selected, String cause) {
         for (LocalRun run : registry.allRuns().stream().filter(selected).toList()) {
+            crashes.recordLapse(run);
             String runCause = run.hasUpstreamCrashed() ? JobFrame.Report.UPSTREAM_CRASHED : cause;
             loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, runCause);
             registry.finish(run, RunOutcome.LAPSED, runCause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -17,6 +18,8 @@
     private final UpstreamState state;
     /** Whether the known incarnation counts as crashed. */
     private boolean crashed;
+    /** Runs that have lapsed while the known incarnation was silent without refusing connections. */
+    private final List<LocalRun> lapsedInSilence = new ArrayList<>();
 
     UpstreamCrashes(DecisionLoop loop, RunRegistry registry, UpstreamState state) {
         this.loop = loop;
@@ -57,10 +60,24 @@
             registry.allRuns().forEach(run -> run.setUpstreamCrashed(false));
         }
         crashed = false;
+        lapsedInSilence.clear();
     }
 
-    /** Forgets the known incarnation, which another one has replaced. */
-    void forgetIncarnation() {
+    /** Records that a run of the known incarnation has lapsed. */
+    void recordLapse(LocalRun run) {
+        if (!run.hasUpstreamCrashed()) {
+            lapsedInSilence.add(run);
+        }
+    }
+
+    /**
+     * Forgets the known incarnation, which another one has replaced; returns the runs that lapsed while it was silent,
+     * because that silence was a crash.
+     */
+    List<LocalRun> replaceIncarnation() {
+        List<LocalRun> lapsed = crashed ? List.copyOf(lapsedInSilence) : List.of();
+        lapsedInSilence.clear();
         crashed = false;
+        return lapsed;
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
@@ -28,7 +28,9 @@
                 new QueuePolicy("queue", "", "", "assay", 2, 3, 1.625, 400),
                 1_700_000_000_000L,
                 true,
-                List.of(new JobRecord.TaskProgress(2, true, 1, 3_001), new JobRecord.TaskProgress(5, false, 1, 9)));
+                List.of(
+                        new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0),
+                        new JobRecord.TaskProgress(5, false, 1, 9, 2, 8)));
 
         assertEquals(stored, JobRecord.decode(stored.toBytes()));
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
@@ -60,7 +60,7 @@
     private void dispatch(RunIdentity run, Resources need, String queue) {
         sequence++;
         sidecar.handleFrame(
-                ENTRY, new JobFrame.Dispatch(sequence, run, "payload", need, 100, 5_000, 0, false, true, queue));
+                ENTRY, new JobFrame.Dispatch(sequence, run, "payload", need, 100, 5_000, 0, false, true, queue, false));
     }
 
     private JobFrame.Report reportOn(RunIdentity run) {
