Keep the number of a run that another entry takes over

Callers saw: a stored job of long tasks whose owner was lost had its tasks run twice at the same time. Cause: the owner of a later generation named a run that it took over by the first number of its own generation, which no sidecar knew. The sidecar refused that order (other-run), and the task went to another upstream while the first run went on. A reported run with a higher number was likewise taken for the current one, so that the actual one was not withdrawn when the other succeeded. Change: a task has the number of its current run and, apart from it, the highest number known, from which new runs count.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -21,6 +21,8 @@
     private final Set<String> failedNodes = new HashSet<>();
     private Phase phase = Phase.BLOCKED;
     private int currentRunNumber;
+    /** Highest number of a run that is known or reserved; a run of an earlier owner that is taken over has a lower one. */
+    private int highestRunNumber;
     private String sidecarIncarnation = "";
     private long sentAt;
     private long expectedRunMilliseconds;
@@ -40,7 +42,8 @@
         this.identity = identity;
         this.number = number;
         this.step = step;
-        this.currentRunNumber = firstRunNumber - 1;
+        this.highestRunNumber = firstRunNumber - 1;
+        this.currentRunNumber = highestRunNumber;
     }
 
     /** Phase of a task. */
@@ -88,14 +91,9 @@
         return new RunIdentity(identity, currentRunNumber);
     }
 
-    /** Returns the number of the current run, or the highest number known if no run is current. */
-    int currentRunNumber() {
-        return currentRunNumber;
-    }
-
-    /** Raises the current run number to at least that of a reported run, so that later runs get higher numbers. */
-    void raiseRunNumber(int runNumber) {
-        currentRunNumber = Math.max(currentRunNumber, runNumber);
+    /** Records the number of a reported run, so that later runs get higher numbers. */
+    void recordRunNumber(int runNumber) {
+        highestRunNumber = Math.max(highestRunNumber, runNumber);
     }
 
     /**
@@ -107,8 +105,7 @@
      * @return the new run
      */
     RunIdentity assignNextRun(String incarnation, long now, long expectedMilliseconds) {
-        currentRunNumber++;
-        setCurrentRun(incarnation, currentRunNumber, now, expectedMilliseconds);
+        setCurrentRun(incarnation, highestRunNumber + 1, now, expectedMilliseconds);
         return currentRun();
     }
 
@@ -116,7 +113,8 @@
      * Makes a run that was sent to a sidecar, or found there, the current one; parameters as in {@link #assignNextRun}.
      */
     void setCurrentRun(String incarnation, int runNumber, long now, long expectedMilliseconds) {
-        currentRunNumber = Math.max(currentRunNumber, runNumber);
+        currentRunNumber = runNumber;
+        recordRunNumber(runNumber);
         sidecarIncarnation = incarnation;
         sentAt = now;
         expectedRunMilliseconds = expectedMilliseconds;
@@ -213,7 +211,7 @@
         lastFailedRun = stored.lastFailedRun();
         crashes = stored.crashedRunCount();
         lastCrashedRun = stored.lastCrashedRun();
-        currentRunNumber = Math.max(currentRunNumber, Math.max(lastFailedRun, lastCrashedRun));
+        recordRunNumber(Math.max(lastFailedRun, lastCrashedRun));
         if (stored.succeeded()) {
             phase = Phase.DONE;
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -44,7 +44,7 @@
     void handleReport(String incarnation, JobFrame.Report report) {
         RunIdentity run = report.run();
         Optional<OwnedTask> known = findTask(run);
-        known.ifPresent(task -> task.raiseRunNumber(run.number()));
+        known.ifPresent(task -> task.recordRunNumber(run.number()));
         Optional<OwnedTask> current =
                 known.filter(task -> task.isIn(OwnedTask.Phase.SENT) && run.equals(task.currentRun()));
         // Also applies to a job that is over, because the sidecar does not tell this entry of the same room again.
