Start nothing beside runs whose needs are unknown

Callers saw: nothing on upstreams that guard their capacity; one that doesn't was brought over it (LIMIT on the users' pages). Cause: a restarted sidecar finds runs that its upstream lists, and learns their needs when their owner dispatches them again. If the owner was lost too, that takes seconds, in which they counted as needing nothing. Change: while an active run has unknown needs, a sidecar starts nothing and tells no free resources. Such a run is dispatched again by its adopter, stopped if its job is over, or ends.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -21,8 +21,11 @@
     private final Set<String> failedNodes = new HashSet<>();
     private Phase phase = Phase.BLOCKED;
     private int currentRunNumber;
-    /** Highest number of a run that is known or reserved; a run of an earlier owner that is taken over has a lower one. */
+    /**
+     * Highest number of a run that is known or reserved; a run of an earlier owner that is taken over has a lower one.
+     */
     private int highestRunNumber;
+
     private String sidecarIncarnation = "";
     private long sentAt;
     private long expectedRunMilliseconds;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
@@ -60,6 +60,15 @@
                         && !run.isInPhase(LocalRun.Phase.ENDED));
     }
 
+    /**
+     * Returns whether the needs of an active run are unknown: the upstream listed it, but no entry has dispatched it to
+     * this process.
+     */
+    boolean hasRunOfUnknownNeed() {
+        return runs.values().stream()
+                .anyMatch(run -> run.isActive() && run.requiredResources().equals(Resources.NONE));
+    }
+
     /** Returns whether a run that has to be the only one on the upstream is queued or active. */
     boolean hasExclusiveRun() {
         return runs.values().stream().anyMatch(run -> run.isExclusive() && !run.isInPhase(LocalRun.Phase.ENDED));
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -216,8 +216,14 @@
                 upstreamController.state().coldMilliseconds());
     }
 
-    /** Returns the resources that neither active nor queued runs need; negative if they need more than the capacity. */
+    /**
+     * Returns the resources that neither active nor queued runs need; negative if they need more than the capacity, and
+     * none while the needs of an active run are unknown.
+     */
     Resources freeResources() {
+        if (registry.hasRunOfUnknownNeed()) {
+            return Resources.NONE;
+        }
         return upstreamController
                 .state()
                 .capacity()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -143,7 +143,10 @@
 
     /** Starts queued runs in the order of their latest start, as far as resources allow. */
     void startQueued() {
-        if (!isUsable() || !state.isClockKnown() || loop.monotonicMilliseconds() < startsPausedUntil) {
+        if (!isUsable()
+                || !state.isClockKnown()
+                || loop.monotonicMilliseconds() < startsPausedUntil
+                || registry.hasRunOfUnknownNeed()) {
             return;
         }
         List<LocalRun> fitting = new ArrayList<>();
