Confine queues whose tasks crash upstreams to upstreams of their own

Callers of all kinds saw: while one task in ten of a queue crashed upstreams for ten seconds, two in three of all callers were refused or failed in the worst seconds, although only that queue had such tasks. Cause: placement, admission and the backlog shared the loss of room among all queues, and a task whose run had been lost returned to the upstream with the most room, where it crashed others' runs. Change: sidecars tell in their status, for each crash and queue, the chance of a start as shortly before any moment; entries combine these and confine the queue that is the likely cause: its tasks run on a few instances, the rest is for all others, in placement, admission and the bounds of a placement pass. A task whose start came right before one of several crashes runs alone next, and a crash of its own ends it: two crashes in place of as many as its caller's patience allowed.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -78,6 +78,8 @@
     MISSED("missed"),
     /** Name of the instance on which a process runs. */
     NODE("node"),
+    /** Names of instances. */
+    NODES("nodes"),
     /** Number that an upstream gave to the end of a run, or a new fencing token. */
     NUMBER("number"),
     /** Time within which a job should finish, in milliseconds. */
@@ -102,8 +104,6 @@
     QUEUE("queue"),
     /** Number of queues. */
     QUEUES("queues"),
-    /** Names of queues, separated by commas. */
-    QUEUE_NAMES("queueNames"),
     /** Duration of a run, in milliseconds. */
     RAN("ran"),
     /** Number of entries that come before this one in removing the record of a process. */
@@ -130,6 +130,8 @@
     SILENCE("silence"),
     /** Time within which a run should start, in milliseconds; negative if that has passed. */
     SLACK("slack"),
+    /** Chance of a start as shortly before a crash as the latest one, in thousandths, by queue of an active run. */
+    START_CHANCES("startChances"),
     /** State of a job. */
     STATE("state"),
     /** Age of the sidecar's status on which the choice of an upstream is based, in milliseconds. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -91,6 +91,12 @@
     OWNER_FENCED,
     /** A task was dispatched to a sidecar, with the values behind the choice. */
     PLACED,
+    /**
+     * An entry confines a queue, because its tasks crash upstreams, to the instances named; no other queue uses them.
+     */
+    QUEUE_CONFINED,
+    /** An entry no longer confines a queue. */
+    QUEUE_RELEASED,
     /** A stored job names a queue that is no longer in the configuration. */
     QUEUE_UNKNOWN,
     /** A request to submit or cancel a job arrived, with the job that it names and how long its caller waits. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -4,6 +4,7 @@
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.model.UpstreamCrash;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -50,6 +51,7 @@
      * @param dispatchesSeen highest sequence number of a {@link Dispatch} received over this link
      * @param renewal number of the renewal request, answered by {@link Lease}; {@link #NO_RENEWAL} if none is requested
      * @param coldMilliseconds how much longer the upstream is expected to be slow after its start, in milliseconds
+     * @param crashes crashes of the upstream in the last seconds; empty from older builds
      */
     record Status(
             boolean usable,
@@ -61,14 +63,16 @@
             List<String> labels,
             long dispatchesSeen,
             long renewal,
-            long coldMilliseconds)
+            long coldMilliseconds,
+            List<UpstreamCrash> crashes)
             implements JobFrame {
         /** Number of a status that requests no renewal. */
         public static final long NO_RENEWAL = 0;
 
-        /** Copies the list. */
+        /** Copies the lists. */
         public Status {
             labels = List.copyOf(labels);
+            crashes = List.copyOf(crashes);
         }
 
         /**
@@ -89,7 +93,8 @@
                     labels,
                     room.dispatchesSeen(),
                     NO_RENEWAL,
-                    remainingColdMilliseconds);
+                    remainingColdMilliseconds,
+                    crashes);
         }
     }
 
@@ -188,6 +193,8 @@
         public static final String NO_ROOM = "no-room";
         /** Reason of a lapse: the upstream crashed while the run was active there, or its start was ordered. */
         public static final String UPSTREAM_CRASHED = "upstream-crashed";
+        /** Like {@link #UPSTREAM_CRASHED}, shortly after the start of the run, as if that had been the cause. */
+        public static final String UPSTREAM_CRASHED_AT_START = "upstream-crashed-at-start";
 
         /** Checks that nothing is null. */
         public Report {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
@@ -1,6 +1,5 @@
 package io.caperturn.jobs.message;
 
-import io.caperturn.jobs.model.Resources;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -63,7 +62,7 @@
                         .writeText(2, hello.node())
                         .writeText(3, hello.incarnation())
                         .writeText(4, hello.zone());
-            case JobFrame.Status status -> writeStatus(writer, status);
+            case JobFrame.Status status -> StatusFields.write(writer, status);
             case JobFrame.Lease lease -> writer.writeLong(1, lease.renewal()).writeBoolean(2, lease.authority());
             case JobFrame.Dispatch dispatch -> RunFields.writeDispatch(writer, dispatch);
             case JobFrame.Withdraw withdraw -> RunFields.writeRun(writer, withdraw.run());
@@ -121,7 +120,7 @@
         try {
             return switch (bytes[0]) {
                 case HELLO -> readHello(reader);
-                case STATUS -> readStatus(reader);
+                case STATUS -> StatusFields.read(reader);
                 case LEASE -> readLease(reader);
                 case DISPATCH -> RunFields.readDispatch(reader);
                 case WITHDRAW -> new JobFrame.Withdraw(RunFields.readRun(reader));
@@ -141,60 +140,6 @@
         }
     }
 
-    /**
-     * Writes a status: waitingWork is in thousandths of a core times milliseconds, dispatchesSeen is the highest
-     * sequence number of a dispatch received, and renewal is the number of the request to renew the lease.
-     */
-    private static void writeStatus(FieldWriter writer, JobFrame.Status status) {
-        writer.writeBoolean(1, status.usable()).writeText(2, status.service());
-        writer.writeMessage(3, nested -> ResourcesCodec.write(nested, status.capacity()));
-        writer.writeMessage(4, nested -> ResourcesCodec.write(nested, status.free()));
-        writer.writeLong(5, status.waitingWork()).writeLong(6, status.runningTasks());
-        status.labels().forEach(label -> writer.writeText(7, label));
-        writer.writeLong(8, status.dispatchesSeen())
-                .writeLong(9, status.renewal())
-                .writeLong(10, status.coldMilliseconds());
-    }
-
-    private static JobFrame readStatus(FieldReader reader) throws IOException {
-        boolean usable = false;
-        String service = "";
-        Resources capacity = Resources.NONE;
-        Resources free = Resources.NONE;
-        long waitingWork = 0;
-        int runningTasks = 0;
-        List<String> labels = new ArrayList<>();
-        long dispatchesSeen = 0;
-        long renewal = 0;
-        long coldMilliseconds = 0;
-        for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
-            switch (field) {
-                case 1 -> usable = reader.readBoolean();
-                case 2 -> service = reader.readText();
-                case 3 -> capacity = ResourcesCodec.read(reader.readMessage());
-                case 4 -> free = ResourcesCodec.read(reader.readMessage());
-                case 5 -> waitingWork = reader.readLong();
-                case 6 -> runningTasks = reader.readInt();
-                case 7 -> labels.add(reader.readText());
-                case 8 -> dispatchesSeen = reader.readLong();
-                case 9 -> renewal = reader.readLong();
-                case 10 -> coldMilliseconds = reader.readLong();
-                default -> reader.skip();
-            }
-        }
-        return new JobFrame.Status(
-                usable,
-                service,
-                capacity,
-                free,
-                waitingWork,
-                runningTasks,
-                labels,
-                dispatchesSeen,
-                renewal,
-                coldMilliseconds);
-    }
-
     private static JobFrame readInventory(FieldReader reader) throws IOException {
         String fenced = "";
         boolean complete = false;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.RunIdentity;
 import java.util.Optional;
@@ -15,26 +16,35 @@
 final class CrashedRuns {
     /** Number of crashes after which a task runs alone. */
     private static final int CRASHES_BEFORE_EXCLUSIVE_RUN = 2;
-    /** Number of crashes after which a task is given up. */
+    /** Number of crashes after which a task is given up, also if no run is known to have been alone. */
     private static final int MAX_CRASHES = CRASHES_BEFORE_EXCLUSIVE_RUN + 1;
 
     private final DecisionLoop loop;
     private final OwnedJobRepository jobs;
     private final TaskPlacement placement;
+    private final CrashEvidence evidence;
 
-    CrashedRuns(DecisionLoop loop, OwnedJobRepository jobs, TaskPlacement placement) {
+    CrashedRuns(DecisionLoop loop, OwnedJobRepository jobs, TaskPlacement placement, CrashEvidence evidence) {
         this.loop = loop;
         this.jobs = jobs;
         this.placement = placement;
+        this.evidence = evidence;
     }
 
-    /** Returns whether the next run of a task has to be the only one on its upstream. */
-    static boolean needsExclusiveRun(OwnedTask task) {
-        return task.crashes() >= CRASHES_BEFORE_EXCLUSIVE_RUN;
+    /** Returns whether a task has to run alone after a number of crashes, whatever else is known of them. */
+    static boolean isExclusiveRunRequiredAfter(int crashes) {
+        return crashes >= CRASHES_BEFORE_EXCLUSIVE_RUN;
+    }
+
+    /** Returns whether a report tells that the upstream crashed under its run. */
+    static boolean isCrash(JobFrame.Report report) {
+        return report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED)
+                || report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
     }
 
     /** Counts a crash under a run, and fails the job if the task crashes upstreams; returns whether it has failed. */
-    boolean handleCrash(OwnedTask task, RunIdentity run, Optional<SidecarView> sidecar) {
+    boolean handleCrash(OwnedTask task, JobFrame.Report report, Optional<SidecarView> sidecar) {
+        RunIdentity run = report.run();
         if (task.isIn(OwnedTask.Phase.DONE) || !task.recordCrash(run.number())) {
             return false;
         }
@@ -53,7 +63,11 @@
                         EventKey.ALLOWED,
                         MAX_CRASHES);
         loop.log().count("run-crashed");
-        if (task.crashes() < MAX_CRASHES) {
+        boolean atStart = report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
+        if (isExclusiveRunRequiredAfter(task.crashes()) || atStart && evidence.hasSeveralCrashes()) {
+            task.requireExclusiveRun();
+        }
+        if (task.crashes() < MAX_CRASHES && !task.wasExclusive(run.number())) {
             jobs.storeProgress(job);
             return false;
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -180,6 +180,7 @@
         boolean alreadySubmitted = jobs.find(identity) != null
                 || plan.durable() && (jobs.findFinalState(identity) != null || jobs.isInserting(identity));
         if (!alreadySubmitted) {
+            dispatcher.confinement().demand().record(plan, policy);
             JobAdmission.Assessment assessment = assess(identity, plan, policy);
             if (assessment.refusal().isPresent()) {
                 admission.logRefusal(identity, policy, assessment.refusal().get());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusionReason.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusionReason.java
@@ -16,6 +16,8 @@
     LABEL_MISSING,
     /** The task would be the probe of an ejected upstream, and is at its last allowed attempt. */
     LAST_ATTEMPT_PROBE,
+    /** Either the queue of the task or the instance is set apart, because tasks of some queues crash upstreams. */
+    CONFINEMENT,
     /** The upstream has as many tasks of the step as the step allows on one upstream. */
     STEP_LIMIT;
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusivePlace.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusivePlace.java
@@ -3,22 +3,19 @@
 import java.util.Collection;
 
 /**
- * Selection of the instance for a task that has to run alone, because upstreams crashed under it: one that all entries
- * choose, so that such tasks take one upstream at most, unless that one is away for long.
+ * Selection of the instance for a task that has to run alone, because upstreams crashed under it: the same at all
+ * entries, so that such tasks empty one upstream at a time.
  */
 final class ExclusivePlace {
-    /** Time for which a task waits for the first choice to return, in milliseconds: most of a restart after a crash. */
-    private static final long MAX_WAIT_MILLISECONDS = 2_000;
-
     private ExclusivePlace() {}
 
-    /** Returns the name of the instance; empty if there is none. {@code now} is of the monotonic clock. */
-    static String select(OwnedTask task, Collection<SidecarView> sidecars, long now) {
+    /** Returns the name of the instance; empty if there is none. */
+    static String select(OwnedTask task, Collection<SidecarView> sidecars, QueueConfinement confinement) {
         String service = task.job().policy().service();
-        boolean onlyUsable = now - task.waitingSince() > MAX_WAIT_MILLISECONDS;
         return sidecars.stream()
-                .filter(view -> UpstreamSelector.fits(task.step(), service, view))
-                .filter(view -> view.isUsable() || !onlyUsable)
+                .filter(view -> view.isUsable() && UpstreamSelector.fits(task.step(), service, view))
+                // Other tasks than those of confined queues may use the instances that are set apart.
+                .filter(view -> !confinement.isConfined(task) || !confinement.excludes(task, view))
                 .map(SidecarView::node)
                 .min(UpstreamRanking.of(service))
                 .orElse("");
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
@@ -4,6 +4,7 @@
 import io.caperturn.jobs.message.ProcessRole;
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import io.caperturn.jobs.zone.ZoneEvacuations;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -75,8 +76,11 @@
         double work = 0;
         long freeCapacity = 0;
         String service = job.policy().service();
+        OwnedTask first = job.tasks().getFirst();
+        QueueConfinement confinement = dispatcher.confinement();
+        boolean confined = confinement.isConfined(first);
         for (SidecarView view : dispatcher.sidecars()) {
-            if (view.isUsable() && view.status().service().equals(service)) {
+            if (view.isUsable() && view.status().service().equals(service) && !confinement.excludes(first, view)) {
                 capacity += view.status().capacity().processorMillis()
                         * dispatcher.durations().relativeSpeed(view.node())
                         * ColdSpeed.relativeSpeed(view.coldMilliseconds(loop.monotonicMilliseconds()));
@@ -85,6 +89,8 @@
             }
         }
         long criticalPathMilliseconds = job.plan().criticalPathMilliseconds();
+        // Tasks of confined queues and all others use different upstreams.
+        Predicate<OwnedTask> competing = task -> confinement.isConfined(task) == confined;
         if (dispatcher.backlog().isEmpty() && freeCapacity > 0) {
             return criticalPathMilliseconds;
         }
@@ -94,7 +100,7 @@
             // The whole backlog counts, because tasks that become late meanwhile still occupy capacity when they run.
             // Half of the critical path is added because capacity becomes free only when runs complete, which is half
             // a run later on average.
-            double combinedWork = work + dispatcher.backlog().totalWork() + workOf(job);
+            double combinedWork = work + dispatcher.backlog().totalWork(competing) + workOf(job);
             return criticalPathMilliseconds
                     + criticalPathMilliseconds / 2
                     + waitWhileCapacityGrows(combinedWork, capacity, expectedCapacity);
@@ -102,9 +108,9 @@
         if (capacity == 0) {
             return expectsSidecars ? EXPECTED_STARTUP_MILLISECONDS + criticalPathMilliseconds : Long.MAX_VALUE;
         }
-        long latestStart = TaskBacklog.latestStart(job.tasks().getFirst(), loop.monotonicMilliseconds());
+        long latestStart = TaskBacklog.latestStart(first, loop.monotonicMilliseconds());
         // The other entries are assumed to have as much work waiting as this one; half of the job's own work is added.
-        double workAhead = work + (double) entryCount * dispatcher.backlog().onTimeWorkDueBy(latestStart);
+        double workAhead = work + (double) entryCount * dispatcher.backlog().onTimeWorkDueBy(latestStart, competing);
         return criticalPathMilliseconds + Math.round((workAhead + workOf(job) / 2.0) / capacity);
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -35,7 +35,11 @@
     private int lastFailedRun;
     private int crashes;
     private int lastCrashedRun;
-    private long waitingSince;
+    /** Whether the next run has to be the only one on its upstream. */
+    private boolean exclusiveRunRequired;
+    /** Number of the last run that was sent as the only one to its upstream; 0 if none was. */
+    private int lastExclusiveRun;
+
     private boolean stopOrdered;
     /** Whether the sidecar was asked to report the start of the current run. */
     private boolean startReportExpected;
@@ -118,6 +122,9 @@
     void setCurrentRun(String incarnation, int runNumber, long now, long expectedMilliseconds) {
         currentRunNumber = runNumber;
         recordRunNumber(runNumber);
+        if (exclusiveRunRequired) {
+            lastExclusiveRun = runNumber;
+        }
         sidecarIncarnation = incarnation;
         sentAt = now;
         expectedRunMilliseconds = expectedMilliseconds;
@@ -214,6 +221,7 @@
         lastFailedRun = stored.lastFailedRun();
         crashes = stored.crashedRunCount();
         lastCrashedRun = stored.lastCrashedRun();
+        exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes);
         recordRunNumber(Math.max(lastFailedRun, lastCrashedRun));
         if (stored.succeeded()) {
             phase = Phase.DONE;
@@ -230,15 +238,19 @@
         return true;
     }
 
-    /** Records that the task waits for free capacity from now on, in milliseconds of the monotonic clock. */
-    void startWaiting(long now) {
-        phase = Phase.WAITING;
-        waitingSince = now;
+    /** Requires that the next runs are the only ones on their upstreams, because upstreams crashed under the task. */
+    void requireExclusiveRun() {
+        exclusiveRunRequired = true;
+    }
+
+    /** Returns whether the next run has to be the only one on its upstream. */
+    boolean needsExclusiveRun() {
+        return exclusiveRunRequired;
     }
 
-    /** Returns since when the task has waited for free capacity, in milliseconds of the monotonic clock. */
-    long waitingSince() {
-        return waitingSince;
+    /** Returns whether a run was sent as the only one to its upstream. */
+    boolean wasExclusive(int runNumber) {
+        return lastExclusiveRun != 0 && lastExclusiveRun == runNumber;
     }
 
     /** Counts a failed run on an instance, unless it was counted before; returns whether it was counted now. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -48,7 +48,7 @@
         remainingAssessments = maximumAssessments;
         explainedTasks.addAll(tasks);
         explainedTasks.forEach(task -> backlog.add(task, now));
-        backlog.offer(this::tryPlace, now, TaskPlacement.MAX_UNPLACED_TASKS);
+        backlog.offer(this::tryPlace, selector::isSetApart, now, TaskPlacement.MAX_UNPLACED_TASKS);
         List<PlacementExplanation.Placement> placements = new ArrayList<>();
         for (OwnedTask task : explainedTasks) {
             if (!endedEarly || selections.containsKey(task)) {
@@ -58,24 +58,17 @@
         return placements;
     }
 
-    private TaskBacklog.Decision tryPlace(OwnedTask task) {
+    private boolean tryPlace(OwnedTask task) {
         if (remainingAssessments < sidecars.size()) {
             endedEarly = true;
-            return TaskBacklog.Decision.REFUSED;
+            return false;
         }
         remainingAssessments -= sidecars.size();
         Selection selection = selector.select(task, sidecars, now);
         selections.put(task, selection);
-        return switch (selection) {
-            case Selection.Waiting waiting -> waiting.reason().toDecision();
-            case Selection.Chosen chosen -> {
-                place(task, chosen);
-                yield TaskBacklog.Decision.ACCEPTED;
-            }
-        };
-    }
-
-    private void place(OwnedTask task, Selection.Chosen chosen) {
+        if (!(selection instanceof Selection.Chosen chosen)) {
+            return false;
+        }
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
         chosen.sidecar().startProbeIfOnProbation();
         TaskPlacement.takeCapacity(task, chosen.sidecar(), expectedMilliseconds, now);
@@ -86,6 +79,7 @@
             interference.addRun(
                     chosen.sidecar().incarnation(), task.job().policy().name(), expectedMilliseconds);
         }
+        return true;
     }
 
     private static PlacementExplanation.Placement toPlacement(OwnedTask task, Optional<Selection> selection) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -38,7 +38,7 @@
         this.placement = placement;
         this.durations = durations;
         this.ejection = new UpstreamEjection(loop);
-        this.crashes = new CrashedRuns(loop, jobs, placement);
+        this.crashes = new CrashedRuns(loop, jobs, placement, sidecars.crashEvidence());
     }
 
     void handleReport(String incarnation, JobFrame.Report report) {
@@ -76,8 +76,7 @@
             case FAILED -> handleFailure(task, incarnation, report, isCurrent);
             case STOPPED, LAPSED, REFUSED -> {
                 sidecar.ifPresent(SidecarView::endProbe);
-                boolean givenUp = report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED)
-                        && crashes.handleCrash(task, report.run(), sidecar);
+                boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, sidecar);
                 if (isCurrent && !givenUp) {
                     sidecar.ifPresent(view -> recordRefusal(task, view, report));
                     placement.requeue(task, report.outcome() + "-" + report.reason());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
@@ -21,6 +21,8 @@
     private final LinkPort links;
     private final ZoneEvacuations evacuations;
     private final Map<String, SidecarView> viewsByIncarnation = new HashMap<>();
+    private final CrashEvidence evidence;
+    private final QueueConfinement confinement;
     private long lastNewSidecarAt;
 
     SidecarDirectory(DecisionLoop loop, LinkPort links, ZoneEvacuations evacuations) {
@@ -28,6 +30,8 @@
         this.links = links;
         this.evacuations = evacuations;
         this.lastNewSidecarAt = loop.monotonicMilliseconds();
+        this.evidence = new CrashEvidence(loop);
+        this.confinement = new QueueConfinement(loop, this, evidence, new QueueDemand(loop));
     }
 
     Collection<SidecarView> views() {
@@ -60,6 +64,9 @@
     /** Applies a status to a sidecar, and renews the lease there if it requests that. */
     void applyStatus(SidecarView view, JobFrame.Status status, boolean renewStoredRuns) {
         view.updateStatus(status, loop.monotonicMilliseconds());
+        if (!status.crashes().isEmpty() && evidence.record(view.incarnation(), status.service(), status.crashes())) {
+            confinement.refresh(/* newCrash= */ true);
+        }
         if (status.renewal() != JobFrame.Status.NO_RENEWAL) {
             links.send(view.incarnation(), new JobFrame.Lease(status.renewal(), renewStoredRuns));
         }
@@ -67,9 +74,23 @@
 
     /** Forgets the sidecars without a link whose runs have stopped long ago. */
     void forgetLost(long now) {
-        viewsByIncarnation
-                .values()
-                .removeIf(view -> !view.isLinked() && now - view.leaseSentAt() > RETENTION_MILLISECONDS);
+        viewsByIncarnation.values().removeIf(view -> {
+            boolean forgotten = !view.isLinked() && now - view.leaseSentAt() > RETENTION_MILLISECONDS;
+            if (forgotten) {
+                evidence.forgetSidecar(view.incarnation());
+            }
+            return forgotten;
+        });
+    }
+
+    /** Returns the evidence from the crashes that sidecars tell. */
+    CrashEvidence crashEvidence() {
+        return evidence;
+    }
+
+    /** Returns the confinement of queues whose tasks crash upstreams. */
+    QueueConfinement confinement() {
+        return confinement;
     }
 
     void clear() {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Tasks that wait for free capacity, in the order in which they should start.
@@ -45,18 +45,9 @@
         }
     }
 
-    /** Decision of an acceptor about a waiting task. */
-    enum Decision {
-        ACCEPTED,
-        /** There is no room for the task; later tasks are as unlikely to find some. */
-        REFUSED,
-        /** The task waits for upstreams that other tasks do not use, so it tells nothing about them. */
-        SET_APART
-    }
-
     /** Adds a task, which waits from now on; {@code now} is in milliseconds of the monotonic clock. */
     void add(OwnedTask task, long now) {
-        task.startWaiting(now);
+        task.setPhase(OwnedTask.Phase.WAITING);
         positions.add(new Position(
                 isLate(task, now), latestStart(task, now), task.job().policy().urgency(), nextInsertionNumber++, task));
     }
@@ -106,26 +97,29 @@
         return positions.size();
     }
 
-    /** Returns the estimated work of all waiting tasks, in thousandths of a core times milliseconds. */
-    long totalWork() {
+    /** Returns the estimated work of selected waiting tasks, in thousandths of a core times milliseconds. */
+    long totalWork(Predicate<OwnedTask> selected) {
         return positions.stream()
+                .filter(position -> selected.test(position.task()))
                 .mapToLong(position -> position.task().step().resourcesPerTask().processorMillis()
                         * position.task().step().estimatedMilliseconds())
                 .sum();
     }
 
     /**
-     * Returns the estimated work of the tasks whose latest start is a given time or earlier, without late tasks, in
-     * thousandths of a core times milliseconds.
+     * Returns the estimated work of the selected tasks whose latest start is a given time or earlier, without late
+     * tasks, in thousandths of a core times milliseconds.
      */
-    long onTimeWorkDueBy(long latestStart) {
+    long onTimeWorkDueBy(long latestStart, Predicate<OwnedTask> selected) {
         long work = 0;
         for (Position position : positions) {
             if (position.late() || position.latestStart() > latestStart) {
                 break;
             }
-            work += position.task().step().resourcesPerTask().processorMillis()
-                    * position.task().step().estimatedMilliseconds();
+            if (selected.test(position.task())) {
+                work += position.task().step().resourcesPerTask().processorMillis()
+                        * position.task().step().estimatedMilliseconds();
+            }
         }
         return work;
     }
@@ -134,14 +128,17 @@
      * Offers tasks in order to an acceptor, and removes those that it accepts and those that no longer wait. A task
      * whose latest start has passed is not offered but moved to its new position.
      *
-     * @param acceptor decides about a task
+     * @param acceptor returns whether it accepts a task
+     * @param setApart whether a task may only be sent to upstreams that other tasks do not use, so that its refusal
+     *     says nothing about them; the number of such refusals is limited by itself
      * @param now the time of the monotonic clock, in milliseconds
      * @param maxRefusals number of tasks that the acceptor can refuse before no more are offered
      */
-    void offer(Function<OwnedTask, Decision> acceptor, long now, int maxRefusals) {
+    void offer(Predicate<OwnedTask> acceptor, Predicate<OwnedTask> setApart, long now, int maxRefusals) {
         List<Position> removed = new ArrayList<>();
         List<Position> moved = new ArrayList<>();
         int refusals = 0;
+        int setApartRefusals = 0;
         for (Position position : positions) {
             OwnedTask task = position.task();
             if (!task.isIn(OwnedTask.Phase.WAITING) || task.job().finalState() != null) {
@@ -154,15 +151,18 @@
                         position.urgency(),
                         position.insertionNumber(),
                         task));
-            } else {
-                switch (acceptor.apply(task)) {
-                    case ACCEPTED -> removed.add(position);
-                    case REFUSED -> refusals++;
-                    case SET_APART -> {}
-                }
-                if (refusals >= maxRefusals) {
-                    break;
+            } else if (setApart.test(task)) {
+                if (setApartRefusals < maxRefusals) {
+                    if (acceptor.test(task)) {
+                        removed.add(position);
+                    } else {
+                        setApartRefusals++;
+                    }
                 }
+            } else if (acceptor.test(task)) {
+                removed.add(position);
+            } else if (++refusals >= maxRefusals) {
+                break;
             }
         }
         removed.forEach(positions::remove);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
@@ -34,6 +34,10 @@
         this.lossDetector = new RunLossDetector(jobs, sidecars, placement, reports);
     }
 
+    QueueConfinement confinement() {
+        return sidecars.confinement();
+    }
+
     Collection<SidecarView> sidecars() {
         return sidecars.views();
     }
@@ -107,6 +111,7 @@
         lossDetector.requeueLostRuns(now);
         abandonTooLate(now);
         sidecars.forgetLost(now);
+        sidecars.confinement().refresh(/* newCrash= */ false);
         slowdowns.tick();
         placement.placeWaitingTasks();
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -38,7 +38,7 @@
         this.links = links;
         this.sidecars = sidecars;
         this.durations = durations;
-        this.selector = new UpstreamSelector(durations, interference);
+        this.selector = new UpstreamSelector(durations, interference, sidecars.confinement());
         this.runningQueues = new RunningQueues(loop, jobs, interference);
     }
 
@@ -104,16 +104,16 @@
         passScheduled = false;
         if (!backlog.isEmpty()) {
             runningQueues.refresh();
-            backlog.offer(this::tryDispatch, loop.monotonicMilliseconds(), MAX_UNPLACED_TASKS);
+            backlog.offer(this::tryDispatch, selector::isSetApart, loop.monotonicMilliseconds(), MAX_UNPLACED_TASKS);
         }
     }
 
-    private TaskBacklog.Decision tryDispatch(OwnedTask task) {
+    private boolean tryDispatch(OwnedTask task) {
         return switch (selector.select(task, sidecars.views(), loop.monotonicMilliseconds())) {
-            case Selection.Waiting waiting -> waiting.reason().toDecision();
+            case Selection.Waiting waiting -> false;
             case Selection.Chosen chosen -> {
                 dispatch(task, chosen);
-                yield TaskBacklog.Decision.ACCEPTED;
+                yield true;
             }
         };
     }
@@ -141,7 +141,7 @@
 
     /** Takes the capacity for a task in the view of a sidecar; returns the sequence number of the dispatch. */
     static long takeCapacity(OwnedTask task, SidecarView view, long expectedMilliseconds, long now) {
-        Resources resources = CrashedRuns.needsExclusiveRun(task)
+        Resources resources = task.needsExclusiveRun()
                 ? view.status().capacity()
                 : task.step().resourcesPerTask();
         return view.recordDispatch(resources, resources.processorMillis() * expectedMilliseconds, now);
@@ -168,6 +168,6 @@
                         task.job().plan().durable(),
                         !task.isStartReportExpected(),
                         task.job().policy().name(),
-                        CrashedRuns.needsExclusiveRun(task)));
+                        task.needsExclusiveRun()));
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -41,14 +41,17 @@
 
     private final InterferenceCost interference;
 
-    UpstreamSelector(DurationModel durations, InterferenceCost interference) {
+    private final QueueConfinement confinement;
+
+    UpstreamSelector(DurationModel durations, InterferenceCost interference, QueueConfinement confinement) {
         this.durations = durations;
         this.interference = interference;
+        this.confinement = confinement;
     }
 
     /** Returns a copy that uses another cost of interference, and whose arrivals can be changed without an effect. */
     UpstreamSelector copyWith(InterferenceCost otherInterference) {
-        UpstreamSelector copy = new UpstreamSelector(durations, otherInterference);
+        UpstreamSelector copy = new UpstreamSelector(durations, otherInterference, confinement);
         copy.lastArrivalByUrgency.putAll(lastArrivalByUrgency);
         return copy;
     }
@@ -58,8 +61,8 @@
         if (hasRecentMoreUrgentWork(task, now) && isCapacityReserved(task, sidecars)) {
             return WaitReason.CAPACITY_RESERVED.selection();
         }
-        boolean exclusive = CrashedRuns.needsExclusiveRun(task);
-        String exclusivePlace = exclusive ? ExclusivePlace.select(task, sidecars, now) : "";
+        boolean exclusive = task.needsExclusiveRun();
+        String exclusivePlace = exclusive ? ExclusivePlace.select(task, sidecars, confinement) : "";
         SidecarView best = null;
         PlacementCost lowestCost = null;
         long shortestMilliseconds = Long.MAX_VALUE;
@@ -82,7 +85,10 @@
             }
         }
         if (best == null) {
-            return (exclusive ? WaitReason.EXCLUSIVE_PLACE_TAKEN : WaitReason.NO_FREE_CAPACITY).selection();
+            WaitReason reason = exclusive
+                    ? WaitReason.EXCLUSIVE_PLACE_TAKEN
+                    : confinement.isConfined(task) ? WaitReason.QUEUE_CONFINED : WaitReason.NO_FREE_CAPACITY;
+            return reason.selection();
         }
         if (shouldWaitForFasterUpstream(task, lowestCost.expectedRunMilliseconds(), shortestMilliseconds, now)) {
             return WaitReason.FASTER_UPSTREAM_FULL.selection();
@@ -90,6 +96,11 @@
         return new Selection.Chosen(best, lowestCost);
     }
 
+    /** Returns whether a task may only be sent to upstreams that other tasks do not use. */
+    boolean isSetApart(OwnedTask task) {
+        return task.needsExclusiveRun() || confinement.isConfined(task);
+    }
+
     /**
      * Assesses a sidecar as the place for a task, at a time of the monotonic clock in milliseconds. The task is
      * excluded if it cannot be sent there even once the upstream has free capacity.
@@ -114,6 +125,10 @@
         if (!hasRequiredLabel(step, sidecar)) {
             return ExclusionReason.LABEL_MISSING.candidacy();
         }
+        // The place of exclusive runs is set apart by itself.
+        if (!task.needsExclusiveRun() && confinement.excludes(task, sidecar)) {
+            return ExclusionReason.CONFINEMENT.candidacy();
+        }
         // The probe of an ejected upstream may fail; it must not be the last attempt that a task is allowed.
         if (sidecar.isOnProbation()
                 && task.failures() + 1 >= task.job().policy().maximumAttempts()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -3,7 +3,6 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
-import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
@@ -377,7 +376,7 @@
             registry.finish(
                     run,
                     RunOutcome.LAPSED,
-                    run.hasUpstreamCrashed() ? JobFrame.Report.UPSTREAM_CRASHED : "not-listed",
+                    run.lapseReason("not-listed"),
                     /* completionNumber= */ 0,
                     loop.monotonicMilliseconds());
             handler.runFinished(run);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -61,8 +61,8 @@
 
     private boolean stallReported;
 
-    /** Whether the upstream crashed while the run was active. */
-    private boolean upstreamCrashed;
+    /** Reason of its lapse if the upstream crashed while the run was active; empty otherwise. */
+    private String crashReason = "";
 
     /**
      * Whether the job of the run is stored and so outlives its owner; assumed for a run that was discovered at the
@@ -251,13 +251,18 @@
         return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
     }
 
-    void setUpstreamCrashed(boolean crashed) {
-        upstreamCrashed = crashed;
+    void setCrashReason(String newCrashReason) {
+        crashReason = newCrashReason;
+    }
+
+    /** Returns the reason of a lapse: that the upstream crashed while the run was active, or else the given cause. */
+    String lapseReason(String cause) {
+        return crashReason.isEmpty() ? cause : crashReason;
     }
 
     /** Returns whether the upstream crashed while the run was active. */
     boolean hasUpstreamCrashed() {
-        return upstreamCrashed;
+        return !crashReason.isEmpty();
     }
 
     void requestStop() {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -5,6 +5,7 @@
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
+import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.UpstreamIncarnation;
@@ -237,7 +238,7 @@
             known.setDurable(dispatch.durable());
             known.setWithoutStartReport(dispatch.withoutStartReport());
             if (!known.isInPhase(Phase.ENDED)) {
-                registry.updateDetails(known, dispatch, upstreamController.needOf(dispatch), latestStartAt);
+                registry.updateDetails(known, dispatch, needOf(dispatch), latestStartAt);
             }
             reports.report(known);
             return;
@@ -250,7 +251,7 @@
         run.setExclusive(dispatch.exclusive());
         run.setDetails(
                 dispatch.payload(),
-                upstreamController.needOf(dispatch),
+                needOf(dispatch),
                 dispatch.estimatedMilliseconds(),
                 latestStartAt,
                 dispatch.urgency());
@@ -268,6 +269,11 @@
         upstreamController.startQueued();
     }
 
+    /** Returns the resources that a dispatched run takes: all of the upstream's if it has to be the only one there. */
+    private Resources needOf(JobFrame.Dispatch dispatch) {
+        return dispatch.exclusive() ? upstreamController.state().capacity() : dispatch.need();
+    }
+
     private void handleWithdrawal(OwnerLease owner, RunIdentity identity) {
         LocalRun run = registry.findRun(identity);
         if (run == null) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -213,7 +213,8 @@
                 upstreamController.state().labels(),
                 dispatchesSeen,
                 renewal,
-                upstreamController.state().coldMilliseconds());
+                upstreamController.state().coldMilliseconds(),
+                upstreamController.recentCrashes());
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -3,9 +3,9 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
-import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.model.UpstreamCrash;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
 import io.caperturn.jobs.upstream.UpstreamPort.Answer;
 import io.caperturn.jobs.upstream.UpstreamPort.Order;
@@ -68,9 +68,9 @@
         }
     }
 
-    /** Returns the resources that a dispatched run takes: all of the upstream's if it has to be the only one there. */
-    Resources needOf(JobFrame.Dispatch dispatch) {
-        return dispatch.exclusive() ? state.capacity() : dispatch.need();
+    /** Returns the crashes of the upstream of which entries are told. */
+    List<UpstreamCrash> recentCrashes() {
+        return crashes.recent();
     }
 
     /** Returns whether new runs are accepted. */
@@ -200,6 +200,7 @@
     private void start(LocalRun run) {
         registry.dequeue(run);
         run.markStarting(loop.monotonicMilliseconds());
+        crashes.recordStart(run);
         registry.reserveResources(run);
         Order order = state.leaseOrder();
         holdCycle.recordLeaseSent();
@@ -380,7 +381,7 @@
     private void expireRuns(Predicate<LocalRun> selected, String cause) {
         for (LocalRun run : registry.allRuns().stream().filter(selected).toList()) {
             crashes.recordLapse(run);
-            String runCause = run.hasUpstreamCrashed() ? JobFrame.Report.UPSTREAM_CRASHED : cause;
+            String runCause = run.lapseReason(cause);
             loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, runCause);
             registry.finish(run, RunOutcome.LAPSED, runCause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
             listener.runFinished(run);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -3,9 +3,14 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
+import io.caperturn.jobs.model.UpstreamCrash;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
-import java.util.stream.Collectors;
+import java.util.Map;
 
 /**
  * Crashes of the upstream beside a sidecar process: ends of an incarnation (the time from a start to the next stop)
@@ -13,6 +18,11 @@
  * answers again, and an answer of a later incarnation for proof.
  */
 final class UpstreamCrashes {
+    /** Time for which entries are told of a crash, in milliseconds. */
+    static final long RETENTION_MILLISECONDS = 10_000;
+    /** Chance below which the start of a run shortly before a crash is taken for its likely cause. */
+    private static final double MAX_CHANCE_OF_START_BY_COINCIDENCE = 0.25;
+
     private final DecisionLoop loop;
     private final RunRegistry registry;
     private final UpstreamState state;
@@ -20,6 +30,14 @@
     private boolean crashed;
     /** Runs that have lapsed while the known incarnation was silent without refusing connections. */
     private final List<LocalRun> lapsedInSilence = new ArrayList<>();
+    /** Crashes in the retention time, the latest last. */
+    private final Deque<RecordedCrash> recorded = new ArrayDeque<>();
+
+    private final StartRates startRates = new StartRates();
+    private long crashCount;
+
+    /** Crash with its time, in milliseconds of the loop's clock. */
+    private record RecordedCrash(long number, long at, Map<String, Integer> startChancePermille) {}
 
     UpstreamCrashes(DecisionLoop loop, RunRegistry registry, UpstreamState state) {
         this.loop = loop;
@@ -36,7 +54,20 @@
         crashed = true;
         List<LocalRun> active =
                 registry.allRuns().stream().filter(LocalRun::isActive).toList();
-        active.forEach(run -> run.setUpstreamCrashed(true));
+        Map<String, Integer> startChances = new HashMap<>();
+        for (LocalRun run : active) {
+            double chance = startChance(run);
+            run.setCrashReason(
+                    chance < MAX_CHANCE_OF_START_BY_COINCIDENCE
+                            ? JobFrame.Report.UPSTREAM_CRASHED_AT_START
+                            : JobFrame.Report.UPSTREAM_CRASHED);
+            if (!run.queue().isEmpty()) {
+                startChances.merge(run.queue(), (int) Math.ceil(1_000 * chance), Math::min);
+            }
+        }
+        if (!active.isEmpty()) {
+            recorded.add(new RecordedCrash(++crashCount, loop.monotonicMilliseconds(), startChances));
+        }
         loop.log()
                 .event(
                         EventName.UPSTREAM_CRASHED,
@@ -48,16 +79,42 @@
                         cause,
                         EventKey.RUNS,
                         active.size(),
-                        EventKey.QUEUE_NAMES,
-                        active.stream().map(LocalRun::queue).distinct().sorted().collect(Collectors.joining(",")));
+                        EventKey.START_CHANCES,
+                        startChances);
         loop.log().count("upstream-crashed");
     }
 
+    /**
+     * Returns the chance that a run of the same queue starts on the upstream as shortly before any moment as this one
+     * did; 0 if the run was the only one there.
+     */
+    private double startChance(LocalRun run) {
+        return run.isExclusive()
+                ? 0
+                : startRates.chanceOfStartWithin(run.queue(), 1 + loop.monotonicMilliseconds() - run.startedAt());
+    }
+
+    /** Records that the start of a run is ordered. */
+    void recordStart(LocalRun run) {
+        startRates.recordStart(run.queue(), loop.monotonicMilliseconds());
+    }
+
+    /** Returns the crashes in the retention time that had active runs. */
+    List<UpstreamCrash> recent() {
+        long now = loop.monotonicMilliseconds();
+        while (!recorded.isEmpty() && now - recorded.peek().at() > RETENTION_MILLISECONDS) {
+            recorded.poll();
+        }
+        return recorded.stream()
+                .map(crash -> new UpstreamCrash(crash.number(), now - crash.at(), crash.startChancePermille()))
+                .toList();
+    }
+
     /** Handles an answer of the known incarnation: it had not crashed. */
     void retract() {
         if (crashed) {
             loop.log().event(EventName.CRASH_RETRACTED, EventKey.IDENTITY, state.identity());
-            registry.allRuns().forEach(run -> run.setUpstreamCrashed(false));
+            registry.allRuns().forEach(run -> run.setCrashReason(""));
         }
         crashed = false;
         lapsedInSilence.clear();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobFrameCodecTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobFrameCodecTest.java
@@ -8,6 +8,7 @@
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.TaskIdentity;
+import io.caperturn.jobs.model.UpstreamCrash;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -30,8 +31,20 @@
                 new JobFrame.Hello(ProcessRole.ENTRY, "node", "node~1", ""),
                 new JobFrame.Hello(ProcessRole.SIDECAR, "node", "node~2", "zone-a"),
                 new JobFrame.Status(
-                        true, "service", RESOURCES, new Resources(-5, 0, 1), 77, 4, List.of("a", "r1"), 9, 10, 750),
-                new JobFrame.Status(false, "", Resources.NONE, Resources.NONE, 0, 0, List.of(), 0, 0, 0),
+                        true,
+                        "service",
+                        RESOURCES,
+                        new Resources(-5, 0, 1),
+                        77,
+                        4,
+                        List.of("a", "r1"),
+                        9,
+                        10,
+                        750,
+                        List.of(
+                                new UpstreamCrash(3, 700, Map.of("queue", 12, "other", 1_000)),
+                                new UpstreamCrash(4, 0, Map.of()))),
+                new JobFrame.Status(false, "", Resources.NONE, Resources.NONE, 0, 0, List.of(), 0, 0, 0, List.of()),
                 new JobFrame.Lease(4, true),
                 new JobFrame.Lease(5, false),
                 new JobFrame.Dispatch(8, RUN, "payload", RESOURCES, 90, -40, 2, true, false, "queue", false),
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewTest.java
@@ -41,7 +41,8 @@
                         List.of(),
                         0,
                         JobFrame.Status.NO_RENEWAL,
-                        /* coldMilliseconds= */ 0),
+                        /* coldMilliseconds= */ 0,
+                        /* crashes= */ List.of()),
                 /* now= */ 1);
         for (int number = 0; number < DISPATCHES; number++) {
             view.recordDispatch(NEED, /* work= */ 100, /* now= */ 1);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualTime.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualTime.java
@@ -21,7 +21,8 @@
         }
     }
 
-    long now() {
+    /** Returns the current time, in milliseconds. */
+    public long now() {
         return now;
     }
 
@@ -30,7 +31,7 @@
     }
 
     /** Runs all actions up to a time, and advances the clock to it. */
-    void runUntil(long until) {
+    public void runUntil(long until) {
         while (!scheduled.isEmpty() && scheduled.peek().at() <= until) {
             ScheduledAction next = scheduled.poll();
             if (++actionCount > MAX_ACTIONS) {
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/placement/EntryWithMetrics.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/placement/EntryWithMetrics.java
@@ -110,7 +110,8 @@
                 /* labels= */ List.of(),
                 /* dispatchesSeen= */ 0,
                 JobFrame.Status.NO_RENEWAL,
-                /* coldMilliseconds= */ 0);
+                /* coldMilliseconds= */ 0,
+                /* crashes= */ List.of());
         run(() -> controller.handleFrame(from, status));
     }
 
