Send no stop orders to a silent upstream

Cause: a stop that was not accepted was repeated after 25 ms whatever the state of the upstream. Change: it is repeated once the upstream has answered again; until then the run ends with its lease.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StopOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StopOrders.java
@@ -42,14 +42,24 @@
                         EventKey.FENCE,
                         state.fenceToken());
         port.stop(run.identity(), state.orderWithoutLease(), answerTimeout.milliseconds(), answer -> {
-            if (!(answer instanceof Answer.Accepted) && run.isActive()) {
-                loop.after(RETRY_MILLISECONDS, () -> {
-                    if (run.isActive()) {
-                        stop(run, "stop-not-accepted");
-                    }
-                });
+            if (!(answer instanceof Answer.Accepted)) {
+                retryLater(run);
             }
         });
         holdCycle.startHoldIfNeeded();
     }
+
+    private void retryLater(LocalRun run) {
+        loop.after(RETRY_MILLISECONDS, () -> {
+            if (!run.isActive()) {
+                return;
+            }
+            // A silent upstream stops its runs when their lease expires.
+            if (holdCycle.isUpstreamSilent()) {
+                retryLater(run);
+            } else {
+                stop(run, "stop-not-accepted");
+            }
+        });
+    }
 }
