Return queued runs that no longer fit a shrunk upstream

Callers saw: a task that waited at a sidecar, above all one that needs the whole upstream, stayed there while the capacity was below its need, though other upstreams had room. Cause: a sidecar compared a run with the capacity of its upstream when it was dispatched only. Change: each announcement returns the queued runs that are larger than the upstream now; their entry sends them elsewhere.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -117,6 +117,7 @@
         if (announcement.leaving()) {
             refuseQueuedRuns("upstream-leaving");
         }
+        refuseQueuedRuns(run -> !state.capacity().covers(run.requiredResources()), "larger-than-upstream");
         listener.statusChanged();
         holdCycle.startHoldIfNeeded();
         startQueued();
@@ -389,8 +390,10 @@
     }
 
     private void refuseQueuedRuns(String cause) {
-        for (LocalRun run : List.copyOf(registry.queuedRuns())) {
-            refuse(run, cause);
-        }
+        refuseQueuedRuns(run -> true, cause);
+    }
+
+    private void refuseQueuedRuns(Predicate<LocalRun> selected, String cause) {
+        registry.queuedRuns().stream().filter(selected).toList().forEach(run -> refuse(run, cause));
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
@@ -9,11 +9,6 @@
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.TaskIdentity;
 import io.caperturn.jobs.upstream.SidecarController;
-import io.caperturn.jobs.upstream.SidecarTimings;
-import io.caperturn.jobs.zone.EvacuatedZones;
-import io.caperturn.jobs.zone.ZoneEvacuations;
-import io.caperturn.jobs.zone.ZoneStartGate;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,37 +17,17 @@
 
 /** Tests which reports of a sidecar tell its room, and that a status follows where they don't. */
 class RoomInReportsTest {
-    private static final String ENTRY = "entry~1";
+    private static final String ENTRY = SingleSidecar.ENTRY;
     private static final Resources NEED = new Resources(1_600, 64, 0);
     /** Time in which a scheduled status is sent, in milliseconds; shorter than the interval of periodic ones. */
     private static final long STATUS_MILLISECONDS = 25;
 
-    private final VirtualTime time = new VirtualTime();
-    private final VirtualLoop loop = new VirtualLoop(time, "sidecar");
-    private final List<JobFrame> frames = new ArrayList<>();
-    private final SidecarController sidecar = createSidecar();
+    private final SingleSidecar single = new SingleSidecar(/* taskMilliseconds= */ 100);
+    private final VirtualTime time = single.time();
+    private final List<JobFrame> frames = single.frames();
+    private final SidecarController sidecar = single.controller();
     private long sequence;
 
-    private SidecarController createSidecar() {
-        ZoneEvacuations evacuations = new ZoneEvacuations(loop);
-        evacuations.update(EvacuatedZones.NONE);
-        SimulatedUpstream upstream = new SimulatedUpstream(time, "upstream", new StartRecord(), task -> 100);
-        SidecarController created = new SidecarController(
-                loop,
-                upstream.portFor(loop),
-                (entry, frame) -> frames.add(frame),
-                SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000),
-                "sidecar",
-                new ZoneStartGate(evacuations, /* zone= */ ""));
-        created.setRegistration(1);
-        created.handleAnnouncement(upstream.announcement());
-        time.runUntil(500);
-        created.handleAnnouncement(upstream.announcement());
-        created.handleLinkOpened(ENTRY);
-        time.runUntil(700);
-        return created;
-    }
-
     private static RunIdentity run(int task, int number) {
         return new RunIdentity(new TaskIdentity("job", 0, 0, task), number);
     }
@@ -64,13 +39,7 @@
     }
 
     private JobFrame.Report reportOn(RunIdentity run) {
-        return frames.stream()
-                .filter(frame -> frame instanceof JobFrame.Report report
-                        && report.run().equals(run)
-                        && report.outcome().isFinished())
-                .map(JobFrame.Report.class::cast)
-                .findFirst()
-                .orElseThrow();
+        return single.finalReportOn(run).orElseThrow();
     }
 
     private boolean isStatusSentSoon() {
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SingleSidecar.java
@@ -0,0 +1,74 @@
+package io.caperturn.jobs.simulation;
+
+import io.caperturn.jobs.message.JobFrame;
+import io.caperturn.jobs.model.RunIdentity;
+import io.caperturn.jobs.upstream.SidecarController;
+import io.caperturn.jobs.upstream.SidecarTimings;
+import io.caperturn.jobs.zone.EvacuatedZones;
+import io.caperturn.jobs.zone.ZoneEvacuations;
+import io.caperturn.jobs.zone.ZoneStartGate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Sidecar with a simulated upstream, linked to an entry that the test plays; the frames that it sends are kept. */
+final class SingleSidecar {
+    static final String ENTRY = "entry~1";
+
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualLoop loop = new VirtualLoop(time, "sidecar");
+    private final List<JobFrame> frames = new ArrayList<>();
+    private final SimulatedUpstream upstream;
+    private final SidecarController controller;
+
+    /** Starts a sidecar whose upstream takes a time in milliseconds for each task. */
+    SingleSidecar(long taskMilliseconds) {
+        ZoneEvacuations evacuations = new ZoneEvacuations(loop);
+        evacuations.update(EvacuatedZones.NONE);
+        upstream = new SimulatedUpstream(time, "upstream", new StartRecord(), task -> taskMilliseconds);
+        controller = new SidecarController(
+                loop,
+                upstream.portFor(loop),
+                (entry, frame) -> frames.add(frame),
+                SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000),
+                "sidecar",
+                new ZoneStartGate(evacuations, /* zone= */ ""));
+        controller.setRegistration(1);
+        announce();
+        time.runUntil(500);
+        announce();
+        controller.handleLinkOpened(ENTRY);
+        time.runUntil(700);
+    }
+
+    void announce() {
+        controller.handleAnnouncement(upstream.announcement());
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    /** Returns the frames sent so far, which the test may clear. */
+    List<JobFrame> frames() {
+        return frames;
+    }
+
+    SimulatedUpstream upstream() {
+        return upstream;
+    }
+
+    SidecarController controller() {
+        return controller;
+    }
+
+    /** Returns the first report sent that a run is over. */
+    Optional<JobFrame.Report> finalReportOn(RunIdentity run) {
+        return frames.stream()
+                .filter(frame -> frame instanceof JobFrame.Report report
+                        && report.run().equals(run)
+                        && report.outcome().isFinished())
+                .map(JobFrame.Report.class::cast)
+                .findFirst();
+    }
+}
