--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
@@ -77,10 +77,7 @@
             case JobFrame.FenceOwner fence -> writer.writeText(1, fence.incarnation());
             case JobFrame.Unclaimed unclaimed -> unclaimed.jobs().forEach(job -> writer.writeText(1, job));
             case JobFrame.JobOver over -> writer.writeText(1, over.job());
-            case JobFrame.EntryState state ->
-                state.waitingJobs()
-                        .forEach((queue, count) -> writer.writeMessage(
-                                1, nested -> nested.writeText(1, queue).writeLong(2, count)));
+            case JobFrame.EntryState state -> CountFields.write(writer, /* field= */ 1, state.waitingJobs());
             case JobFrame.CancelJob cancel -> writer.writeText(1, cancel.job());
             case JobFrame.Slowdowns slowdowns -> SlowdownFields.write(writer, slowdowns);
         }
@@ -178,17 +175,7 @@
         Map<String, Integer> waitingJobs = new HashMap<>();
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             if (field == 1) {
-                FieldReader nested = reader.readMessage();
-                String queue = "";
-                int count = 0;
-                for (int inner = nested.nextFieldNumber(); inner != 0; inner = nested.nextFieldNumber()) {
-                    switch (inner) {
-                        case 1 -> queue = nested.readText();
-                        case 2 -> count = nested.readInt();
-                        default -> nested.skip();
-                    }
-                }
-                waitingJobs.put(queue, count);
+                CountFields.readInto(waitingJobs, reader.readMessage());
             } else {
                 reader.skip();
             }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/SlowdownFields.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/SlowdownFields.java
@@ -20,10 +20,7 @@
                             .writeLong(3, pair.logSlowdownThousandths())
                             .writeLong(4, pair.standardErrorThousandths()));
         }
-        slowdowns
-                .levelHundredths()
-                .forEach((queue, level) -> writer.writeMessage(
-                        2, nested -> nested.writeText(1, queue).writeLong(2, level)));
+        CountFields.write(writer, /* field= */ 2, slowdowns.levelHundredths());
     }
 
     static JobFrame read(FieldReader reader) throws IOException {
@@ -32,7 +29,7 @@
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> pairs.add(readPair(reader.readMessage()));
-                case 2 -> readLevel(reader.readMessage(), levels);
+                case 2 -> CountFields.readInto(levels, reader.readMessage());
                 default -> reader.skip();
             }
         }
@@ -55,17 +52,4 @@
         }
         return new PairSlowdown(queue, beside, logSlowdown, standardError);
     }
-
-    private static void readLevel(FieldReader reader, Map<String, Integer> levels) throws IOException {
-        String queue = "";
-        int level = 0;
-        for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
-            switch (field) {
-                case 1 -> queue = reader.readText();
-                case 2 -> level = reader.readInt();
-                default -> reader.skip();
-            }
-        }
-        levels.put(queue, level);
-    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/StatusFields.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/StatusFields.java
@@ -72,9 +72,7 @@
 
     private static void writeCrash(FieldWriter writer, UpstreamCrash crash) {
         writer.writeLong(1, crash.number()).writeLong(2, crash.ageMilliseconds());
-        crash.startChancePermille()
-                .forEach((queue, chance) -> writer.writeMessage(
-                        3, nested -> nested.writeText(1, queue).writeLong(2, chance)));
+        CountFields.write(writer, /* field= */ 3, crash.startChancePermille());
     }
 
     private static UpstreamCrash readCrash(FieldReader reader) throws IOException {
@@ -85,23 +83,10 @@
             switch (field) {
                 case 1 -> number = reader.readLong();
                 case 2 -> ageMilliseconds = reader.readLong();
-                case 3 -> readChance(reader.readMessage(), chances);
+                case 3 -> CountFields.readInto(chances, reader.readMessage());
                 default -> reader.skip();
             }
         }
         return new UpstreamCrash(number, ageMilliseconds, chances);
     }
-
-    private static void readChance(FieldReader reader, Map<String, Integer> chances) throws IOException {
-        String queue = "";
-        int chance = 0;
-        for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
-            switch (field) {
-                case 1 -> queue = reader.readText();
-                case 2 -> chance = reader.readInt();
-                default -> reader.skip();
-            }
-        }
-        chances.put(queue, chance);
-    }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -82,6 +82,7 @@
         }),
         /** The upstream restarts without any state. */
         UPSTREAM_REBORN(fleet -> fleet.upstream(0).restart()),
+        UPSTREAM_CRASHED(fleet -> fleet.upstream(0).crash()),
         /** The upstream executes orders to start or stop runs 3 s late, and does not answer them. */
         ORDERS_LATE(fleet -> {
             fleet.upstream(0).delayOrders(3_000);
