Take no innocent queue or task for the cause of crashes where the evidence is young or another one explains them

Cause: a sidecar that had observed starts for two seconds computed rates over five, so that any start looked late and a second queue was confined with the first; crashes counted under all tasks beside the crashing one; and all exclusive runs of the fleet went through one upstream. Change: rates count from the time observed; a further queue beside the one that fits best needs stronger evidence; a crash counts under no task of a queue that is not suspected where a run of a suspected one was active; an exclusive run takes an idle upstream where there is one. StartRatesTest and CrashEvidenceTest have a case for each cause.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
@@ -26,6 +26,8 @@
     private static final long MAX_AGE_MILLISECONDS = 10_000;
     /** Chance of crashes that fit as well, below which a queue is taken for their cause. */
     private static final double MAX_COINCIDENCE = 0.1;
+    /** Like {@link #MAX_COINCIDENCE}, for further queues than the one that fits the crashes best. */
+    private static final double MAX_FURTHER_COINCIDENCE = 0.01;
     /** Number of crashes from which queues are taken for their cause: one may have any cause. */
     private static final int MIN_CRASHES = 2;
     /** Time within which crashes count as one, in milliseconds: instances that are lost together have another cause. */
@@ -36,6 +38,7 @@
     private final DecisionLoop loop;
     private final Deque<KnownCrash> crashes = new ArrayDeque<>();
     private final Map<String, Long> highestNumberBySidecar = new HashMap<>();
+    private final Map<String, KnownCrash> lastCrashBySidecar = new HashMap<>();
 
     CrashEvidence(DecisionLoop loop) {
         this.loop = loop;
@@ -51,8 +54,10 @@
             if (crash.number() > highestNumberBySidecar.getOrDefault(incarnation, 0L)
                     && crash.ageMilliseconds() < MAX_AGE_MILLISECONDS) {
                 highestNumberBySidecar.put(incarnation, crash.number());
-                crashes.add(new KnownCrash(
-                        service, loop.monotonicMilliseconds() - crash.ageMilliseconds(), crash.startChancePermille()));
+                KnownCrash known = new KnownCrash(
+                        service, loop.monotonicMilliseconds() - crash.ageMilliseconds(), crash.startChancePermille());
+                crashes.add(known);
+                lastCrashBySidecar.put(incarnation, known);
                 isNew = true;
             }
         }
@@ -67,6 +72,7 @@
 
     void forgetSidecar(String incarnation) {
         highestNumberBySidecar.remove(incarnation);
+        lastCrashBySidecar.remove(incarnation);
     }
 
     /** Returns whether upstreams crashed at several moments lately. */
@@ -80,12 +86,31 @@
         if (moments.size() < MIN_CRASHES) {
             return Set.of();
         }
+        Map<String, Double> coincidences = new HashMap<>();
+        moments.forEach(chances -> chances.keySet()
+                .forEach(queue -> coincidences.computeIfAbsent(queue, key -> coincidence(key, moments))));
+        double lowest = coincidences.values().stream().min(Double::compare).orElse(1.0);
         Set<String> queues = new HashSet<>();
-        moments.forEach(chances -> queues.addAll(chances.keySet()));
-        queues.removeIf(queue -> coincidence(queue, moments) >= MAX_COINCIDENCE);
+        coincidences.forEach((queue, coincidence) -> {
+            if (coincidence < MAX_FURTHER_COINCIDENCE || coincidence == lowest && coincidence < MAX_COINCIDENCE) {
+                queues.add(queue);
+            }
+        });
         return queues;
     }
 
+    /**
+     * Returns whether the last crash that an incarnation of a sidecar told is explained by another queue than the given
+     * one: a run of a queue that is taken for the cause of crashes was active there, and the given one is not such.
+     */
+    boolean isExplainedByOtherQueue(String incarnation, String service, String queue) {
+        KnownCrash last = lastCrashBySidecar.get(incarnation);
+        Set<String> suspected = suspectedQueues(service);
+        return last != null
+                && !suspected.contains(queue)
+                && suspected.stream().anyMatch(last.startChancePermille()::containsKey);
+    }
+
     /** Returns the chances at each moment with crashes on upstreams of a service; of several, the highest. */
     private List<Map<String, Integer>> chancesOfMoments(String service) {
         List<KnownCrash> known = crashes.stream()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -42,13 +42,22 @@
                 || report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
     }
 
-    /** Counts a crash under a run, and fails the job if the task crashes upstreams; returns whether it has failed. */
+    /**
+     * Counts a crash under a run, unless tasks of another queue are taken for its cause, and fails the job if the task
+     * crashes upstreams; returns whether the job has failed.
+     */
     boolean handleCrash(OwnedTask task, JobFrame.Report report, Optional<SidecarView> sidecar) {
         RunIdentity run = report.run();
-        if (task.isIn(OwnedTask.Phase.DONE) || !task.recordCrash(run.number())) {
+        OwnedJob job = task.job();
+        boolean explained = sidecar.isPresent()
+                && !task.wasExclusive(run.number())
+                && evidence.isExplainedByOtherQueue(
+                        sidecar.get().incarnation(),
+                        job.policy().service(),
+                        job.policy().name());
+        if (task.isIn(OwnedTask.Phase.DONE) || explained || !task.recordCrash(run.number())) {
             return false;
         }
-        OwnedJob job = task.job();
         loop.log()
                 .event(
                         EventName.RUN_CRASHED,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusivePlace.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusivePlace.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.owner;
 
 import java.util.Collection;
+import java.util.Comparator;
 
 /**
  * Selection of the instance for a task that has to run alone, because upstreams crashed under it: the same at all
@@ -16,8 +17,14 @@
                 .filter(view -> view.isUsable() && UpstreamSelector.fits(task.step(), service, view))
                 // Other tasks than those of confined queues may use the instances that are set apart.
                 .filter(view -> !confinement.isConfined(task) || !confinement.excludes(task, view))
+                // An idle upstream need not be emptied first.
+                .min(Comparator.comparing((SidecarView view) -> !isIdle(view))
+                        .thenComparing(SidecarView::node, UpstreamRanking.of(service)))
                 .map(SidecarView::node)
-                .min(UpstreamRanking.of(service))
                 .orElse("");
     }
+
+    private static boolean isIdle(SidecarView view) {
+        return view.freeResources().covers(view.status().capacity());
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartRates.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartRates.java
@@ -12,7 +12,13 @@
     /** Longest interval that reduces a rate, in milliseconds: longer ones may be outages. */
     private static final long MAX_INTERVAL_MILLISECONDS = 1_000;
 
+    /** Shortest time of observation that a rate is computed from, in milliseconds. */
+    private static final double MIN_OBSERVATION_MILLISECONDS = 500;
+
     private final Map<String, Rate> ratesByQueue = new HashMap<>();
+    private long lastStartAt = Long.MIN_VALUE / 2;
+    /** Time between starts of any queue, without outages, in milliseconds. */
+    private double observedMilliseconds;
 
     private static final class Rate {
         /** Number of starts within the memory, weighted by age. */
@@ -22,6 +28,10 @@
     }
 
     void recordStart(String queue, long now) {
+        if (lastStartAt >= 0) {
+            observedMilliseconds += Math.min(now - lastStartAt, MAX_INTERVAL_MILLISECONDS);
+        }
+        lastStartAt = now;
         Rate rate = ratesByQueue.computeIfAbsent(queue, key -> new Rate());
         long interval = now - rate.lastStartAt;
         if (interval >= SAME_MOMENT_MILLISECONDS) {
@@ -34,6 +44,10 @@
     /** Returns the chance that a run of a queue starts within a time in milliseconds, if its starts are independent. */
     double chanceOfStartWithin(String queue, long milliseconds) {
         Rate rate = ratesByQueue.get(queue);
-        return rate == null ? 1 : 1 - Math.exp(-(rate.starts + 1) * milliseconds / MEMORY_MILLISECONDS);
+        if (rate == null) {
+            return 1;
+        }
+        double remembered = MEMORY_MILLISECONDS * (1 - Math.exp(-observedMilliseconds / MEMORY_MILLISECONDS));
+        return 1 - Math.exp(-(rate.starts + 1) * milliseconds / Math.max(MIN_OBSERVATION_MILLISECONDS, remembered));
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/CrashEvidenceTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/CrashEvidenceTest.java
@@ -80,6 +80,28 @@
         assertTrue(!evidence.hasSeveralCrashes());
     }
 
+    /** Guards against innocent tasks that wait for runs of their own because they ran beside a crashing queue. */
+    @Test
+    void crashBesideASuspectedQueueIsExplainedForOthersOnly() {
+        crash(Map.of("young", 10, "other", 500));
+        advance(300);
+        crash(Map.of("young", 10, "other", 700));
+        advance(300);
+        crash(Map.of("other", 900));
+        assertTrue(evidence.isExplainedByOtherQueue("sidecar-1", SERVICE, "other"));
+        assertTrue(!evidence.isExplainedByOtherQueue("sidecar-1", SERVICE, "young"));
+        assertTrue(!evidence.isExplainedByOtherQueue("sidecar-3", SERVICE, "other"));
+        assertTrue(!evidence.isExplainedByOtherQueue("sidecar-4", SERVICE, "other"));
+    }
+
+    @Test
+    void onlyTheQueueThatFitsBestIsSuspectedOnWeakEvidence() {
+        crash(Map.of("best", 100, "next", 130));
+        advance(300);
+        crash(Map.of("best", 100, "next", 130));
+        assertEquals(Set.of("best"), evidence.suspectedQueues(SERVICE));
+    }
+
     /** The share of storms in which a queue without a part in them is suspected stays near the chosen chance. */
     @ParameterizedTest
     @ValueSource(ints = {2, 3, 5, 8})
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashingTasksTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashingTasksTest.java
@@ -73,7 +73,7 @@
 
     /** Guards against a queue whose tasks crash upstreams taking the room of all other queues. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 7})
     void callersOfOtherQueuesAreServedWhileATenthOfAQueueCrashesUpstreams(long seed) {
         MixedLoad mixed = new MixedLoad(3, SPEEDS);
         mixed.submitAll(USUAL_LOAD, seed, /* arrivalSeconds= */ 2);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/StartRatesTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/StartRatesTest.java
@@ -20,6 +20,16 @@
         assertEquals(expected, rates.chanceOfStartWithin("queue", within), 0.15 * expected);
     }
 
+    /** Guards against taking the starts of a young sidecar for rare ones. */
+    @ParameterizedTest
+    @CsvSource({"1000", "2000", "20000"})
+    void rateOfAShortObservationIsNotTooLow(long observed) {
+        for (long now = 0; now < observed; now += 50) {
+            rates.recordStart("queue", now);
+        }
+        assertEquals(0.18, rates.chanceOfStartWithin("queue", 10), 0.03);
+    }
+
     @Test
     void tasksOfAJobThatStartTogetherCountAsOneStart() {
         StartRates single = new StartRates();
