Put one crash at most down to another queue, and look for upstreams elsewhere once for each demand

Cause, found by reading: with a queue suspected wrongly where nothing can be set apart, each crash under a task of another queue would be explained away, and the task would have no bound. A placement at hundreds of upstreams asked all of them, for each one that is excluded, whether another can run the task. Change: a second such crash counts; the answer is kept for each demand until the set is selected anew. Evidence: OwnedTaskTest.onlyOneCrashIsPutDownToAnotherQueue; CrashingTasksTest and QueueConfinementTest pass.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -55,7 +55,7 @@
                         sidecar.get().incarnation(),
                         job.policy().service(),
                         job.policy().name());
-        if (task.isIn(OwnedTask.Phase.DONE) || explained || !task.recordCrash(run.number())) {
+        if (task.isIn(OwnedTask.Phase.DONE) || !task.recordCrash(run.number(), explained)) {
             return false;
         }
         loop.log()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -35,6 +35,9 @@
     private int lastFailedRun;
     private int crashes;
     private int lastCrashedRun;
+    /** Whether a crash was left uncounted because another task was its likely cause. */
+    private boolean explainedCrashPassed;
+
     /** Whether the next run has to be the only one on its upstream. */
     private boolean exclusiveRunRequired;
     /** Number of the last run that was sent as the only one to its upstream; 0 if none was. */
@@ -228,12 +231,20 @@
         }
     }
 
-    /** Counts a crash of the upstream under a run, unless it was counted before; returns whether it was counted now. */
-    boolean recordCrash(int runNumber) {
+    /**
+     * Counts a crash of the upstream under a run, unless it was handled before; returns whether it was counted now.
+     *
+     * @param explained whether another task is the likely cause; such a crash is not counted, but only once
+     */
+    boolean recordCrash(int runNumber, boolean explained) {
         if (runNumber <= lastCrashedRun) {
             return false;
         }
         lastCrashedRun = runNumber;
+        if (explained && !explainedCrashPassed) {
+            explainedCrashPassed = true;
+            return false;
+        }
         crashes++;
         return true;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/QueueConfinement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/QueueConfinement.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,6 +32,9 @@
     private final CrashEvidence evidence;
     private final QueueDemand demand;
     private Map<String, ConfinedSet> setsByService = Map.of();
+    /** Whether an upstream meets a demand, since the last selection. */
+    private final Map<Demanded, Boolean> servedElsewhere = new HashMap<>();
+
     private long selectedAt;
 
     QueueConfinement(DecisionLoop loop, SidecarDirectory sidecars, CrashEvidence evidence, QueueDemand demand) {
@@ -43,6 +47,9 @@
     /** Confined queues of a service, and the names of the instances that they share with no other queue. */
     private record ConfinedSet(Set<String> queues, Set<String> nodes) {}
 
+    /** What a task demands of an upstream, and on which side of a confinement. */
+    private record Demanded(String service, boolean confined, Resources resources, String label) {}
+
     QueueDemand demand() {
         return demand;
     }
@@ -53,6 +60,7 @@
         boolean crashForgotten = evidence.forgetOld();
         if (newCrash || crashForgotten || !setsByService.isEmpty() && selectionOld) {
             selectedAt = loop.monotonicMilliseconds();
+            servedElsewhere.clear();
             Map<String, ConfinedSet> selected = new HashMap<>();
             for (String service : evidence.services()) {
                 Set<String> queues = evidence.suspectedQueues(service);
@@ -125,8 +133,12 @@
     /** Returns whether any upstream on the side of the task can run it. */
     private boolean isServedElsewhere(OwnedTask task, boolean confined, ConfinedSet set) {
         StepPlan step = task.step();
-        return sidecars.views().stream()
-                .anyMatch(view -> confined == set.nodes().contains(view.node())
-                        && UpstreamSelector.fits(step, task.job().policy().service(), view));
+        String service = task.job().policy().service();
+        Demanded demanded = new Demanded(service, confined, step.resourcesPerTask(), step.requiredLabel());
+        return servedElsewhere.computeIfAbsent(
+                demanded,
+                key -> sidecars.views().stream()
+                        .anyMatch(view -> confined == set.nodes().contains(view.node())
+                                && UpstreamSelector.fits(step, service, view)));
     }
 }
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
@@ -0,0 +1,59 @@
+package io.caperturn.jobs.owner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.model.JobPlan;
+import io.caperturn.jobs.model.QueuePolicy;
+import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.StepPlan;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests how crashes are counted under a task. */
+class OwnedTaskTest {
+    private static final QueuePolicy POLICY = new QueuePolicy("queue", "host", "/q/", "service", 0, 2, 1.6, 60);
+
+    private final OwnedTask task = new OwnedJob(
+                    "job",
+                    new JobPlan(
+                            "queue",
+                            "payload",
+                            List.of(new StepPlan(1, new Resources(1_600, 64, 0), 100, List.of(), "", "", 0)),
+                            /* durable= */ true),
+                    POLICY,
+                    /* generation= */ 0,
+                    /* acceptedWallClockMilliseconds= */ 0,
+                    /* arrivedAt= */ 0)
+            .tasks()
+            .getFirst();
+
+    @Test
+    void crashUnderOneRunCountsOnce() {
+        task.recordCrash(3, /* explained= */ false);
+        task.recordCrash(3, /* explained= */ false);
+        task.recordCrash(2, /* explained= */ false);
+        assertEquals(1, task.crashes());
+    }
+
+    /** Guards against a task without a bound on its starts because each crash is put down to another queue. */
+    @Test
+    void onlyOneCrashIsPutDownToAnotherQueue() {
+        for (int run = 1; run <= 4; run++) {
+            task.recordCrash(run, /* explained= */ true);
+        }
+        assertEquals(3, task.crashes());
+    }
+
+    @Test
+    void crashesAreRestoredWithTheProgress() {
+        task.restore(new JobRecord.TaskProgress(0, /* succeeded= */ false, 0, 0, /* crashedRunCount= */ 2, 7));
+        assertEquals(2, task.crashes());
+        assertEquals(true, task.needsExclusiveRun());
+        assertEquals(false, task.recordCrash(7, /* explained= */ false));
+        assertEquals(
+                8,
+                task.assignNextRun("sidecar~1", /* now= */ 1, /* expectedMilliseconds= */ 100)
+                        .number());
+    }
+}
