Reserve no capacity for queues that may not use it

Callers saw jobs of other queues wait although their upstreams had room: while a more urgent queue was confined, or had arrivals for another service, a tenth of the room was kept free for its tasks, which may not run there. Cause: the reserve was kept for an urgency, not for a queue, and counted the room of all upstreams. Change: arrivals are remembered by queue. Only queues of the same service on the same side of a confinement count, and only upstreams that the task may use.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementExplainer.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementExplainer.java
@@ -69,7 +69,7 @@
                 .filter(task -> task.step().prerequisiteSteps().isEmpty())
                 .limit(maximumExplainedTasks(explainedPlan))
                 .toList();
-        PlacementTrial trial = new PlacementTrial(dispatcher, policy.urgency(), now);
+        PlacementTrial trial = new PlacementTrial(dispatcher, policy, now);
         List<PlacementExplanation.Candidate> candidates = assessCandidates(explainedTasks, trial);
         List<PlacementExplanation.Placement> placements =
                 assessment.refusal().isPresent() ? List.of() : trial.place(explainedTasks, MAX_ASSESSMENTS);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.interference.InterferenceCost;
+import io.caperturn.jobs.model.QueuePolicy;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -24,11 +25,11 @@
     private int remainingAssessments;
     private boolean endedEarly;
 
-    /** Creates the pass at which a job of a given urgency arrives; {@code now} is of the monotonic clock. */
-    PlacementTrial(TaskDispatcher dispatcher, int urgency, long now) {
+    /** Creates the pass at which a job of a given queue arrives; {@code now} is of the monotonic clock. */
+    PlacementTrial(TaskDispatcher dispatcher, QueuePolicy queue, long now) {
         this.interference = dispatcher.interferenceNow();
         this.selector = dispatcher.selector().copyWith(interference);
-        this.selector.recordArrival(urgency, now);
+        this.selector.recordArrival(queue, now);
         this.backlog = dispatcher.backlog().copy();
         this.sidecars = dispatcher.sidecars().stream().map(SidecarView::copy).toList();
         this.now = now;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/QueueConfinement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/QueueConfinement.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.HashMap;
@@ -114,10 +115,15 @@
         return queues;
     }
 
+    /** Returns whether a queue is confined. */
+    boolean isConfined(QueuePolicy queue) {
+        ConfinedSet set = setsByService.get(queue.service());
+        return set != null && set.queues().contains(queue.name());
+    }
+
     /** Returns whether the queue of a task is confined. */
     boolean isConfined(OwnedTask task) {
-        ConfinedSet set = setsByService.get(task.job().policy().service());
-        return set != null && set.queues().contains(task.job().policy().name());
+        return isConfined(task.job().policy());
     }
 
     /** Returns whether a task must not be sent to a sidecar; the task and the sidecar are of the same service. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -56,7 +56,7 @@
     }
 
     void enqueueReadyTasks(OwnedJob job) {
-        selector.recordArrival(job.policy().urgency(), loop.monotonicMilliseconds());
+        selector.recordArrival(job.policy(), loop.monotonicMilliseconds());
         for (OwnedTask task : job.tasks()) {
             if (task.isIn(OwnedTask.Phase.BLOCKED) && job.areDependenciesDone(task.step())) {
                 backlog.add(task, loop.monotonicMilliseconds());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -1,9 +1,11 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.interference.InterferenceCost;
+import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.Collection;
-import java.util.TreeMap;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Selector of the upstream at which a task has the lowest cost: its expected duration there, and what it costs others.
@@ -34,8 +36,8 @@
      */
     private static final long RESERVATION_MILLISECONDS = 5_000;
 
-    /** Monotonic time at which tasks of each urgency last became ready, in milliseconds; 0 is the most urgent. */
-    private final TreeMap<Integer, Long> lastArrivalByUrgency = new TreeMap<>();
+    /** Monotonic time at which tasks of each queue last became ready, in milliseconds. */
+    private final Map<QueuePolicy, Long> lastArrivalByQueue = new HashMap<>();
 
     private final DurationModel durations;
 
@@ -52,7 +54,7 @@
     /** Returns a copy that uses another cost of interference, and whose arrivals can be changed without an effect. */
     UpstreamSelector copyWith(InterferenceCost otherInterference) {
         UpstreamSelector copy = new UpstreamSelector(durations, otherInterference, confinement);
-        copy.lastArrivalByUrgency.putAll(lastArrivalByUrgency);
+        copy.lastArrivalByQueue.putAll(lastArrivalByQueue);
         return copy;
     }
 
@@ -151,34 +153,33 @@
                 : new Candidacy.Full(expectedMilliseconds);
     }
 
-    /**
-     * Records that tasks of an urgency have become ready to start, at a time of the monotonic clock in milliseconds.
-     */
-    void recordArrival(int urgency, long now) {
-        lastArrivalByUrgency.put(urgency, now);
+    /** Records that tasks of a queue have become ready to start, at a time of the monotonic clock in milliseconds. */
+    void recordArrival(QueuePolicy queue, long now) {
+        lastArrivalByQueue.values().removeIf(arrivedAt -> now - arrivedAt >= RESERVATION_MILLISECONDS);
+        lastArrivalByQueue.put(queue, now);
     }
 
-    /** Returns whether tasks more urgent than the given one have become ready recently. */
+    /** Returns whether tasks that are more urgent than the given one, and use the same room, became ready recently. */
     private boolean hasRecentMoreUrgentWork(OwnedTask task, long now) {
-        for (long arrivedAt :
-                lastArrivalByUrgency.headMap(task.job().policy().urgency()).values()) {
-            if (now - arrivedAt < RESERVATION_MILLISECONDS) {
-                return true;
-            }
-        }
-        return false;
+        QueuePolicy own = task.job().policy();
+        return lastArrivalByQueue.entrySet().stream()
+                .anyMatch(arrival -> arrival.getKey().urgency() < own.urgency()
+                        && now - arrival.getValue() < RESERVATION_MILLISECONDS
+                        && arrival.getKey().service().equals(own.service())
+                        && confinement.isConfined(arrival.getKey()) == confinement.isConfined(own));
     }
 
     /**
      * Returns whether a task would use free capacity that is reserved for more urgent tasks; nothing is reserved while
-     * nearly all capacity is free.
+     * nearly all capacity is free. Only upstreams that the task may use count.
      */
-    private static boolean isCapacityReserved(OwnedTask task, Collection<SidecarView> sidecars) {
+    private boolean isCapacityReserved(OwnedTask task, Collection<SidecarView> sidecars) {
         long free = 0;
         long capacity = 0;
         for (SidecarView sidecar : sidecars) {
             if (sidecar.isUsable()
-                    && sidecar.status().service().equals(task.job().policy().service())) {
+                    && sidecar.status().service().equals(task.job().policy().service())
+                    && !confinement.excludes(task, sidecar)) {
                 free += Math.max(0, sidecar.freeResources().processorMillis());
                 capacity += sidecar.status().capacity().processorMillis();
             }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
@@ -139,11 +139,25 @@
         OwnedTask other = job("other", "", /* urgency= */ 1).tasks().getFirst();
         crashTwiceUnder("confined");
         directory.views().forEach(view -> tell(view.node(), new Resources(1_600, 3_200, 0), List.of(), List.of()));
-        selector.recordArrival(/* urgency= */ 0, time.now());
+        selector.recordArrival(job("confined", "", /* urgency= */ 0).policy(), time.now());
 
         assertInstanceOf(Selection.Chosen.class, selector.select(other, directory.views(), time.now()));
     }
 
+    /** Guards against a confinement of one queue that ends the reserve for another. */
+    @Test
+    void capacityStaysReservedForAMoreUrgentQueueBesideAConfinedOne() {
+        addSidecars(11, List.of());
+        UpstreamSelector selector =
+                new UpstreamSelector(new DurationModel(), new InterferenceCost(new FleetSlowdowns(loop)), confinement);
+        OwnedTask other = job("other", "", /* urgency= */ 1).tasks().getFirst();
+        crashTwiceUnder("confined");
+        directory.views().forEach(view -> tell(view.node(), new Resources(1_600, 3_200, 0), List.of(), List.of()));
+        selector.recordArrival(job("urgent", "", /* urgency= */ 0).policy(), time.now());
+
+        assertEquals(WaitReason.CAPACITY_RESERVED.selection(), selector.select(other, directory.views(), time.now()));
+    }
+
     @Test
     void confinementEndsWithItsEvidence() {
         addSidecars(11, List.of());
