Serve the callers who still come to a stopping entry for as long as their jobs can complete

Cause: 2.4 s after the stop request an entry refused every job that would end after the last of its own, in the belief that the load balancer sends nobody any more. Where an entry is the only one of its zone, or the others restart as well, it went on sending 30 to 40 callers a second until the process had exited (received lines of front-brno-b-1). Change: EntryDrain, a decision of its own taken out of EntryApplication.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryApplication.java
@@ -7,6 +7,7 @@
 import io.caperturn.jobs.message.ProcessRole;
 import io.caperturn.jobs.model.RoutingTable;
 import io.caperturn.jobs.owner.EntryController;
+import io.caperturn.jobs.owner.EntryDrain;
 import io.caperturn.jobs.owner.EntryHost;
 import io.caperturn.jobs.owner.EntryParameters;
 import io.caperturn.jobs.record.StoreRetryBudget;
@@ -30,15 +31,6 @@
  * declared this one lost, the process continues with a new controller under a new incarnation (identity).
  */
 final class EntryApplication implements LinkManager.Listener, EntryHost {
-    /**
-     * Time from a stop request until the load balancer sends no new connections, in milliseconds. The load balancer
-     * probes once a second and removes an entry after two failed probes.
-     */
-    private static final long LOAD_BALANCER_REMOVAL_MILLISECONDS = 2_400;
-    /** Time reserved for handing over unfinished jobs before the process is killed, in milliseconds. */
-    private static final long HAND_OVER_RESERVE_MILLISECONDS = 1_200;
-    /** Interval of the check whether all jobs are finished, in milliseconds. */
-    private static final long IDLE_CHECK_INTERVAL_MILLISECONDS = 25;
     /** Time for the last responses to reach their callers before the process exits, in milliseconds. */
     private static final long RESPONSE_FLUSH_MILLISECONDS = 60;
 
@@ -112,18 +104,15 @@
     }
 
     /**
-     * Shuts down gracefully: waits until the load balancer has removed this entry, finishes the jobs that it can and
-     * leaves the stored ones to the other entries.
+     * Shuts down gracefully: finishes the jobs that it can and leaves the stored ones to the other entries.
      *
      * <p>Called on a thread other than that of the event loop; returns once the process may exit, at the latest after
      * the grace period.
      */
     void stop() {
         eventLoop.execute(() -> {
-            entry.reportNotReady();
-            long deadlineMilliseconds =
-                    loop.monotonicMilliseconds() + settings.graceMilliseconds() - HAND_OVER_RESERVE_MILLISECONDS;
-            loop.after(LOAD_BALANCER_REMOVAL_MILLISECONDS, () -> drain(deadlineMilliseconds));
+            Runnable exit = () -> loop.after(RESPONSE_FLUSH_MILLISECONDS, stopped::countDown);
+            new EntryDrain(loop, entry, settings.graceMilliseconds(), exit).start();
         });
         try {
             if (!stopped.await(settings.graceMilliseconds(), TimeUnit.MILLISECONDS)) {
@@ -134,20 +123,6 @@
         }
     }
 
-    private void drain(long deadlineMilliseconds) {
-        // New jobs are accepted only if they finish before the last of the owned ones.
-        entry.refuseOutlastingJobs();
-        if (entry.ownsNoJobs() || loop.monotonicMilliseconds() > deadlineMilliseconds) {
-            handOver();
-        } else {
-            loop.after(IDLE_CHECK_INTERVAL_MILLISECONDS, () -> drain(deadlineMilliseconds));
-        }
-    }
-
-    private void handOver() {
-        entry.handOverJobs(() -> loop.after(RESPONSE_FLUSH_MILLISECONDS, stopped::countDown));
-    }
-
     @Override
     public void linkOpened(JobFrame.Hello peer) {
         entry.handleLinkOpened(peer);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/QueuePolicy.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/model/QueuePolicy.java
@@ -38,4 +38,14 @@
         Objects.requireNonNull(pathPrefix, "pathPrefix");
         Objects.requireNonNull(service, "service");
     }
+
+    /**
+     * Returns the time within which a job should complete.
+     *
+     * @param criticalPathMilliseconds estimated duration of the job without waits, in milliseconds
+     * @return the time, in milliseconds
+     */
+    public long objectiveMilliseconds(long criticalPathMilliseconds) {
+        return (long) (objectiveFactor * criticalPathMilliseconds) + objectiveOffsetMilliseconds;
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -177,6 +177,7 @@
      * @param receiver receiver of the answer
      */
     public void submit(String identity, JobPlan plan, QueuePolicy policy, Consumer<CallerAnswers.Submission> receiver) {
+        admission.recordSubmission();
         boolean alreadySubmitted = jobs.find(identity) != null
                 || plan.durable() && (jobs.findFinalState(identity) != null || jobs.isInserting(identity));
         if (!alreadySubmitted) {
@@ -254,18 +255,14 @@
         return waitingJobCounts.count(queue);
     }
 
-    /**
-     * Makes this entry report that it is not ready, so that load balancers send no new connections; existing ones are
-     * still served.
-     */
-    public void reportNotReady() {
+    /** Makes this entry report that it is not ready, so that load balancers send no new connections. */
+    void reportNotReady() {
         reportingNotReady = true;
         loop.log().event(EventName.LEAVING, EventKey.JOBS, jobs.ownedJobs().size());
     }
 
-    /** Refuses from now on durable jobs and any that would finish after all owned jobs: this entry is about to stop. */
-    public void refuseOutlastingJobs() {
-        admission.refuseOutlastingJobs();
+    JobAdmission admission() {
+        return admission;
     }
 
     /**
@@ -282,8 +279,8 @@
         membership.leave(removed -> done.run());
     }
 
-    /** {@return whether this entry owns no job, so that nothing has to be handed over} */
-    public boolean ownsNoJobs() {
+    /** Returns whether this entry owns no job, so that nothing has to be handed over. */
+    boolean ownsNoJobs() {
         return jobs.ownedJobs().isEmpty();
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
@@ -49,10 +49,13 @@
     private final JobWriter writer;
     private final TaskDispatcher dispatcher;
     private final ProcessMembership membership;
-    private final OwnedJobRepository jobs;
     private final LoadForecast forecast;
     private final EvacuationImpact evacuationImpact;
-    private boolean refusingOutlastingJobs;
+    /** When this entry stops, in milliseconds of the monotonic clock; empty unless it is about to stop. */
+    private OptionalLong stopDeadline = OptionalLong.empty();
+
+    private long lastSubmissionAt;
+
     private final Map<String, Double> allowedWaitFractionByQueue = new HashMap<>();
 
     JobAdmission(
@@ -66,7 +69,7 @@
         this.writer = writer;
         this.dispatcher = dispatcher;
         this.membership = membership;
-        this.jobs = jobs;
+        this.lastSubmissionAt = loop.monotonicMilliseconds();
         this.forecast = new LoadForecast(loop, dispatcher, membership, evacuations);
         this.evacuationImpact = new EvacuationImpact(evacuations, dispatcher, jobs, membership, forecast);
     }
@@ -88,18 +91,30 @@
                         : Math.min(1, allowedFraction + ON_TIME_WAIT_INCREMENT));
     }
 
-    /** Refuses from now on new jobs that would finish later than all owned jobs, and all new durable jobs. */
-    void refuseOutlastingJobs() {
-        refusingOutlastingJobs = true;
+    /** Records that a job was submitted, whether it is accepted or not. */
+    void recordSubmission() {
+        lastSubmissionAt = loop.monotonicMilliseconds();
+    }
+
+    /** Returns the time since the last submission of a job, or else since the start, in milliseconds. */
+    long millisecondsSinceSubmission() {
+        return loop.monotonicMilliseconds() - lastSubmissionAt;
+    }
+
+    /**
+     * Refuses from now on all new durable jobs, and those whose objective ends after a time of the monotonic clock, in
+     * milliseconds.
+     */
+    void refuseJobsDueAfter(long deadline) {
+        stopDeadline = OptionalLong.of(deadline);
     }
 
-    /** Returns whether a new job would finish later than all owned jobs; true for every durable job. */
-    private boolean outlastsOwnedJobs(JobPlan plan) {
-        long lastCompletion = jobs.ownedJobs().stream()
-                .mapToLong(job -> job.arrivedAt() + job.plan().criticalPathMilliseconds())
-                .max()
-                .orElse(0);
-        return plan.durable() || loop.monotonicMilliseconds() + plan.criticalPathMilliseconds() >= lastCompletion;
+    /** Returns whether this entry is about to stop, and should not accept a job that may not complete before. */
+    private boolean outlastsThisEntry(JobPlan plan, QueuePolicy policy) {
+        return stopDeadline.isPresent()
+                && (plan.durable()
+                        || loop.monotonicMilliseconds() + policy.objectiveMilliseconds(plan.criticalPathMilliseconds())
+                                > stopDeadline.getAsLong());
     }
 
     EvacuationImpact evacuationImpact() {
@@ -154,7 +169,7 @@
      * Returns the refusal of a new job for a reason other than the time until it completes, or null if there is none.
      */
     private CallerAnswers.Submission.Refused findFault(JobPlan plan, QueuePolicy policy) {
-        if (refusingOutlastingJobs && outlastsOwnedJobs(plan)) {
+        if (outlastsThisEntry(plan, policy)) {
             return STOPPING;
         }
         if (plan.durable() && !membership.isRegistered()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -57,8 +57,7 @@
         this.generation = generation;
         this.acceptedWallClockMilliseconds = acceptedWallClockMilliseconds;
         this.arrivedAt = arrivedAt;
-        this.objectiveMilliseconds = (long) (policy.objectiveFactor() * plan.criticalPathMilliseconds())
-                + policy.objectiveOffsetMilliseconds();
+        this.objectiveMilliseconds = policy.objectiveMilliseconds(plan.criticalPathMilliseconds());
         int number = 0;
         for (int step = 0; step < plan.steps().size(); step++) {
             StepPlan stepPlan = plan.steps().get(step);
