Let a stopping entry accept what is expected to complete 1.2 s before it is killed

Change: the estimate decides, and 600 ms of the 1.2 s reserved at the end are for jobs that take longer than estimated.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryDrain.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryDrain.java
@@ -16,7 +16,9 @@
      */
     private static final long LOAD_BALANCER_REMOVAL_MILLISECONDS = 2_400;
     /** Time reserved for handing over unfinished jobs before the process is killed, in milliseconds. */
-    private static final long HAND_OVER_RESERVE_MILLISECONDS = 1_200;
+    private static final long HAND_OVER_RESERVE_MILLISECONDS = 600;
+    /** Time reserved for jobs that take longer than estimated, in milliseconds. */
+    private static final long OVERRUN_RESERVE_MILLISECONDS = 600;
     /** Time without a submission after which no more callers are expected, in milliseconds. */
     private static final long QUIET_MILLISECONDS = 250;
     /** Interval of the check whether all jobs are finished, in milliseconds. */
@@ -25,7 +27,10 @@
     private final DecisionLoop loop;
     private final EntryController entry;
     private final Runnable handedOver;
-    private final long deadline;
+    /** Time by which accepted jobs are expected to complete, in milliseconds of the monotonic clock. */
+    private final long lastCompletionAt;
+    /** Time at which unfinished jobs are handed over, in milliseconds of the monotonic clock. */
+    private final long handOverAt;
 
     /**
      * Creates a graceful stop; {@link #start} begins it.
@@ -39,7 +44,8 @@
         this.loop = loop;
         this.entry = entry;
         this.handedOver = handedOver;
-        this.deadline = loop.monotonicMilliseconds() + graceMilliseconds - HAND_OVER_RESERVE_MILLISECONDS;
+        this.handOverAt = loop.monotonicMilliseconds() + graceMilliseconds - HAND_OVER_RESERVE_MILLISECONDS;
+        this.lastCompletionAt = handOverAt - OVERRUN_RESERVE_MILLISECONDS;
     }
 
     /** Reports that the entry is not ready, and begins to wait until it can hand over its jobs. */
@@ -49,9 +55,11 @@
     }
 
     private void check() {
-        entry.admission().refuseJobsDueAfter(deadline);
-        boolean idle = entry.ownsNoJobs() && entry.admission().millisecondsSinceSubmission() >= QUIET_MILLISECONDS;
-        if (idle || loop.monotonicMilliseconds() > deadline) {
+        long now = loop.monotonicMilliseconds();
+        JobAdmission admission = entry.admission();
+        admission.refuseJobsEndingAfter(lastCompletionAt);
+        boolean acceptingNone = now > lastCompletionAt || admission.millisecondsSinceSubmission() >= QUIET_MILLISECONDS;
+        if (entry.ownsNoJobs() && acceptingNone || now > handOverAt) {
             entry.handOverJobs(handedOver);
         } else {
             loop.after(CHECK_INTERVAL_MILLISECONDS, this::check);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
@@ -102,19 +102,18 @@
     }
 
     /**
-     * Refuses from now on all new durable jobs, and those whose objective ends after a time of the monotonic clock, in
+     * Refuses from now on all new durable jobs, and those that would not complete by a time of the monotonic clock, in
      * milliseconds.
      */
-    void refuseJobsDueAfter(long deadline) {
+    void refuseJobsEndingAfter(long deadline) {
         stopDeadline = OptionalLong.of(deadline);
     }
 
     /** Returns whether this entry is about to stop, and should not accept a job that may not complete before. */
-    private boolean outlastsThisEntry(JobPlan plan, QueuePolicy policy) {
+    private boolean outlastsThisEntry(JobPlan plan) {
         return stopDeadline.isPresent()
                 && (plan.durable()
-                        || loop.monotonicMilliseconds() + policy.objectiveMilliseconds(plan.criticalPathMilliseconds())
-                                > stopDeadline.getAsLong());
+                        || loop.monotonicMilliseconds() + plan.criticalPathMilliseconds() > stopDeadline.getAsLong());
     }
 
     EvacuationImpact evacuationImpact() {
@@ -169,7 +168,7 @@
      * Returns the refusal of a new job for a reason other than the time until it completes, or null if there is none.
      */
     private CallerAnswers.Submission.Refused findFault(JobPlan plan, QueuePolicy policy) {
-        if (outlastsThisEntry(plan, policy)) {
+        if (outlastsThisEntry(plan)) {
             return STOPPING;
         }
         if (plan.durable() && !membership.isRegistered()) {
