--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -184,8 +184,9 @@
             dispatcher.confinement().demand().record(plan, policy);
             JobAdmission.Assessment assessment = assess(identity, plan, policy);
             if (assessment.refusal().isPresent()) {
-                admission.logRefusal(identity, policy, assessment.refusal().get());
-                receiver.accept(assessment.refusal().get());
+                CallerAnswers.Submission.Refused refusal = assessment.refusal().get();
+                admission.logRefusal(identity, policy, refusal, assessment);
+                receiver.accept(refusal);
                 return;
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobAdmission.java
@@ -120,8 +120,9 @@
         return evacuationImpact;
     }
 
-    /** Logs and counts the refusal of a new job. */
-    void logRefusal(String identity, QueuePolicy policy, CallerAnswers.Submission.Refused refusal) {
+    /** Logs and counts the refusal of a new job; the times on which it rests are 0 if it is not for load. */
+    void logRefusal(
+            String identity, QueuePolicy policy, CallerAnswers.Submission.Refused refusal, Assessment assessment) {
         loop.log()
                 .event(
                         EventName.REFUSED,
@@ -133,6 +134,10 @@
                         refusal.reason(),
                         EventKey.RETRY_AFTER,
                         refusal.retryAfterMilliseconds(),
+                        EventKey.EXPECTED,
+                        assessment.predictedMilliseconds().orElse(0),
+                        EventKey.ALLOWED,
+                        assessment.allowedMilliseconds().orElse(0),
                         EventKey.WAITING,
                         dispatcher.backlog().size());
         loop.log().count("refused-" + (refusal.overloaded() ? "load" : "fault"));
