--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
@@ -130,32 +130,28 @@
         assertEquals(true, allowedNodes(job("other", "special")).contains("sidecar-10"));
     }
 
-    /** Guards against room that is kept free for a queue which may not use it. */
-    @Test
-    void noCapacityIsReservedForAMoreUrgentConfinedQueue() {
+    /** Selects an upstream for a task of a less urgent queue, while tasks of a more urgent one have just arrived. */
+    private Selection selectWhileATenthIsFree(String moreUrgentQueue) {
         addSidecars(11, List.of());
         UpstreamSelector selector =
                 new UpstreamSelector(new DurationModel(), new InterferenceCost(new FleetSlowdowns(loop)), confinement);
         OwnedTask other = job("other", "", /* urgency= */ 1).tasks().getFirst();
         crashTwiceUnder("confined");
         directory.views().forEach(view -> tell(view.node(), new Resources(1_600, 3_200, 0), List.of(), List.of()));
-        selector.recordArrival(job("confined", "", /* urgency= */ 0).policy(), time.now());
+        selector.recordArrival(job(moreUrgentQueue, "", /* urgency= */ 0).policy(), time.now());
+        return selector.select(other, directory.views(), time.now());
+    }
 
-        assertInstanceOf(Selection.Chosen.class, selector.select(other, directory.views(), time.now()));
+    /** Guards against room that is kept free for a queue which may not use it. */
+    @Test
+    void noCapacityIsReservedForAMoreUrgentConfinedQueue() {
+        assertInstanceOf(Selection.Chosen.class, selectWhileATenthIsFree("confined"));
     }
 
     /** Guards against a confinement of one queue that ends the reserve for another. */
     @Test
     void capacityStaysReservedForAMoreUrgentQueueBesideAConfinedOne() {
-        addSidecars(11, List.of());
-        UpstreamSelector selector =
-                new UpstreamSelector(new DurationModel(), new InterferenceCost(new FleetSlowdowns(loop)), confinement);
-        OwnedTask other = job("other", "", /* urgency= */ 1).tasks().getFirst();
-        crashTwiceUnder("confined");
-        directory.views().forEach(view -> tell(view.node(), new Resources(1_600, 3_200, 0), List.of(), List.of()));
-        selector.recordArrival(job("urgent", "", /* urgency= */ 0).policy(), time.now());
-
-        assertEquals(WaitReason.CAPACITY_RESERVED.selection(), selector.select(other, directory.views(), time.now()));
+        assertEquals(WaitReason.CAPACITY_RESERVED.selection(), selectWhileATenthIsFree("urgent"));
     }
 
     @Test
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/HeavyLoadTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/HeavyLoadTest.java
@@ -37,8 +37,6 @@
 
     private static final double SIZE_DEVIATION = 0.4;
     private static final int WARM_UP_SECONDS = 3;
-    /** Value of a late answer, as a fraction of the value of one on time. */
-    private static final double LATE_VALUE_FRACTION = 0.2;
 
     private static final List<Long> SEEDS = List.of(1L, 2L, 3L);
 
@@ -213,7 +211,7 @@
             double earned = jobs.stream()
                     .mapToDouble(MixedLoad.SubmittedJob::earnedValue)
                     .sum();
-            return earned / (onTime + LATE_VALUE_FRACTION * (all - onTime));
+            return earned / (onTime + MixedLoad.LATE_VALUE_FRACTION * (all - onTime));
         }
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
@@ -33,7 +33,7 @@
     /** Time after which a caller submits a job again whose entry is lost, in milliseconds. */
     private static final long RESUBMISSION_MILLISECONDS = 1_300;
     /** Value of a late answer, as a fraction of the value of one on time. */
-    private static final double LATE_VALUE_FRACTION = 0.2;
+    static final double LATE_VALUE_FRACTION = 0.2;
 
     // Name, tasks of a job, task duration in ms, jobs per second, value on time, urgency.
     static final JobKind CHECK = new JobKind("check", 8, 86, 8.8, 0.0291, 0);
