--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
@@ -10,8 +10,8 @@
  */
 final class AnswerTimeout {
     /**
-     * Minimum time-out, in milliseconds: short compared with the slack of a task of 80 ms, and longer than the pauses
-     * of a process for its garbage collection.
+     * Minimum time-out, in milliseconds. A task whose order is given up is sent again, and a short one can still be on
+     * time then.
      */
     private static final long MINIMUM_MILLISECONDS = 25;
     /** Time after an unanswered order for which others are likely to stay unanswered too, in milliseconds. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
@@ -131,27 +131,38 @@
     }
 
     /** Selects an upstream for a task of a less urgent queue, while tasks of a more urgent one have just arrived. */
-    private Selection selectWhileATenthIsFree(String moreUrgentQueue) {
+    private Selection selectWhileATenthIsFree(QueuePolicy moreUrgentQueue) {
         addSidecars(11, List.of());
         UpstreamSelector selector =
                 new UpstreamSelector(new DurationModel(), new InterferenceCost(new FleetSlowdowns(loop)), confinement);
         OwnedTask other = job("other", "", /* urgency= */ 1).tasks().getFirst();
         crashTwiceUnder("confined");
         directory.views().forEach(view -> tell(view.node(), new Resources(1_600, 3_200, 0), List.of(), List.of()));
-        selector.recordArrival(job(moreUrgentQueue, "", /* urgency= */ 0).policy(), time.now());
+        selector.recordArrival(moreUrgentQueue, time.now());
         return selector.select(other, directory.views(), time.now());
     }
 
     /** Guards against room that is kept free for a queue which may not use it. */
     @Test
     void noCapacityIsReservedForAMoreUrgentConfinedQueue() {
-        assertInstanceOf(Selection.Chosen.class, selectWhileATenthIsFree("confined"));
+        assertInstanceOf(
+                Selection.Chosen.class,
+                selectWhileATenthIsFree(job("confined", "").policy()));
     }
 
     /** Guards against a confinement of one queue that ends the reserve for another. */
     @Test
     void capacityStaysReservedForAMoreUrgentQueueBesideAConfinedOne() {
-        assertEquals(WaitReason.CAPACITY_RESERVED.selection(), selectWhileATenthIsFree("urgent"));
+        assertEquals(
+                WaitReason.CAPACITY_RESERVED.selection(),
+                selectWhileATenthIsFree(job("urgent", "").policy()));
+    }
+
+    /** Guards against room that is kept free for a queue whose tasks need another service. */
+    @Test
+    void noCapacityIsReservedForAMoreUrgentQueueOfAnotherService() {
+        QueuePolicy elsewhere = new QueuePolicy("elsewhere", "host", "/elsewhere/", "other-service", 0, 2, 1.6, 60);
+        assertInstanceOf(Selection.Chosen.class, selectWhileATenthIsFree(elsewhere));
     }
 
     @Test
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MixedLoad.java
@@ -46,7 +46,9 @@
     private final Callers simulatedCallers;
     private final List<SubmittedJob> submittedJobs = new ArrayList<>();
     private final Map<String, Long> taskMillisecondsByJob = new HashMap<>();
+    /** Actions that submit a job again after a time, if its entry was lost. */
     private final Map<SubmittedJob, Runnable> resubmissions = new HashMap<>();
+
     private final Set<String> crashingJobs = new HashSet<>();
     private double crashingShare;
     private double sizeDeviation;
