Split the orders to start runs from UpstreamController

Code is moved, none of it changed: starts of queued runs, the answers to the orders, and the pause after a refusal are in StartOrders.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -3,57 +3,42 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
-import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.UpstreamCrash;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
-import io.caperturn.jobs.upstream.UpstreamPort.Answer;
-import io.caperturn.jobs.upstream.UpstreamPort.Order;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.function.Predicate;
 
 /**
  * Controller of the upstream beside this sidecar process: starts queued runs as resources allow, extends leases by hold
  * requests, and reports completions.
  *
- * <p>Every order carries a fencing token; the upstream refuses a lower token than it has seen. An unanswered order may
- * still be carried out later. An unanswered start is therefore doubtful until the upstream has listed its runs under a
- * raised token: from then on the upstream refuses the old order.
+ * <p>Every order carries a fencing token; the upstream refuses a lower token than it has seen.
  */
-final class UpstreamController implements HoldCycle.Handler {
+final class UpstreamController implements HoldCycle.Handler, StartOrders.Handler {
     /** Maximum delay of an unanswered order, in milliseconds: the platform's limit of twelve seconds, plus a margin. */
     private static final long MAXIMUM_ORDER_DELAY_MILLISECONDS = 13_000;
-    /** Pause of starts after a refusal for lack of resources or bad health, in milliseconds. */
-    private static final long REFUSAL_PAUSE_MILLISECONDS = 100;
 
-    private final UpstreamPort port;
     private final DecisionLoop loop;
     private final RunRegistry registry;
     private final RunListener listener;
     private final UpstreamState state;
     private final HoldCycle holdCycle;
-    private final AnswerTimeout answerTimeout;
     private final UpstreamCrashes crashes;
+    private final StartOrders startOrders;
     private final StopOrders stopOrders;
-    /** Time until which no run is started, in milliseconds of the loop's clock. */
-    private long startsPausedUntil;
-
     private boolean sidecarLeaving;
-    /** Whether the upstream has lacked resources for a run since its last listing; runs then start one at a time. */
-    private boolean capacityUncertain;
 
     UpstreamController(
             UpstreamPort port, DecisionLoop loop, SidecarTimings timings, RunRegistry registry, RunListener listener) {
-        this.port = port;
         this.loop = loop;
         this.registry = registry;
         this.listener = listener;
         this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds());
-        this.answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
+        AnswerTimeout answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
         this.crashes = new UpstreamCrashes(loop, registry, state);
         this.holdCycle = new HoldCycle(port, loop, timings, registry, state, answerTimeout, this);
+        this.startOrders = new StartOrders(port, loop, registry, state, holdCycle, answerTimeout, listener, this);
         this.stopOrders = new StopOrders(port, loop, state, answerTimeout, holdCycle);
     }
 
@@ -73,8 +58,8 @@
         return crashes.recent();
     }
 
-    /** Returns whether new runs are accepted. */
-    boolean isUsable() {
+    @Override
+    public boolean isUsable() {
         return state.isAccepting() && !sidecarLeaving && !holdCycle.isUpstreamSilent();
     }
 
@@ -142,25 +127,14 @@
         listener.statusChanged();
     }
 
-    /** Starts queued runs in the order of their latest start, as far as resources allow. */
+    @Override
+    public boolean isLeaving() {
+        return sidecarLeaving;
+    }
+
+    /** Starts queued runs, as far as resources allow. */
     void startQueued() {
-        if (!isUsable()
-                || !state.isClockKnown()
-                || loop.monotonicMilliseconds() < startsPausedUntil
-                || registry.hasRunOfUnknownNeed()) {
-            return;
-        }
-        List<LocalRun> fitting = new ArrayList<>();
-        Resources free = state.capacity().minus(registry.reservedResources());
-        for (LocalRun run : registry.queuedRuns()) {
-            if (free.covers(run.requiredResources())
-                    && listener.isStartAllowed(run)
-                    && (!capacityUncertain || fitting.isEmpty())) {
-                fitting.add(run);
-                free = free.minus(run.requiredResources());
-            }
-        }
-        fitting.forEach(this::start);
+        startOrders.startQueued();
     }
 
     /** Stops a run, or removes it if it is queued. */
@@ -198,66 +172,9 @@
         holdCycle.startHoldIfNeeded();
     }
 
-    private void start(LocalRun run) {
-        registry.dequeue(run);
-        run.markStarting(loop.monotonicMilliseconds());
+    @Override
+    public void startOrdered(LocalRun run) {
         crashes.recordStart(run);
-        registry.reserveResources(run);
-        Order order = state.leaseOrder();
-        holdCycle.recordLeaseSent();
-        loop.log()
-                .event(
-                        EventName.RUN_ORDERED,
-                        EventKey.RUN,
-                        run.identity(),
-                        EventKey.UPSTREAM,
-                        state.identity(),
-                        EventKey.FENCE,
-                        order.fenceToken(),
-                        EventKey.WAITED,
-                        loop.monotonicMilliseconds() - run.ownerChangedOrFinishedAt(),
-                        EventKey.SLACK,
-                        run.latestStartAt() - loop.monotonicMilliseconds());
-        long sentAt = loop.monotonicMilliseconds();
-        port.start(run.identity(), run.payload(), order, answerTimeout.milliseconds(), answer -> {
-            answerTimeout.record(answer, sentAt, loop.monotonicMilliseconds());
-            handleStartAnswer(run, order, answer);
-        });
-    }
-
-    private void handleStartAnswer(LocalRun run, Order order, Answer answer) {
-        if (run.isInPhase(Phase.ENDED)) {
-            return;
-        }
-        switch (answer) {
-            case Answer.Accepted accepted -> {
-                clockRead(accepted.clock());
-                if (run.isInPhase(Phase.STARTING)) {
-                    run.enterPhase(Phase.RUNNING);
-                }
-                startConfirmed(run);
-            }
-            case Answer.Refused refused -> handleStartRefusal(run, order, refused);
-            case Answer.Unanswered unanswered -> {
-                loop.log()
-                        .event(
-                                EventName.START_DOUBTFUL,
-                                EventKey.RUN,
-                                run.identity(),
-                                EventKey.REASON,
-                                unanswered.reason());
-                loop.log().count("start-doubtful");
-                if (run.isInPhase(Phase.STARTING)) {
-                    run.enterPhase(Phase.DOUBTFUL);
-                    if (order.fenceToken() == state.fenceToken()) {
-                        state.raiseFenceToken("doubtful-start");
-                    }
-                    holdCycle.startHold();
-                }
-            }
-            case Answer.Listing ignored ->
-                throw new IllegalStateException("a start must not be answered with a listing");
-        }
     }
 
     @Override
@@ -269,62 +186,8 @@
         holdCycle.startHoldIfNeeded();
     }
 
-    /** Handles a refusal, for example of an expired lease (LATE), or of a run number that is not the highest (OLD). */
-    private void handleStartRefusal(LocalRun run, Order order, Answer.Refused refused) {
-        String reason = refused.reason().name().toLowerCase(Locale.ROOT);
-        loop.log()
-                .event(
-                        EventName.START_REFUSED,
-                        EventKey.RUN,
-                        run.identity(),
-                        EventKey.REASON,
-                        reason,
-                        EventKey.FENCE,
-                        order.fenceToken());
-        loop.log().count("start-refused-" + reason);
-        if (refused.clock() > 0) {
-            clockRead(refused.clock());
-        }
-        switch (refused.reason()) {
-            case FENCED -> {
-                requeueOrFinish(run);
-                if (order.fenceToken() == state.fenceToken()) {
-                    state.raiseFenceToken("refused-by-fence");
-                }
-            }
-            case LATE -> requeueOrFinish(run);
-            case ROOM -> {
-                requeueOrFinish(run);
-                capacityUncertain = true;
-                startsPausedUntil = loop.monotonicMilliseconds() + REFUSAL_PAUSE_MILLISECONDS;
-            }
-            case OLD, MALFORMED -> refuse(run, reason);
-            case UNHEALTHY -> {
-                startsPausedUntil = loop.monotonicMilliseconds() + REFUSAL_PAUSE_MILLISECONDS;
-                refuse(run, reason);
-            }
-            case OTHER_INSTANCE -> {
-                state.recordIdentityMismatch();
-                refuse(run, reason);
-            }
-        }
-        holdCycle.startHold();
-        listener.statusChanged();
-    }
-
-    /** Queues a run again whose start was refused, or finishes it if it is to be stopped or this sidecar is leaving. */
-    private void requeueOrFinish(LocalRun run) {
-        registry.releaseResources(run);
-        if (run.isStopRequested() || sidecarLeaving) {
-            run.finish(RunOutcome.STOPPED, "withdrawn", /* completionNumber= */ 0, loop.monotonicMilliseconds());
-            registry.removeRun(run);
-            listener.runFinished(run);
-        } else {
-            registry.enqueue(run);
-        }
-    }
-
-    private void refuse(LocalRun run, String reason) {
+    @Override
+    public void refuse(LocalRun run, String reason) {
         registry.finish(run, RunOutcome.REFUSED, reason, /* completionNumber= */ 0, loop.monotonicMilliseconds());
         listener.runFinished(run);
     }
@@ -341,7 +204,7 @@
 
     @Override
     public void listingChanged(boolean firstListing) {
-        capacityUncertain = false;
+        startOrders.listingChanged();
         if (firstListing) {
             listener.upstreamRunsListed();
         }
