Log whether starts were confirmed at a crash, and why a task is given up

upstream-crashed tells how many of the runs there had a confirmed start, run-missing and run-lapsed whether theirs was; run-crashed tells whether the crash counts and whether the run was alone, also for a crash that is not counted; gave-up tells why a job is shown as failed. Without these, no log distinguished a crash under a run from one before its start.

No decision changes.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -34,8 +34,12 @@
     CHANGED("changed"),
     /** Reading of an upstream's clock, in milliseconds. */
     CLOCK("clock"),
+    /** Whether the upstream has confirmed the start of a run, or the number of runs whose start it has confirmed. */
+    CONFIRMED("confirmed"),
     /** Number of lines that were omitted or dropped. */
     COUNT("count"),
+    /** Whether a crash counts under a task. */
+    COUNTED("counted"),
     /** Number of runs of a task under which an upstream crashed. */
     CRASHES("crashes"),
     /** Maximum time that a caller waits, in milliseconds; 0 if unknown. */
@@ -44,6 +48,8 @@
     DUTY("duty"),
     /** Consequence of a change of settings. */
     EFFECT("effect"),
+    /** Whether a run was sent as the only one to its upstream. */
+    EXCLUSIVE("exclusive"),
     /** Expected duration of a run, in milliseconds. */
     EXPECTED("expected"),
     /** Number of failed runs of a task. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -51,6 +51,8 @@
     FENCE,
     /** A process received a frame (message) of a kind that it does not handle. */
     FRAME_UNEXPECTED,
+    /** An entry gave up a task, and with it its job, which is shown as failed. */
+    GAVE_UP,
     /** A stopping entry hands its stored jobs over to the other entries. */
     HANDING_OVER,
     /** An upstream refused a hold (a request that extends leases and lists runs). */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -4,7 +4,6 @@
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.message.JobFrame;
-import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.RunIdentity;
 import java.util.Optional;
 
@@ -21,13 +20,13 @@
 
     private final DecisionLoop loop;
     private final OwnedJobRepository jobs;
-    private final TaskPlacement placement;
+    private final GivenUpJobs givenUpJobs;
     private final CrashEvidence evidence;
 
-    CrashedRuns(DecisionLoop loop, OwnedJobRepository jobs, TaskPlacement placement, CrashEvidence evidence) {
+    CrashedRuns(DecisionLoop loop, OwnedJobRepository jobs, GivenUpJobs givenUpJobs, CrashEvidence evidence) {
         this.loop = loop;
         this.jobs = jobs;
-        this.placement = placement;
+        this.givenUpJobs = givenUpJobs;
         this.evidence = evidence;
     }
 
@@ -55,9 +54,7 @@
                         sidecar.get().incarnation(),
                         job.policy().service(),
                         job.policy().name());
-        if (task.isIn(OwnedTask.Phase.DONE) || !task.recordCrash(run.number(), explained)) {
-            return false;
-        }
+        boolean counted = !task.isIn(OwnedTask.Phase.DONE) && task.recordCrash(run.number(), explained);
         loop.log()
                 .event(
                         EventName.RUN_CRASHED,
@@ -70,7 +67,16 @@
                         EventKey.CRASHES,
                         task.crashes(),
                         EventKey.ALLOWED,
-                        MAX_CRASHES);
+                        MAX_CRASHES,
+                        EventKey.COUNTED,
+                        counted,
+                        EventKey.EXCLUSIVE,
+                        task.wasExclusive(run.number()),
+                        EventKey.REASON,
+                        report.reason());
+        if (!counted) {
+            return false;
+        }
         loop.log().count("run-crashed");
         boolean atStart = report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
         if (isExclusiveRunRequiredAfter(task.crashes()) || atStart && evidence.hasSeveralCrashes()) {
@@ -80,9 +86,7 @@
             jobs.storeProgress(job);
             return false;
         }
-        loop.log().count("given-up-crashes");
-        jobs.finish(job, JobState.FAILED);
-        placement.stopAllRuns(job);
+        givenUpJobs.giveUp(task, run, "crashes");
         return true;
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -22,6 +22,7 @@
     private final TaskPlacement placement;
     private final DurationModel durations;
     private final UpstreamEjection ejection;
+    private final GivenUpJobs givenUpJobs;
     private final CrashedRuns crashes;
 
     RunReportHandler(
@@ -38,7 +39,8 @@
         this.placement = placement;
         this.durations = durations;
         this.ejection = new UpstreamEjection(loop);
-        this.crashes = new CrashedRuns(loop, jobs, placement, sidecars.crashEvidence());
+        this.givenUpJobs = new GivenUpJobs(loop, jobs, placement);
+        this.crashes = new CrashedRuns(loop, jobs, givenUpJobs, sidecars.crashEvidence());
     }
 
     void handleReport(String incarnation, JobFrame.Report report) {
@@ -152,8 +154,7 @@
                         job.policy().maximumAttempts());
         sidecar.ifPresent(view -> ejection.countFailure(task, view));
         if (task.failures() >= job.policy().maximumAttempts()) {
-            jobs.finish(job, JobState.FAILED);
-            placement.stopAllRuns(job);
+            givenUpJobs.giveUp(task, report.run(), "failures");
         } else if (isCurrent) {
             placement.requeue(task, "failed");
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -371,6 +371,8 @@
                             run.identity(),
                             EventKey.PHASE,
                             run.phase(),
+                            EventKey.CONFIRMED,
+                            run.isStartConfirmed(),
                             EventKey.FENCE,
                             order.fenceToken());
             registry.finish(
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -40,6 +40,8 @@
     private RunOutcome outcome = RunOutcome.QUEUED;
     /** Cause of an outcome other than success; empty if unknown. */
     private String reason = "";
+    /** Whether the upstream has confirmed that the run started. */
+    private boolean startConfirmed;
     /** When its start was ordered, in milliseconds of the loop's clock; 0 if this process did not order it. */
     private long startedAt;
 
@@ -187,6 +189,7 @@
     void enterPhase(Phase next) {
         phase = next;
         outcome = next == Phase.QUEUED ? RunOutcome.QUEUED : RunOutcome.RUNNING;
+        startConfirmed = next == Phase.RUNNING || startConfirmed && next == Phase.DOUBTFUL;
     }
 
     void markStarting(long now) {
@@ -251,6 +254,11 @@
         return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
     }
 
+    /** Returns whether the upstream has confirmed that the run started, which an order alone does not show. */
+    boolean isStartConfirmed() {
+        return startConfirmed;
+    }
+
     void setCrashReason(String newCrashReason) {
         crashReason = newCrashReason;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -246,7 +246,15 @@
         for (LocalRun run : registry.allRuns().stream().filter(selected).toList()) {
             crashes.recordLapse(run);
             String runCause = run.lapseReason(cause);
-            loop.log().event(EventName.RUN_LAPSED, EventKey.RUN, run.identity(), EventKey.CAUSE, runCause);
+            loop.log()
+                    .event(
+                            EventName.RUN_LAPSED,
+                            EventKey.RUN,
+                            run.identity(),
+                            EventKey.CAUSE,
+                            runCause,
+                            EventKey.CONFIRMED,
+                            run.isStartConfirmed());
             registry.finish(run, RunOutcome.LAPSED, runCause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
             listener.runFinished(run);
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -79,6 +79,8 @@
                         cause,
                         EventKey.RUNS,
                         active.size(),
+                        EventKey.CONFIRMED,
+                        active.stream().filter(LocalRun::isStartConfirmed).count(),
                         EventKey.START_CHANCES,
                         startChances);
         loop.log().count("upstream-crashed");
