--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -85,13 +85,13 @@
         UPSTREAM_CRASHED(fleet -> fleet.upstream(0).crash()),
         /** The upstream executes orders to start or stop runs 3 s late, and does not answer them. */
         ORDERS_LATE(fleet -> {
-            fleet.upstream(0).delayOrders(3_000);
-            fleet.time().after(2_000, () -> fleet.upstream(0).delayOrders(0));
+            fleet.upstream(0).unansweredOrders().delayAll(3_000);
+            fleet.time().after(2_000, () -> fleet.upstream(0).unansweredOrders().delayAll(0));
         }),
         ORDERS_LATE_AND_UPSTREAM_REBORN(fleet -> {
-            fleet.upstream(0).delayOrders(3_000);
+            fleet.upstream(0).unansweredOrders().delayAll(3_000);
             fleet.time().after(200, () -> fleet.upstream(0).restart());
-            fleet.time().after(2_000, () -> fleet.upstream(0).delayOrders(0));
+            fleet.time().after(2_000, () -> fleet.upstream(0).unansweredOrders().delayAll(0));
         }),
         STORE_BUSY(fleet -> setStoreFaultBriefly(fleet, MemoryStore.Fault.BUSY)),
         /** The store neither executes nor answers calls. */
@@ -362,7 +362,7 @@
     @Test
     void upstreamThatRefusesConnectionsIsAskedAtAnInterval() {
         SimulatedFleet fleet = new SimulatedFleet(1, 1, task -> 3_000);
-        fleet.upstream(0).delayOrders(3_000);
+        fleet.upstream(0).unansweredOrders().delayAll(3_000);
         fleet.submit(0, "doubtful", SampleJobs.plan(TASKS, true, 3_000));
         fleet.time().runUntil(fleet.time().now() + 200);
         int earlierHoldCount = fleet.upstream(0).holdCount();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/HeavyLoadTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/HeavyLoadTest.java
@@ -138,7 +138,7 @@
                 }
                 case HeavyMoment.OrdersUnanswered unanswered -> {
                     for (int number = 0; number < SPEEDS.length; number++) {
-                        fleet.upstream(number).leaveUnanswered(unanswered.share(), seed + number);
+                        fleet.upstream(number).unansweredOrders().leaveUnanswered(unanswered.share(), seed + number);
                     }
                     submit(1, 8);
                 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/LostAnswersTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/LostAnswersTest.java
@@ -24,7 +24,7 @@
     void jobsCompleteOnTimeAlthoughOrdersStayUnanswered(double unansweredShare, long seed) {
         MixedLoad mixed = new MixedLoad(4, SPEEDS);
         for (int number = 0; number < SPEEDS.length; number++) {
-            mixed.fleet().upstream(number).leaveUnanswered(unansweredShare, seed + number);
+            mixed.fleet().upstream(number).unansweredOrders().leaveUnanswered(unansweredShare, seed + number);
         }
         mixed.run(USUAL_LOAD, seed);
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -65,9 +64,7 @@
     /** Number of restarts; timers that were set before a restart have no effect. */
     private long restartCount;
 
-    private long orderDelayMilliseconds;
-    private double unansweredShare;
-    private Random unansweredChoice;
+    private final UnansweredOrders unansweredOrders = new UnansweredOrders();
     private boolean nextRunsStall;
     private boolean refusingConnections;
     private boolean down;
@@ -114,15 +111,20 @@
         capacity = newCapacity;
     }
 
-    /** Stops the upstream, which refuses connections until it has started again. */
+    /** Stops the upstream, which refuses connections until it has started again after some seconds. */
     void crash() {
+        crash(CRASH_DOWNTIME_MILLISECONDS);
+    }
+
+    /** Stops the upstream, which refuses connections for a time in milliseconds, until it has started again. */
+    void crash(long downtimeMilliseconds) {
         startTimesOfActiveRuns.keySet().forEach(run -> startRecord.recordCrash(run.task()));
         restart();
         down = true;
         List<PendingHold> closed = List.copyOf(pendingHolds);
         pendingHolds.clear();
         closed.forEach(PendingHold::close);
-        time.after(CRASH_DOWNTIME_MILLISECONDS, () -> {
+        time.after(downtimeMilliseconds, () -> {
             down = false;
             incarnationStartedAt = 1 + time.now();
         });
@@ -143,27 +145,9 @@
         incarnationStartedAt = 1 + time.now();
     }
 
-    /**
-     * Leaves start and stop orders unanswered and executes them after a delay; a delay of 0 restores normal execution.
-     */
-    void delayOrders(long milliseconds) {
-        orderDelayMilliseconds = milliseconds;
-    }
-
-    /**
-     * Leaves a part of all orders unanswered, and executes these three seconds later.
-     *
-     * @param share fraction of the orders
-     * @param seed seed of the choice
-     */
-    void leaveUnanswered(double share, long seed) {
-        unansweredShare = share;
-        unansweredChoice = new Random(seed);
-    }
-
-    /** Returns whether the next order is left unanswered. */
-    boolean isNextLeftUnanswered() {
-        return unansweredShare > 0 && unansweredChoice.nextDouble() < unansweredShare;
+    /** Returns the orders that are left unanswered, none at first. */
+    UnansweredOrders unansweredOrders() {
+        return unansweredOrders;
     }
 
     /** Sets whether connections are refused. */
@@ -375,10 +359,6 @@
         return down;
     }
 
-    long orderDelayMilliseconds() {
-        return orderDelayMilliseconds;
-    }
-
     boolean hasCompletions() {
         return !completions.isEmpty();
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
@@ -9,8 +9,6 @@
 /** Port of a sidecar process to a simulated upstream: calls take a millisecond, unless a fault is simulated. */
 final class SimulatedUpstreamPort implements UpstreamPort {
     private static final long LATENCY_MILLISECONDS = 1;
-    /** Delay after which an order that was left unanswered is executed. */
-    private static final long LATE_MILLISECONDS = 3_000;
 
     private final SimulatedUpstream upstream;
     private final VirtualTime time;
@@ -36,8 +34,10 @@
     private void executeOrder(long timeoutMilliseconds, Consumer<Answer> receiver, Supplier<Answer> action) {
         if (upstream.isRefusingConnections()) {
             refuseConnection(receiver);
-        } else if (upstream.orderDelayMilliseconds() > 0 || upstream.isNextLeftUnanswered()) {
-            long delay = upstream.orderDelayMilliseconds() > 0 ? upstream.orderDelayMilliseconds() : LATE_MILLISECONDS;
+            return;
+        }
+        long delay = upstream.unansweredOrders().nextOrderDelay();
+        if (delay > 0) {
             time.after(delay, action::get);
             leaveUnanswered(timeoutMilliseconds, receiver);
         } else {
@@ -72,8 +72,11 @@
         upstream.recordHold();
         if (upstream.isRefusingConnections()) {
             refuseConnection(receiver);
-        } else if (upstream.isNextLeftUnanswered()) {
-            time.after(LATE_MILLISECONDS, () -> upstream.extendLeaseLate(order, acknowledged));
+            return;
+        }
+        long delay = upstream.unansweredOrders().nextHoldDelay();
+        if (delay > 0) {
+            time.after(delay, () -> upstream.extendLeaseLate(order, acknowledged));
             leaveUnanswered(waitMilliseconds + timeoutMilliseconds, receiver);
         } else {
             time.after(LATENCY_MILLISECONDS, () -> executeHold(order, acknowledged, waitMilliseconds, receiver));
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnansweredOrders.java
@@ -0,0 +1,34 @@
+package io.caperturn.jobs.simulation;
+
+import java.util.Random;
+
+/** Orders that a simulated upstream leaves unanswered and executes late; times are in milliseconds. */
+final class UnansweredOrders {
+    /** Delay after which an order of a share is executed. */
+    private static final long LATE_MILLISECONDS = 3_000;
+
+    private long delayOfAll;
+    private double share;
+    private Random choice;
+
+    /** Delays all start and stop orders; 0 restores normal execution. */
+    void delayAll(long milliseconds) {
+        delayOfAll = milliseconds;
+    }
+
+    /** Leaves a share of all orders unanswered, chosen by a seed. */
+    void leaveUnanswered(double newShare, long seed) {
+        share = newShare;
+        choice = new Random(seed);
+    }
+
+    /** Returns after which time the next start or stop order is executed; 0 if it is answered. */
+    long nextOrderDelay() {
+        return delayOfAll > 0 ? delayOfAll : nextHoldDelay();
+    }
+
+    /** Returns after which time the next hold is executed; 0 if it is answered. */
+    long nextHoldDelay() {
+        return share > 0 && choice.nextDouble() < share ? LATE_MILLISECONDS : 0;
+    }
+}
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ZoneEvacuationTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ZoneEvacuationTest.java
@@ -205,8 +205,8 @@
             fleet.time().after(2_000, () -> fleet.loop("sidecar-0").resume(/* clockStoodStill= */ true));
         }),
         ORDERS_LATE(fleet -> {
-            fleet.upstream(0).delayOrders(500);
-            fleet.time().after(2_000, () -> fleet.upstream(0).delayOrders(0));
+            fleet.upstream(0).unansweredOrders().delayAll(500);
+            fleet.time().after(2_000, () -> fleet.upstream(0).unansweredOrders().delayAll(0));
         });
 
         private final Consumer<SimulatedFleet> injection;
