Count a crash of an upstream only under runs that were there

Cause: a sidecar took every run whose start it had ordered for one that was active when its upstream crashed, also if the closed port had refused the order. The owner counted that crash under the task, required an exclusive run, and sent it to an upstream that looked idle because it was down as well; the refused order counted as a crash under an exclusive run, and the job failed. The class of fault: an order that was sent is taken for one that was carried out, and a decision that can't be taken back rests on it.

Now only a run whose start the upstream has confirmed, and under which it begins to refuse connections, speaks against its task and, in the start chances, against its queue. What is unknown is told as such (upstream-crashed-unconfirmed): an order on its way, and runs of an upstream that was silent or restarted unnoticed. Such runs are repeated; five lost runs in all give a task up, so that fewer than three starts follow three crashes also if a task crashes upstreams before they confirm (CrashingTasksTest.storedTaskThatCrashesUpstreamsBeforeTheyConfirmItsStartIsGivenUp). A late report of a crash doesn't fail a job while a later run is active, and the mark of a crash ends when the next incarnation lists the run.

Why it works: the evidence now is the upstream's own answer, not the order.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -152,6 +152,8 @@
     TIME("time"),
     /** Duration of an operation, in milliseconds. */
     TOOK("took"),
+    /** Number of runs of a task that were lost in a crash but are not known to have been active then. */
+    UNCONFIRMED("unconfirmed"),
     /** Name of the upstream in an announcement or order. */
     UPSTREAM("upstream"),
     /** Version of a table, record or configuration. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -191,10 +191,15 @@
         public static final String STANDS_STILL = "stands-still";
         /** Reason of a refusal: tasks of other entries use the resources that the dispatching entry counted as free. */
         public static final String NO_ROOM = "no-room";
-        /** Reason of a lapse: the upstream crashed while the run was active there, or its start was ordered. */
+        /** Reason of a lapse: the upstream crashed while the run was active there. */
         public static final String UPSTREAM_CRASHED = "upstream-crashed";
         /** Like {@link #UPSTREAM_CRASHED}, shortly after the start of the run, as if that had been the cause. */
         public static final String UPSTREAM_CRASHED_AT_START = "upstream-crashed-at-start";
+        /**
+         * Reason of a lapse: the upstream crashed, but whether the run was active then is not known, because its start
+         * had not been confirmed, or the upstream had been silent before.
+         */
+        public static final String UPSTREAM_CRASHED_UNCONFIRMED = "upstream-crashed-unconfirmed";
 
         /** Checks that nothing is null. */
         public Report {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -49,7 +49,10 @@
      * @param failedRunCount number of its failed runs
      * @param lastFailedRun number of the run that failed last; 0 if none failed
      * @param crashedRunCount number of its runs under which the upstream crashed
-     * @param lastCrashedRun number of the run under which the upstream crashed last; 0 if it never did
+     * @param lastCrashedRun number of the run under which the upstream crashed last, confirmed or not; 0 if it never
+     *     did
+     * @param unconfirmedCrashCount number of its runs that were lost in a crash of the upstream before which their
+     *     start was not confirmed
      */
     public record TaskProgress(
             int taskNumber,
@@ -57,7 +60,8 @@
             int failedRunCount,
             int lastFailedRun,
             int crashedRunCount,
-            int lastCrashedRun) {}
+            int lastCrashedRun,
+            int unconfirmedCrashCount) {}
 
     /**
      * Encodes this record.
@@ -81,7 +85,8 @@
                         .writeLong(3, task.failedRunCount())
                         .writeLong(4, task.lastFailedRun())
                         .writeLong(5, task.crashedRunCount())
-                        .writeLong(6, task.lastCrashedRun())));
+                        .writeLong(6, task.lastCrashedRun())
+                        .writeLong(7, task.unconfirmedCrashCount())));
         return writer.toBytes();
     }
 
@@ -218,6 +223,7 @@
         int lastFailedRun = 0;
         int crashedRunCount = 0;
         int lastCrashedRun = 0;
+        int unconfirmedCrashCount = 0;
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> taskNumber = reader.readInt();
@@ -226,9 +232,17 @@
                 case 4 -> lastFailedRun = reader.readInt();
                 case 5 -> crashedRunCount = reader.readInt();
                 case 6 -> lastCrashedRun = reader.readInt();
+                case 7 -> unconfirmedCrashCount = reader.readInt();
                 default -> reader.skip();
             }
         }
-        return new TaskProgress(taskNumber, succeeded, failedRunCount, lastFailedRun, crashedRunCount, lastCrashedRun);
+        return new TaskProgress(
+                taskNumber,
+                succeeded,
+                failedRunCount,
+                lastFailedRun,
+                crashedRunCount,
+                lastCrashedRun,
+                unconfirmedCrashCount);
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -4,6 +4,7 @@
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.message.JobFrame;
+import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.RunIdentity;
 import java.util.Optional;
 
@@ -11,12 +12,17 @@
  * Decision what becomes of a task when an upstream has crashed under one of its runs. It answers a load in which a task
  * crashes each upstream that starts it: after some crashes, the task runs alone on an upstream, so that it takes no
  * other task along and a further crash is known to be its own; then its job fails.
+ *
+ * <p>Only crashes under runs whose start the upstream had confirmed speak against a task. A run that was lost before is
+ * repeated; such runs only bound the number of repetitions, because a task may crash upstreams before they confirm.
  */
 final class CrashedRuns {
     /** Number of crashes after which a task runs alone. */
     private static final int CRASHES_BEFORE_EXCLUSIVE_RUN = 2;
     /** Number of crashes after which a task is given up, also if no run is known to have been alone. */
     private static final int MAX_CRASHES = CRASHES_BEFORE_EXCLUSIVE_RUN + 1;
+    /** Number of runs lost in crashes, confirmed or not, after which a task is given up. */
+    private static final int MAX_LOST_RUNS = MAX_CRASHES + 2;
 
     private final DecisionLoop loop;
     private final OwnedJobRepository jobs;
@@ -35,37 +41,78 @@
         return crashes >= CRASHES_BEFORE_EXCLUSIVE_RUN;
     }
 
-    /** Returns whether a report tells that the upstream crashed under its run. */
+    /** Returns whether a report tells that the run was lost in a crash of the upstream. */
     static boolean isCrash(JobFrame.Report report) {
-        return report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED)
-                || report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
+        return isConfirmedCrash(report) || report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_UNCONFIRMED);
+    }
+
+    private static boolean isConfirmedCrash(JobFrame.Report report) {
+        return report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED) || isCrashAtStart(report);
+    }
+
+    private static boolean isCrashAtStart(JobFrame.Report report) {
+        return report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
     }
 
     /**
      * Counts a crash under a run, unless tasks of another queue are taken for its cause, and fails the job if the task
      * crashes upstreams; returns whether the job has failed.
+     *
+     * @param isCurrent whether the run is the current one; while another one may succeed, the job is not failed
      */
-    boolean handleCrash(OwnedTask task, JobFrame.Report report, Optional<SidecarView> sidecar) {
+    boolean handleCrash(OwnedTask task, JobFrame.Report report, boolean isCurrent, Optional<SidecarView> sidecar) {
         RunIdentity run = report.run();
-        OwnedJob job = task.job();
-        boolean explained = sidecar.isPresent()
+        boolean counted = !task.isIn(OwnedTask.Phase.DONE)
+                && (isConfirmedCrash(report)
+                        ? task.recordCrash(run.number(), isExplained(task, run, sidecar))
+                        : task.recordUnconfirmedCrash(run.number()));
+        logCrash(task, report, counted, sidecar);
+        if (!counted) {
+            return false;
+        }
+        loop.log().count("run-crashed");
+        if (isExclusiveRunRequiredAfter(task.crashes()) || isCrashAtStart(report) && evidence.hasSeveralCrashes()) {
+            task.requireExclusiveRun();
+        }
+        if (isCurrent && isCauseOfCrashes(task, report)) {
+            givenUpJobs.giveUp(task, run, "crashes");
+            return true;
+        }
+        jobs.storeProgress(task.job());
+        return false;
+    }
+
+    private boolean isExplained(OwnedTask task, RunIdentity run, Optional<SidecarView> sidecar) {
+        QueuePolicy queue = task.job().policy();
+        return sidecar.isPresent()
                 && !task.wasExclusive(run.number())
-                && evidence.isExplainedByOtherQueue(
-                        sidecar.get().incarnation(),
-                        job.policy().service(),
-                        job.policy().name());
-        boolean counted = !task.isIn(OwnedTask.Phase.DONE) && task.recordCrash(run.number(), explained);
+                && evidence.isExplainedByOtherQueue(sidecar.get().incarnation(), queue.service(), queue.name());
+    }
+
+    private static boolean isCauseOfCrashes(OwnedTask task, JobFrame.Report lastCrash) {
+        boolean exclusiveRunCrashed = isConfirmedCrash(lastCrash)
+                && task.wasExclusive(lastCrash.run().number())
+                && isExclusiveRunRequiredAfter(task.crashes());
+        return exclusiveRunCrashed
+                || task.crashes() >= MAX_CRASHES
+                || task.crashes() + task.unconfirmedCrashes() >= MAX_LOST_RUNS;
+    }
+
+    private void logCrash(OwnedTask task, JobFrame.Report report, boolean counted, Optional<SidecarView> sidecar) {
+        RunIdentity run = report.run();
         loop.log()
                 .event(
                         EventName.RUN_CRASHED,
                         EventKey.RUN,
                         run,
                         EventKey.QUEUE,
-                        job.policy().name(),
+                        task.job().policy().name(),
                         EventKey.NODE,
                         sidecar.map(SidecarView::node).orElse(""),
                         EventKey.CRASHES,
                         task.crashes(),
+                        EventKey.UNCONFIRMED,
+                        task.unconfirmedCrashes(),
                         EventKey.ALLOWED,
                         MAX_CRASHES,
                         EventKey.COUNTED,
@@ -74,19 +121,5 @@
                         task.wasExclusive(run.number()),
                         EventKey.REASON,
                         report.reason());
-        if (!counted) {
-            return false;
-        }
-        loop.log().count("run-crashed");
-        boolean atStart = report.reason().equals(JobFrame.Report.UPSTREAM_CRASHED_AT_START);
-        if (isExclusiveRunRequiredAfter(task.crashes()) || atStart && evidence.hasSeveralCrashes()) {
-            task.requireExclusiveRun();
-        }
-        if (task.crashes() < MAX_CRASHES && !task.wasExclusive(run.number())) {
-            jobs.storeProgress(job);
-            return false;
-        }
-        givenUpJobs.giveUp(task, run, "crashes");
-        return true;
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/GivenUpJobs.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/GivenUpJobs.java
@@ -31,6 +31,8 @@
                         cause,
                         EventKey.CRASHES,
                         task.crashes(),
+                        EventKey.UNCONFIRMED,
+                        task.unconfirmedCrashes(),
                         EventKey.EXCLUSIVE,
                         task.wasExclusive(lastRun.number()),
                         EventKey.FAILURES,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -95,7 +95,7 @@
     JobRecord toRecord(String owner) {
         List<JobRecord.TaskProgress> progress = new ArrayList<>();
         for (OwnedTask task : tasks) {
-            if (task.isIn(OwnedTask.Phase.DONE) || task.failures() > 0 || task.crashes() > 0) {
+            if (task.isIn(OwnedTask.Phase.DONE) || task.failures() > 0 || task.hasLostRuns()) {
                 progress.add(task.progress());
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -34,7 +34,10 @@
     private int failures;
     private int lastFailedRun;
     private int crashes;
+    private int unconfirmedCrashes;
+    /** Number of the last run that was lost in a crash, confirmed or not. */
     private int lastCrashedRun;
+
     /** Whether a crash was left uncounted because another task was its likely cause. */
     private boolean explainedCrashPassed;
 
@@ -212,10 +215,20 @@
         return crashes;
     }
 
+    /** Returns the number of runs that were lost in a crash, but are not known to have been active then. */
+    int unconfirmedCrashes() {
+        return unconfirmedCrashes;
+    }
+
+    /** Returns whether a run was lost in a crash of its upstream. */
+    boolean hasLostRuns() {
+        return crashes + unconfirmedCrashes > 0;
+    }
+
     /** Returns the stored form of the progress. */
     JobRecord.TaskProgress progress() {
         return new JobRecord.TaskProgress(
-                number, phase == Phase.DONE, failures, lastFailedRun, crashes, lastCrashedRun);
+                number, phase == Phase.DONE, failures, lastFailedRun, crashes, lastCrashedRun, unconfirmedCrashes);
     }
 
     /** Restores the stored progress of the task. */
@@ -224,6 +237,7 @@
         lastFailedRun = stored.lastFailedRun();
         crashes = stored.crashedRunCount();
         lastCrashedRun = stored.lastCrashedRun();
+        unconfirmedCrashes = stored.unconfirmedCrashCount();
         exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes);
         recordRunNumber(Math.max(lastFailedRun, lastCrashedRun));
         if (stored.succeeded()) {
@@ -249,6 +263,16 @@
         return true;
     }
 
+    /** Counts a run that was lost in a crash but not known to have been active; returns whether it was counted now. */
+    boolean recordUnconfirmedCrash(int runNumber) {
+        if (runNumber <= lastCrashedRun) {
+            return false;
+        }
+        lastCrashedRun = runNumber;
+        unconfirmedCrashes++;
+        return true;
+    }
+
     /** Requires that the next runs are the only ones on their upstreams, because upstreams crashed under the task. */
     void requireExclusiveRun() {
         exclusiveRunRequired = true;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -78,7 +78,7 @@
             case FAILED -> handleFailure(task, incarnation, report, isCurrent);
             case STOPPED, LAPSED, REFUSED -> {
                 sidecar.ifPresent(SidecarView::endProbe);
-                boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, sidecar);
+                boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, isCurrent, sidecar);
                 if (isCurrent && !givenUp) {
                     sidecar.ifPresent(view -> recordRefusal(task, view, report));
                     placement.requeue(task, report.outcome() + "-" + report.reason());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -304,11 +304,11 @@
                 changed = true;
             } else if (known.isInPhase(Phase.DOUBTFUL)) {
                 known.enterPhase(Phase.RUNNING);
+                known.setCrashReason(""); // it is active now, whatever happened to an earlier incarnation
                 handler.startConfirmed(known);
-            } else if (known.updateProgress(active.percent(), now, MINIMUM_STALL_MILLISECONDS)) {
-                loop.log()
-                        .event(EventName.STANDS_STILL, EventKey.RUN, active.run(), EventKey.PERCENT, active.percent());
-                handler.runStalled(known);
+            } else {
+                known.confirmStart();
+                reportIfStalled(known, active.percent(), now);
             }
         }
         if (listing.complete()) {
@@ -322,6 +322,13 @@
         return changed || first;
     }
 
+    private void reportIfStalled(LocalRun run, long percent, long now) {
+        if (run.updateProgress(percent, now, MINIMUM_STALL_MILLISECONDS)) {
+            loop.log().event(EventName.STANDS_STILL, EventKey.RUN, run.identity(), EventKey.PERCENT, percent);
+            handler.runStalled(run);
+        }
+    }
+
     private void finishRun(UpstreamPort.Completion completion, long now) {
         LocalRun known = registry.findRun(completion.run());
         LocalRun run = known == null ? registry.addDiscovered(completion.run(), now) : known;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -254,6 +254,11 @@
         return phase == Phase.STARTING || phase == Phase.DOUBTFUL || phase == Phase.RUNNING;
     }
 
+    /** Records that the upstream has listed the run. */
+    void confirmStart() {
+        startConfirmed = true;
+    }
+
     /** Returns whether the upstream has confirmed that the run started, which an order alone does not show. */
     boolean isStartConfirmed() {
         return startConfirmed;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerReports.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerReports.java
@@ -44,10 +44,11 @@
                 run.owner(), new JobFrame.Report(run.identity(), RunOutcome.RUNNING, 0, JobFrame.Report.STANDS_STILL));
     }
 
-    /** Reports that the upstream had crashed under a run that was reported as lapsed for its silence. */
+    /** Reports that the upstream may have crashed under a run that was reported as lapsed for its silence. */
     void reportCrashAfterLapse(LocalRun run) {
         links.send(
                 run.owner(),
-                new JobFrame.Report(run.identity(), RunOutcome.LAPSED, 0, JobFrame.Report.UPSTREAM_CRASHED));
+                new JobFrame.Report(
+                        run.identity(), RunOutcome.LAPSED, 0, JobFrame.Report.UPSTREAM_CRASHED_UNCONFIRMED));
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
@@ -11,7 +11,7 @@
     /** Called when a run has finished or was refused. */
     void runFinished(LocalRun run);
 
-    /** Called when the upstream is found to have crashed under a run that was reported as lapsed for its silence. */
+    /** Called when the upstream may have crashed under a run that was reported as lapsed for its silence. */
     void crashFoundAfterLapse(LocalRun run);
 
     /** Called when the free resources, the queue or the state of the upstream have changed. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
@@ -63,9 +63,6 @@
         /** Returns whether this sidecar is about to end. */
         boolean isLeaving();
 
-        /** Called before an order is sent. */
-        void startOrdered(LocalRun run);
-
         /** Called when the upstream has accepted an order. */
         void startConfirmed(LocalRun run);
 
@@ -105,7 +102,6 @@
     private void start(LocalRun run) {
         registry.dequeue(run);
         run.markStarting(loop.monotonicMilliseconds());
-        handler.startOrdered(run);
         registry.reserveResources(run);
         Order order = state.leaseOrder();
         holdCycle.recordLeaseSent();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -172,13 +172,9 @@
         holdCycle.startHoldIfNeeded();
     }
 
-    @Override
-    public void startOrdered(LocalRun run) {
-        crashes.recordStart(run);
-    }
-
     @Override
     public void startConfirmed(LocalRun run) {
+        crashes.recordStart(run);
         listener.runStarted(run);
         if (run.isStopRequested()) {
             stopOrders.stop(run, "withdrawn-at-start");
@@ -214,7 +210,7 @@
 
     @Override
     public void upstreamRestarted() {
-        crashes.recordCrash("restarted");
+        crashes.recordCrash("restarted", /* justNow= */ false);
         crashes.replaceIncarnation().forEach(listener::crashFoundAfterLapse);
         registry.resetCompletions();
         // An order may already have reached the new incarnation, so only its listing shows which runs are active.
@@ -224,7 +220,7 @@
     @Override
     public void upstreamSilent(boolean connectionsRefused) {
         if (connectionsRefused) {
-            crashes.recordCrash("connections-refused");
+            crashes.recordCrash("connections-refused", /* justNow= */ true);
         }
         refuseQueuedRuns("upstream-silent");
         listener.statusChanged();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -45,8 +45,14 @@
         this.state = state;
     }
 
-    /** Records a crash of the known incarnation, unless that is recorded already or the upstream announced its end. */
-    void recordCrash(String cause) {
+    /**
+     * Records a crash of the known incarnation, unless that is recorded already or the upstream announced its end.
+     *
+     * @param cause how the crash was noticed; written to the log
+     * @param justNow whether the upstream crashed after its last answer and before now; if not, runs may have ended
+     *     before the crash, or started in the next incarnation
+     */
+    void recordCrash(String cause, boolean justNow) {
         UpstreamAnnouncement announcement = state.announcement();
         if (crashed || announcement == null || announcement.leaving()) {
             return;
@@ -54,8 +60,11 @@
         crashed = true;
         List<LocalRun> active =
                 registry.allRuns().stream().filter(LocalRun::isActive).toList();
+        List<LocalRun> present =
+                justNow ? active.stream().filter(LocalRun::isStartConfirmed).toList() : List.of();
+        active.forEach(run -> run.setCrashReason(JobFrame.Report.UPSTREAM_CRASHED_UNCONFIRMED));
         Map<String, Integer> startChances = new HashMap<>();
-        for (LocalRun run : active) {
+        for (LocalRun run : present) {
             double chance = startChance(run);
             run.setCrashReason(
                     chance < MAX_CHANCE_OF_START_BY_COINCIDENCE
@@ -65,7 +74,7 @@
                 startChances.merge(run.queue(), (int) Math.ceil(1_000 * chance), Math::min);
             }
         }
-        if (!active.isEmpty()) {
+        if (!present.isEmpty()) {
             recorded.add(new RecordedCrash(++crashCount, loop.monotonicMilliseconds(), startChances));
         }
         loop.log()
@@ -80,7 +89,7 @@
                         EventKey.RUNS,
                         active.size(),
                         EventKey.CONFIRMED,
-                        active.stream().filter(LocalRun::isStartConfirmed).count(),
+                        present.size(),
                         EventKey.START_CHANCES,
                         startChances);
         loop.log().count("upstream-crashed");
@@ -96,12 +105,12 @@
                 : startRates.chanceOfStartWithin(run.queue(), 1 + loop.monotonicMilliseconds() - run.startedAt());
     }
 
-    /** Records that the start of a run is ordered. */
+    /** Records that the upstream has confirmed the start of a run. */
     void recordStart(LocalRun run) {
         startRates.recordStart(run.queue(), loop.monotonicMilliseconds());
     }
 
-    /** Returns the crashes in the retention time that had active runs. */
+    /** Returns the crashes in the retention time under active runs. */
     List<UpstreamCrash> recent() {
         long now = loop.monotonicMilliseconds();
         while (!recorded.isEmpty() && now - recorded.peek().at() > RETENTION_MILLISECONDS) {
@@ -131,7 +140,7 @@
 
     /**
      * Forgets the known incarnation, which another one has replaced; returns the runs that lapsed while it was silent,
-     * because that silence was a crash.
+     * because that silence may have begun with its crash.
      */
     List<LocalRun> replaceIncarnation() {
         List<LocalRun> lapsed = crashed ? List.copyOf(lapsedInSilence) : List.of();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobRecordTest.java
@@ -29,8 +29,8 @@
                 1_700_000_000_000L,
                 true,
                 List.of(
-                        new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0),
-                        new JobRecord.TaskProgress(5, false, 1, 9, 2, 8)));
+                        new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0, 0),
+                        new JobRecord.TaskProgress(5, false, 1, 9, 2, 8, 3)));
 
         assertEquals(stored, JobRecord.decode(stored.toBytes()));
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -52,7 +52,7 @@
                 new QueuePolicy("queue", "", "", "service", 2, 3, 1.6, 400),
                 1_700_000_000_000L,
                 true,
-                List.of(new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0)));
+                List.of(new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0, 0)));
         return Stream.of(
                 new Sample("member", member.toBytes(), MemberRecord::decode),
                 new Sample("open job", job.toBytes(), JobRecord::decode),
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
@@ -47,8 +47,9 @@
 
     @Test
     void crashesAreRestoredWithTheProgress() {
-        task.restore(new JobRecord.TaskProgress(0, /* succeeded= */ false, 0, 0, /* crashedRunCount= */ 2, 7));
+        task.restore(new JobRecord.TaskProgress(0, /* succeeded= */ false, 0, 0, /* crashedRunCount= */ 2, 7, 1));
         assertEquals(2, task.crashes());
+        assertEquals(1, task.unconfirmedCrashes());
         assertEquals(true, task.needsExclusiveRun());
         assertEquals(false, task.recordCrash(7, /* explained= */ false));
         assertEquals(
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashingTasksTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashingTasksTest.java
@@ -50,6 +50,24 @@
         assertEquals(List.of(), fleet.recordOfStarts().violations());
     }
 
+    /** Guards against a task without a bound on its starts because upstreams crash before they confirm them. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 11})
+    void storedTaskThatCrashesUpstreamsBeforeTheyConfirmItsStartIsGivenUp(int sidecars) {
+        SimulatedFleet fleet = fleetWithCrashingJob(sidecars);
+        for (int number = 0; number < sidecars; number++) {
+            fleet.upstream(number).crashBeforeAnswers();
+        }
+        fleet.submit(0, CRASHING_JOB, SampleJobs.plan(3, /* durable= */ true));
+        fleet.time().runUntil(90_000);
+
+        assertTrue(
+                fleet.recordOfStarts().startsAfterThreeCrashes() < 3,
+                () -> fleet.recordOfStarts().startsAfterThreeCrashes() + " starts after three crashes");
+        assertEquals(new CallerAnswers.Lookup.Found(JobState.FAILED), fleet.lookUp(1, CRASHING_JOB));
+        assertEquals(List.of(), fleet.recordOfStarts().violations());
+    }
+
     /** Guards against innocent jobs that are taken along by the repetitions of a crashing task. */
     @ParameterizedTest
     @ValueSource(ints = {4, 11})
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -34,7 +34,7 @@
     static final Resources CAPACITY = new Resources(16_000, 32_768, 0);
     /** Speed of the upstream's clock in percent of true time; a clock may be two percent slow. */
     private static final long CLOCK_PERCENT = 98;
-    /** Time from the start of a run of a crashing task until the upstream crashes. */
+    /** Usual time from the start of a run of a crashing task until the upstream crashes. */
     private static final long CRASH_DELAY_MILLISECONDS = 10;
     /** Time from a crash until the upstream has started again. */
     private static final long CRASH_DOWNTIME_MILLISECONDS = 3_200;
@@ -76,6 +76,8 @@
     private final Map<RunIdentity, Long> runDurationsMilliseconds = new HashMap<>();
     /** Tasks that crash the upstream whenever they start. */
     private Predicate<TaskIdentity> crashingTasks = task -> false;
+    /** Time from the start of their runs until the upstream crashes; at 0, it does before it answers. */
+    private long crashDelayMilliseconds = CRASH_DELAY_MILLISECONDS;
 
     /** Resources of the upstream, as announced. */
     private Resources capacity = CAPACITY;
@@ -106,6 +108,11 @@
         crashingTasks = tasks;
     }
 
+    /** Makes the upstream crash before it answers the order to start a run of a crashing task. */
+    void crashBeforeAnswers() {
+        crashDelayMilliseconds = 0;
+    }
+
     /** Sets the capacity, from the next announcement on. */
     void setCapacity(Resources newCapacity) {
         capacity = newCapacity;
@@ -290,11 +297,7 @@
         RunOutcome outcome = nextOutcome;
         long restartCountAtStart = restartCount;
         if (crashingTasks.test(run.task())) {
-            time.after(CRASH_DELAY_MILLISECONDS, () -> {
-                if (restartCount == restartCountAtStart) {
-                    crash();
-                }
-            });
+            crashSoon();
         }
         boolean stalled = nextRunsStall;
         // A stalled run always reports a progress of 0 percent.
@@ -312,6 +315,19 @@
         return new UpstreamPort.Answer.Accepted(clock());
     }
 
+    private void crashSoon() {
+        if (crashDelayMilliseconds == 0) {
+            crash();
+            return;
+        }
+        long restartCountAtStart = restartCount;
+        time.after(crashDelayMilliseconds, () -> {
+            if (restartCount == restartCountAtStart) {
+                crash();
+            }
+        });
+    }
+
     UpstreamPort.Answer doStop(RunIdentity run, UpstreamPort.Order order) {
         if (order.fenceToken() < highestFencingToken) {
             return new UpstreamPort.Answer.Refused(UpstreamPort.Refusal.FENCED, clock());
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
@@ -46,7 +46,8 @@
                     refuseConnection(receiver);
                     return;
                 }
-                Answer answer = action.get();
+                Answer executed = action.get();
+                Answer answer = upstream.isDown() ? new Answer.Unanswered("connection closed") : executed;
                 loop.run(() -> receiver.accept(answer));
             });
         }
