Return a run at once whose order could not be sent to the upstream

Cause: the HTTP client tells a request that was not sent from one without an answer, but the port to the upstream mapped both to Unanswered. A start that certainly had not happened stayed in doubt until the upstream listed its runs again.

UpstreamPort.Answer.NotSent keeps the difference. The sidecar returns such a run at once (start-not-sent, reason upstream-unreachable), takes itself for unusable at the first such order, and asks the upstream until it answers, also while no run is active: otherwise nothing would ask again, and the upstream would get no more work. The entry places nothing there before the next status. No run starts twice by this: the request never left.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -157,6 +157,8 @@
     START,
     /** An order to start a run was not answered, so the run may have started. */
     START_DOUBTFUL,
+    /** An order to start a run could not be sent to the upstream, so the run is returned to its owner. */
+    START_NOT_SENT,
     /** An upstream refused to start a run. */
     START_REFUSED,
     /** A process stops. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -95,10 +95,10 @@
     }
 
     private void recordRefusal(OwnedTask task, SidecarView view, JobFrame.Report report) {
-        if (report.reason().equals(ZoneStartGate.ZONE_EVACUATED)) {
-            view.markStatusOutdated();
-        } else if (report.reason().equals("unhealthy")) {
-            ejection.countFailure(task, view);
+        switch (report.reason()) {
+            case ZoneStartGate.ZONE_EVACUATED, JobFrame.Report.UPSTREAM_UNREACHABLE -> view.markStatusOutdated();
+            case "unhealthy" -> ejection.countFailure(task, view);
+            default -> {}
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/AnswerTimeout.java
@@ -41,17 +41,17 @@
     }
 
     /**
-     * Records the answer to an order, or that there was none.
+     * Records the answer to an order, or that there was none; an order that was not sent says nothing.
      *
      * @param answer the answer
      * @param sentAt when the order was sent, in milliseconds of the loop's clock
      * @param now when it was answered or given up, in milliseconds of the loop's clock
      */
     void record(UpstreamPort.Answer answer, long sentAt, long now) {
-        if (answer instanceof UpstreamPort.Answer.Unanswered) {
-            recordUnanswered(now);
-        } else {
-            recordAnswer(now - sentAt);
+        switch (answer) {
+            case UpstreamPort.Answer.NotSent ignored -> {}
+            case UpstreamPort.Answer.Unanswered ignored -> recordUnanswered(now);
+            default -> recordAnswer(now - sentAt);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -29,13 +29,8 @@
     private static final long IDLE_PAUSE_MILLISECONDS = 25;
     /** Pause after a refusal or repeated time-outs, in milliseconds. */
     private static final long FAULT_PAUSE_MILLISECONDS = 100;
-    /** Minimum number of consecutive unanswered holds after which leases are no longer extended. */
-    private static final int MAXIMUM_UNANSWERED_HOLDS = 2;
-    /**
-     * Minimum time without an answer after which leases are no longer extended, in milliseconds, unless the upstream
-     * refuses connections.
-     */
-    private static final long SILENCE_MILLISECONDS = 750;
+    /** Like {@link #FAULT_PAUSE_MILLISECONDS}, while no run is active. */
+    private static final long IDLE_FAULT_PAUSE_MILLISECONDS = 500;
     /**
      * Maximum wait of a hold request after an order stayed unanswered, in milliseconds. Completions are not seen while
      * a hold stays unanswered, which is found out only after its wait.
@@ -63,11 +58,7 @@
     private boolean listingInFlight;
 
     private boolean holdRequested;
-    private long unansweredHolds;
-    /** Whether too many holds stayed unanswered since the last answer. */
-    private boolean upstreamSilent;
-    /** When the first of the unanswered holds was sent, in milliseconds of the loop's clock. */
-    private long unansweredSince;
+    private final Reachability reachability = new Reachability();
 
     /** When an order that extends the lease was last sent, in milliseconds of the loop's clock. */
     private long lastLeaseSentAt;
@@ -120,16 +111,27 @@
          */
         void upstreamSilent(boolean connectionsRefused);
 
-        /** Called when the known incarnation of the upstream answers after several holds went unanswered. */
+        /** Called when the known incarnation of the upstream answers after it was silent or could not be reached. */
         void upstreamAnsweredAgain();
 
         /** Called with each reading of the upstream's clock, in milliseconds. */
         void clockRead(long reading);
     }
 
+    /** Returns whether orders are likely to be answered: the upstream is not silent, and the last order was sent. */
+    boolean isUpstreamReachable() {
+        return reachability.isReachable();
+    }
+
+    /** Records that an order other than a hold could not be sent, and asks the upstream until it answers. */
+    void recordOrderNotSent() {
+        reachability.recordOrderNotSent(loop.monotonicMilliseconds());
+        startHold();
+    }
+
     /** Returns whether several consecutive holds went unanswered. */
     boolean isUpstreamSilent() {
-        return upstreamSilent;
+        return reachability.isSilent();
     }
 
     /** Records that an order which extends the lease was sent. */
@@ -144,9 +146,13 @@
         return isUpstreamSilent() && loop.monotonicMilliseconds() > lastLeaseSentAt + lease;
     }
 
-    /** Starts a hold if runs have to be listed, leases to be extended, or completions to be acknowledged. */
+    /**
+     * Starts a hold if runs have to be listed, leases to be extended, or completions to be acknowledged, or if a known
+     * upstream has to be asked whether it is reachable again.
+     */
     void startHoldIfNeeded() {
         if (!state.isListedUnderCurrentToken()
+                || !isUpstreamReachable() && state.announcement() != null
                 || registry.activeCount() > 0
                 || registry.acknowledgeableUpTo() > registry.acknowledgedUpTo()) {
             startHold();
@@ -200,14 +206,12 @@
     private void handleAnswer(Order order, long acknowledged, long waitMilliseconds, long sentAt, Answer answer) {
         switch (answer) {
             case Answer.Listing listing -> {
-                boolean wasSilent = upstreamSilent;
-                unansweredHolds = 0;
-                upstreamSilent = false;
+                boolean wasUnreachable = reachability.recordAnswer();
                 if (state.recordIncarnation(listing.identity(), listing.upstreamStartEpochMilliseconds())) {
                     handler.upstreamRestarted();
                 } else {
                     registry.setAcknowledgedUpTo(acknowledged);
-                    if (wasSilent) {
+                    if (wasUnreachable) {
                         handler.upstreamAnsweredAgain();
                     }
                 }
@@ -217,35 +221,32 @@
                 scheduleNextHold(!changed && answeredEarly && !holdRequested ? IDLE_PAUSE_MILLISECONDS : 0);
             }
             case Answer.Refused refused -> handleRefusal(order, refused);
-            case Answer.Unanswered unanswered -> {
-                handleUnanswered(sentAt, unanswered);
-                pause(isUpstreamSilent() ? FAULT_PAUSE_MILLISECONDS : 0);
-            }
+            case Answer.Unanswered unanswered -> handleUnanswered(sentAt, unanswered.reason());
+            case Answer.NotSent notSent -> handleUnanswered(sentAt, notSent.reason());
             case Answer.Accepted ignored -> throw new IllegalStateException("a hold must be answered with a listing");
         }
     }
 
-    private void handleUnanswered(long sentAt, Answer.Unanswered unanswered) {
+    private void handleUnanswered(long sentAt, String reason) {
         long now = loop.monotonicMilliseconds();
         boolean refusedConnection = now - sentAt < answerTimeout.repeatableMilliseconds();
         answerTimeout.recordUnanswered(now);
-        if (unansweredHolds == 0) {
-            unansweredSince = sentAt;
-        }
-        unansweredHolds++;
+        boolean becomesSilent = reachability.recordUnansweredHold(sentAt, now, refusedConnection);
         loop.log()
                 .event(
                         EventName.HOLD_UNANSWERED,
                         EventKey.MISSED,
-                        unansweredHolds,
+                        reachability.unansweredHolds(),
                         EventKey.REASON,
-                        unanswered.reason());
-        if (!upstreamSilent
-                && unansweredHolds >= MAXIMUM_UNANSWERED_HOLDS
-                && (refusedConnection || now - unansweredSince >= SILENCE_MILLISECONDS)) {
-            upstreamSilent = true;
+                        reason);
+        if (becomesSilent) {
             handler.upstreamSilent(refusedConnection);
         }
+        if (!isUpstreamSilent()) {
+            pause(0);
+        } else {
+            pause(registry.activeCount() > 0 ? FAULT_PAUSE_MILLISECONDS : IDLE_FAULT_PAUSE_MILLISECONDS);
+        }
     }
 
     private void handleRefusal(Order order, Answer.Refused refused) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
@@ -16,7 +17,8 @@
  * Orders to the upstream to start queued runs, as far as resources allow.
  *
  * <p>An unanswered order may still be carried out later. The start is therefore doubtful until the upstream has listed
- * its runs under a raised token: from then on the upstream refuses the old order.
+ * its runs under a raised token: from then on the upstream refuses the old order. An order that could not be sent is
+ * never carried out, so its run is returned to its owner at once.
  */
 final class StartOrders {
     /** Pause of starts after a refusal for lack of resources or bad health, in milliseconds. */
@@ -155,11 +157,26 @@
                     holdCycle.startHold();
                 }
             }
+            case Answer.NotSent notSent -> handleNotSent(run, notSent);
             case Answer.Listing ignored ->
                 throw new IllegalStateException("a start must not be answered with a listing");
         }
     }
 
+    private void handleNotSent(LocalRun run, Answer.NotSent notSent) {
+        loop.log().event(EventName.START_NOT_SENT, EventKey.RUN, run.identity(), EventKey.REASON, notSent.reason());
+        loop.log().count("start-not-sent");
+        if (run.isStopRequested()) {
+            registry.finish(
+                    run, RunOutcome.STOPPED, "withdrawn", /* completionNumber= */ 0, loop.monotonicMilliseconds());
+            listener.runFinished(run);
+        } else {
+            handler.refuse(run, JobFrame.Report.UPSTREAM_UNREACHABLE);
+        }
+        holdCycle.recordOrderNotSent();
+        listener.statusChanged();
+    }
+
     /** Handles a refusal, for example of an expired lease (LATE), or of a run number that is not the highest (OLD). */
     private void handleRefusal(LocalRun run, Order order, Answer.Refused refused) {
         String reason = refused.reason().name().toLowerCase(Locale.ROOT);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -60,7 +60,7 @@
 
     @Override
     public boolean isUsable() {
-        return state.isAccepting() && !sidecarLeaving && !holdCycle.isUpstreamSilent();
+        return state.isAccepting() && !sidecarLeaving && holdCycle.isUpstreamReachable();
     }
 
     /** Handles an announcement of the upstream, unless it is older than the known one. */
@@ -229,6 +229,8 @@
     @Override
     public void upstreamAnsweredAgain() {
         crashes.retract();
+        listener.statusChanged();
+        startQueued();
     }
 
     @Override
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamPort.java
@@ -98,6 +98,13 @@
          */
         record Refused(Refusal reason, long clock) implements Answer {}
 
+        /**
+         * The order was not sent, for example because the connection was refused: it is never carried out.
+         *
+         * @param reason description of the fault
+         */
+        record NotSent(String reason) implements Answer {}
+
         /**
          * No answer arrived: the order may have been carried out, or may still be carried out later.
          *
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
@@ -137,6 +137,22 @@
                 sidecar.finalReportOn(run("lost")).map(JobFrame.Report::outcome).orElse(RunOutcome.RUNNING));
     }
 
+    /** Guards against an upstream that gets no work any more because nothing asks it whether it is reachable again. */
+    @Test
+    void upstreamThatCouldNotBeReachedIsUsedAgainOnceItAnswers() {
+        sidecar.upstream().refuseConnections(true);
+        dispatch("lost", false);
+        advance(2_000);
+        sidecar.upstream().refuseConnections(false);
+        advance(1_000);
+        sidecar.controller().handleLinkOpened(SingleSidecar.ENTRY); // which renews its lease
+        sequence = 0;
+        dispatch("later", false);
+        advance(5);
+
+        assertEquals(Set.of(run("later")), sidecar.upstream().activeRuns());
+    }
+
     @Test
     void crashIsToldUnderARunThatHadStarted() {
         dispatch("started", false);
