Take only a run that was sent as exclusive for one

A crash under an exclusive run fails its job. The mark followed the task: once an exclusive run was required, a run that had been sent beside others and was then taken over, for example after a link was opened again, counted as exclusive, and a crash that another task may have caused failed the job. It was also dispatched again as needing the whole upstream.

The owner now marks a run as exclusive when it assigns it, and a sidecar keeps the mark of a run that it knows.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -119,6 +119,9 @@
      */
     RunIdentity assignNextRun(String incarnation, long now, long expectedMilliseconds) {
         setCurrentRun(incarnation, highestRunNumber + 1, now, expectedMilliseconds);
+        if (exclusiveRunRequired) {
+            lastExclusiveRun = currentRunNumber;
+        }
         return currentRun();
     }
 
@@ -128,9 +131,6 @@
     void setCurrentRun(String incarnation, int runNumber, long now, long expectedMilliseconds) {
         currentRunNumber = runNumber;
         recordRunNumber(runNumber);
-        if (exclusiveRunRequired) {
-            lastExclusiveRun = runNumber;
-        }
         sidecarIncarnation = incarnation;
         sentAt = now;
         expectedRunMilliseconds = expectedMilliseconds;
@@ -283,6 +283,11 @@
         return exclusiveRunRequired;
     }
 
+    /** Returns whether the current run was sent as the only one to its upstream. */
+    boolean isCurrentRunExclusive() {
+        return wasExclusive(currentRunNumber);
+    }
+
     /** Returns whether a run was sent as the only one to its upstream. */
     boolean wasExclusive(int runNumber) {
         return lastExclusiveRun != 0 && lastExclusiveRun == runNumber;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -72,7 +72,7 @@
         }
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
         chosen.sidecar().startProbeIfOnProbation();
-        TaskPlacement.takeCapacity(task, chosen.sidecar(), expectedMilliseconds, now);
+        TaskPlacement.takeCapacity(task, task.needsExclusiveRun(), chosen.sidecar(), expectedMilliseconds, now);
         if (explainedTasks.contains(task)) {
             task.assignNextRun(chosen.sidecar().incarnation(), now, expectedMilliseconds);
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -139,17 +139,19 @@
         send(task, view, expectedMilliseconds);
     }
 
-    /** Takes the capacity for a task in the view of a sidecar; returns the sequence number of the dispatch. */
-    static long takeCapacity(OwnedTask task, SidecarView view, long expectedMilliseconds, long now) {
-        Resources resources = task.needsExclusiveRun()
-                ? view.status().capacity()
-                : task.step().resourcesPerTask();
+    /**
+     * Takes the capacity for a run in the view of a sidecar, all of it for an exclusive one; returns the sequence
+     * number of the dispatch.
+     */
+    static long takeCapacity(OwnedTask task, boolean exclusive, SidecarView view, long expectedMilliseconds, long now) {
+        Resources resources = exclusive ? view.status().capacity() : task.step().resourcesPerTask();
         return view.recordDispatch(resources, resources.processorMillis() * expectedMilliseconds, now);
     }
 
     private void send(OwnedTask task, SidecarView view, long expectedMilliseconds) {
         StepPlan step = task.step();
-        long sequence = takeCapacity(task, view, expectedMilliseconds, loop.monotonicMilliseconds());
+        long sequence = takeCapacity(
+                task, task.isCurrentRunExclusive(), view, expectedMilliseconds, loop.monotonicMilliseconds());
         long slackMilliseconds =
                 TaskBacklog.latestStart(task, loop.monotonicMilliseconds()) - loop.monotonicMilliseconds();
         runningQueues.add(task);
@@ -168,6 +170,6 @@
                         task.job().plan().durable(),
                         !task.isStartReportExpected(),
                         task.job().policy().name(),
-                        task.needsExclusiveRun()));
+                        task.isCurrentRunExclusive()));
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -237,8 +237,10 @@
             known.setOwner(owner.incarnation(), now);
             known.setDurable(dispatch.durable());
             known.setWithoutStartReport(dispatch.withoutStartReport());
+            known.setQueue(dispatch.queue());
+            known.setExclusive(known.isExclusive() || dispatch.exclusive());
             if (!known.isInPhase(Phase.ENDED)) {
-                registry.updateDetails(known, dispatch, needOf(dispatch), latestStartAt);
+                registry.updateDetails(known, dispatch, needOf(known, dispatch), latestStartAt);
             }
             reports.report(known);
             return;
@@ -251,7 +253,7 @@
         run.setExclusive(dispatch.exclusive());
         run.setDetails(
                 dispatch.payload(),
-                needOf(dispatch),
+                needOf(run, dispatch),
                 dispatch.estimatedMilliseconds(),
                 latestStartAt,
                 dispatch.urgency());
@@ -270,8 +272,8 @@
     }
 
     /** Returns the resources that a dispatched run takes: all of the upstream's if it has to be the only one there. */
-    private Resources needOf(JobFrame.Dispatch dispatch) {
-        return dispatch.exclusive() ? upstreamController.state().capacity() : dispatch.need();
+    private Resources needOf(LocalRun run, JobFrame.Dispatch dispatch) {
+        return run.isExclusive() ? upstreamController.state().capacity() : dispatch.need();
     }
 
     private void handleWithdrawal(OwnerLease owner, RunIdentity identity) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
@@ -57,4 +57,19 @@
                 task.assignNextRun("sidecar~1", /* now= */ 1, /* expectedMilliseconds= */ 100)
                         .number());
     }
+
+    /** Guards against a job that is failed by a crash under a run that others shared the upstream with. */
+    @Test
+    void runThatIsTakenOverCountsAsExclusiveOnlyIfItWasSentSo() {
+        int shared = task.assignNextRun("sidecar~1", /* now= */ 1, /* expectedMilliseconds= */ 100)
+                .number();
+        task.requireExclusiveRun();
+        task.setCurrentRun("sidecar~1", shared, /* now= */ 2, /* expectedMilliseconds= */ 100);
+        assertEquals(false, task.wasExclusive(shared));
+
+        int alone = task.assignNextRun("sidecar~1", /* now= */ 3, /* expectedMilliseconds= */ 100)
+                .number();
+        task.setCurrentRun("sidecar~1", alone, /* now= */ 4, /* expectedMilliseconds= */ 100);
+        assertEquals(true, task.wasExclusive(alone));
+    }
 }
