Fail no job for a late failure of a task that is done

A run that was taken for lost and replaced may still report its failure, after the later run has succeeded. The owner counted that failure under the finished task; where the queue allows one failed run, the caller was told that the job had failed.

A failure under a task that is done no longer counts, as a crash didn't before.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -138,8 +138,8 @@
         OwnedJob job = task.job();
         job.markStarted();
         jobs.recordCompletion(job, report.run(), incarnation);
-        if (!task.recordFailure(report.run().number(), node)) {
-            return; // the failure was counted before
+        if (task.isIn(OwnedTask.Phase.DONE) || !task.recordFailure(report.run().number(), node)) {
+            return; // the failure no longer matters, or was counted before
         }
         loop.log()
                 .event(
