Take only a refused connection for one, not an early time-out

Whether an upstream refuses connections, and so is told as crashed, was inferred from a hold that failed sooner than the present time-out; the time-out doubles with each unanswered order, so a hold that had simply timed out could count as refused.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -51,7 +51,7 @@
     private final SidecarTimings timings;
     private final RunRegistry registry;
     private final UpstreamState state;
-    private final Handler handler;
+    private final HoldHandler handler;
     private final AnswerTimeout answerTimeout;
     private boolean holdInFlight;
     /** Whether a hold is in flight that lists the runs under a raised token at once; another one may be waiting. */
@@ -72,7 +72,7 @@
             RunRegistry registry,
             UpstreamState state,
             AnswerTimeout answerTimeout,
-            Handler handler) {
+            HoldHandler handler) {
         this.port = port;
         this.loop = loop;
         this.timings = timings;
@@ -82,41 +82,8 @@
         this.handler = handler;
     }
 
-    /** Receiver of the results of holds. */
-    interface Handler {
-        /** Called when a listing shows that an unanswered order to start a run was carried out. */
-        void startConfirmed(LocalRun run);
-
-        /** Called when a run has made no progress for too long in relation to its expected duration. */
-        void runStalled(LocalRun run);
-
-        /** Called when a run has finished. */
-        void runFinished(LocalRun run);
-
-        /**
-         * Called when a listing showed changes or was the first one under its fencing token.
-         *
-         * @param firstListing whether it was the first listing since the last start of the upstream
-         */
-        void listingChanged(boolean firstListing);
-
-        /** Called when another incarnation of the upstream answered. */
-        void upstreamRestarted();
-
-        /**
-         * Called when several consecutive holds went unanswered.
-         *
-         * @param connectionsRefused whether the last one failed before its time-out, as connections to a stopped
-         *     process do
-         */
-        void upstreamSilent(boolean connectionsRefused);
-
-        /** Called when the known incarnation of the upstream answers after it was silent or could not be reached. */
-        void upstreamAnsweredAgain();
-
-        /** Called with each reading of the upstream's clock, in milliseconds. */
-        void clockRead(long reading);
-    }
+    /** Hold that was sent, at a time in milliseconds of the loop's clock. */
+    private record Hold(Order order, long acknowledged, long waitMilliseconds, long timeoutMilliseconds, long sentAt) {}
 
     /** Returns whether orders are likely to be answered: the upstream is not silent, and the last order was sent. */
     boolean isUpstreamReachable() {
@@ -183,9 +150,10 @@
         long sentAt = loop.monotonicMilliseconds();
         long acknowledged = registry.acknowledgeableUpTo();
         long waitMilliseconds = listing ? 0 : waitMilliseconds(sentAt);
-        port.hold(order, acknowledged, waitMilliseconds, answerTimeout.repeatableMilliseconds(), answer -> {
+        long timeoutMilliseconds = answerTimeout.repeatableMilliseconds();
+        port.hold(order, acknowledged, waitMilliseconds, timeoutMilliseconds, answer -> {
             setInFlight(listing, false);
-            handleAnswer(order, acknowledged, waitMilliseconds, sentAt, answer);
+            handleAnswer(new Hold(order, acknowledged, waitMilliseconds, timeoutMilliseconds, sentAt), answer);
         });
     }
 
@@ -203,35 +171,39 @@
                 : timings.holdWaitMilliseconds();
     }
 
-    private void handleAnswer(Order order, long acknowledged, long waitMilliseconds, long sentAt, Answer answer) {
+    private void handleAnswer(Hold hold, Answer answer) {
         switch (answer) {
             case Answer.Listing listing -> {
                 boolean wasUnreachable = reachability.recordAnswer();
                 if (state.recordIncarnation(listing.identity(), listing.upstreamStartEpochMilliseconds())) {
                     handler.upstreamRestarted();
                 } else {
-                    registry.setAcknowledgedUpTo(acknowledged);
+                    registry.setAcknowledgedUpTo(hold.acknowledged());
                     if (wasUnreachable) {
                         handler.upstreamAnsweredAgain();
                     }
                 }
                 handler.clockRead(listing.clock());
-                boolean changed = applyListing(listing, order, sentAt);
-                boolean answeredEarly = loop.monotonicMilliseconds() - sentAt < waitMilliseconds / 2;
+                boolean changed = applyListing(listing, hold.order(), hold.sentAt());
+                boolean answeredEarly = loop.monotonicMilliseconds() - hold.sentAt() < hold.waitMilliseconds() / 2;
                 scheduleNextHold(!changed && answeredEarly && !holdRequested ? IDLE_PAUSE_MILLISECONDS : 0);
             }
-            case Answer.Refused refused -> handleRefusal(order, refused);
-            case Answer.Unanswered unanswered -> handleUnanswered(sentAt, unanswered.reason());
-            case Answer.NotSent notSent -> handleUnanswered(sentAt, notSent.reason());
+            case Answer.Refused refused -> handleRefusal(hold.order(), refused);
+            case Answer.Unanswered unanswered ->
+                handleUnanswered(hold, unanswered.reason(), /* refusedConnection= */ false);
+            case Answer.NotSent notSent -> {
+                // A connection that is not opened in time is not sent either, but the upstream may only be silent.
+                long tookMilliseconds = loop.monotonicMilliseconds() - hold.sentAt();
+                handleUnanswered(hold, notSent.reason(), tookMilliseconds < hold.timeoutMilliseconds());
+            }
             case Answer.Accepted ignored -> throw new IllegalStateException("a hold must be answered with a listing");
         }
     }
 
-    private void handleUnanswered(long sentAt, String reason) {
+    private void handleUnanswered(Hold hold, String reason, boolean refusedConnection) {
         long now = loop.monotonicMilliseconds();
-        boolean refusedConnection = now - sentAt < answerTimeout.repeatableMilliseconds();
         answerTimeout.recordUnanswered(now);
-        boolean becomesSilent = reachability.recordUnansweredHold(sentAt, now, refusedConnection);
+        boolean becomesSilent = reachability.recordUnansweredHold(hold.sentAt(), now, refusedConnection);
         loop.log()
                 .event(
                         EventName.HOLD_UNANSWERED,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -15,7 +15,7 @@
  *
  * <p>Every order carries a fencing token; the upstream refuses a lower token than it has seen.
  */
-final class UpstreamController implements HoldCycle.Handler, StartOrders.Handler {
+final class UpstreamController implements HoldHandler, StartOrders.Handler {
     /** Maximum delay of an unanswered order, in milliseconds: the platform's limit of twelve seconds, plus a margin. */
     private static final long MAXIMUM_ORDER_DELAY_MILLISECONDS = 13_000;
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
@@ -89,6 +89,24 @@
         sidecar.time().runUntil(sidecar.time().now() + milliseconds);
     }
 
+    /** Lets the sidecar learn how long the upstream takes to answer. */
+    private void warmUp() {
+        for (int number = 0; number < 24; number++) {
+            dispatch("earlier" + number, false);
+            advance(25);
+        }
+        advance(450);
+    }
+
+    /** Returns the queues with start chances in the crashes that the sidecar told. */
+    private Set<String> queuesBlamed() {
+        return sidecar.frames().stream()
+                .filter(JobFrame.Status.class::isInstance)
+                .flatMap(frame -> ((JobFrame.Status) frame).crashes().stream())
+                .flatMap(crash -> crash.startChancePermille().keySet().stream())
+                .collect(Collectors.toSet());
+    }
+
     private String reasonOfEnd(RunIdentity run) {
         return sidecar.finalReportOn(run).map(JobFrame.Report::reason).orElse("no report");
     }
@@ -116,12 +134,7 @@
         lostOrder.apply(sidecar.upstream(), () -> dispatch("lost", false));
         advance(2 * DOWNTIME);
 
-        Set<String> blamed = sidecar.frames().stream()
-                .filter(JobFrame.Status.class::isInstance)
-                .flatMap(frame -> ((JobFrame.Status) frame).crashes().stream())
-                .flatMap(crash -> crash.startChancePermille().keySet().stream())
-                .collect(Collectors.toSet());
-        assertEquals(Set.of("queue-of-started"), blamed);
+        assertEquals(Set.of("queue-of-started"), queuesBlamed());
     }
 
     /** Guards against an order that keeps a task waiting although it is known not to have been delivered. */
@@ -137,6 +150,25 @@
                 sidecar.finalReportOn(run("lost")).map(JobFrame.Report::outcome).orElse(RunOutcome.RUNNING));
     }
 
+    /** Guards against a crash that is told because orders to a busy upstream timed out one after the other. */
+    @ParameterizedTest
+    @ValueSource(longs = {10, 20, 40, 80, 160})
+    void timedOutOrdersAreNotTakenForRefusedConnections(long intervalOfStarts) {
+        warmUp();
+        dispatch("started", false);
+        advance(20);
+        sidecar.frames().clear();
+        sidecar.upstream().unansweredOrders().leaveUnanswered(1, /* seed= */ 1);
+        for (long elapsed = 0; elapsed < 480; elapsed += intervalOfStarts) {
+            dispatch("unanswered" + elapsed, false);
+            advance(intervalOfStarts);
+        }
+        sidecar.upstream().unansweredOrders().leaveUnanswered(0, /* seed= */ 1);
+        advance(100);
+
+        assertEquals(Set.of(), queuesBlamed());
+    }
+
     /** Guards against an upstream that gets no work any more because nothing asks it whether it is reachable again. */
     @Test
     void upstreamThatCouldNotBeReachedIsUsedAgainOnceItAnswers() {
