Take back a crash once the same incarnation of the upstream answers

A cut between a sidecar and its upstream can refuse connections too. A sidecar that saw this for longer than a lease told its runs as lost in a crash; once the same incarnation answered it logged crash-retracted, but its statuses told the crash for ten seconds, and the owners kept the count: two such cuts could fail a job.

The sidecar now tells the owners of the runs that lapsed meanwhile (reason crash-retracted), who count them no more, and leaves the crash out of its statuses; entries forget a crash that a status tells no more. An upstream that ends in good order has not crashed either. What remains: a job that failed before stays failed, and counts restored from the store aren't taken back.

CrashBeforeStartTest.crashIsTakenBackOnceTheSameIncarnationAnswers, OwnedTaskTest.crashThatIsTakenBackCountsNoMore and CrashEvidenceTest.crashThatIsToldNoMoreIsNoEvidence came with the change, since the reason they expect is new; they were not run on older code. QueueConfinementTest.noCapacityIsReservedForAMoreUrgentConfinedQueue failed at first: its statuses told no crash right after one, which now takes it back.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -31,7 +31,7 @@
     CONFIGURATION_UNREADABLE,
     /** An entry applied a configuration. */
     CONFIGURED,
-    /** An upstream that its sidecar took for crashed answered, in the same incarnation. */
+    /** An upstream that its sidecar took for crashed answered, in the same incarnation; an entry counts it no more. */
     CRASH_RETRACTED,
     /** A sidecar dropped a task dispatched by a fenced entry (declared lost; nothing more is accepted from it). */
     DISPATCH_FENCED,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -203,6 +203,9 @@
          */
         public static final String UPSTREAM_CRASHED_UNCONFIRMED = "upstream-crashed-unconfirmed";
 
+        /** Reason of a second report on a lapse that was put down to a crash: the upstream had not crashed. */
+        public static final String CRASH_RETRACTED = "crash-retracted";
+
         /** Checks that nothing is null. */
         public Report {
             Objects.requireNonNull(run, "run");
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Evidence which queues have tasks that crash upstreams, from the crashes that sidecars (processes beside upstreams)
@@ -45,23 +46,33 @@
     }
 
     /** Crash on an upstream of a service, at a time of the monotonic clock in milliseconds. */
-    private record KnownCrash(String service, long at, Map<String, Integer> startChancePermille) {}
+    private record KnownCrash(
+            String incarnation, long number, String service, long at, Map<String, Integer> startChancePermille) {}
 
-    /** Records the crashes that an incarnation (start) of a sidecar tells; returns whether any of them is new. */
+    /**
+     * Records the crashes that an incarnation (start) of a sidecar tells, and forgets those that it tells no more,
+     * because its upstream had not crashed or they are old; returns whether there were any changes.
+     */
     boolean record(String incarnation, String service, List<UpstreamCrash> told) {
-        boolean isNew = false;
+        Set<Long> toldNumbers = told.stream().map(UpstreamCrash::number).collect(Collectors.toSet());
+        boolean isChanged = crashes.removeIf(
+                crash -> crash.incarnation().equals(incarnation) && !toldNumbers.contains(crash.number()));
         for (UpstreamCrash crash : told) {
             if (crash.number() > highestNumberBySidecar.getOrDefault(incarnation, 0L)
                     && crash.ageMilliseconds() < MAX_AGE_MILLISECONDS) {
                 highestNumberBySidecar.put(incarnation, crash.number());
                 KnownCrash known = new KnownCrash(
-                        service, loop.monotonicMilliseconds() - crash.ageMilliseconds(), crash.startChancePermille());
+                        incarnation,
+                        crash.number(),
+                        service,
+                        loop.monotonicMilliseconds() - crash.ageMilliseconds(),
+                        crash.startChancePermille());
                 crashes.add(known);
                 lastCrashBySidecar.put(incarnation, known);
-                isNew = true;
+                isChanged = true;
             }
         }
-        return isNew;
+        return isChanged;
     }
 
     /** Forgets crashes that are too old; returns whether there were any. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashedRuns.java
@@ -82,6 +82,14 @@
         return false;
     }
 
+    /** Takes back a crash under a run: the upstream had been out of reach only. */
+    void handleRetraction(OwnedTask task, RunIdentity run) {
+        if (task.retractCrash(run.number())) {
+            loop.log().event(EventName.CRASH_RETRACTED, EventKey.RUN, run, EventKey.CRASHES, task.crashes());
+            jobs.storeProgress(task.job());
+        }
+    }
+
     private boolean isExplained(OwnedTask task, RunIdentity run, Optional<SidecarView> sidecar) {
         QueuePolicy queue = task.job().policy();
         return sidecar.isPresent()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -38,6 +38,10 @@
     /** Number of the last run that was lost in a crash, confirmed or not. */
     private int lastCrashedRun;
 
+    /** Numbers of the runs whose crashes this entry has counted. */
+    private final Set<Integer> crashedRuns = new HashSet<>();
+    /** Numbers of the runs that this entry has counted in {@link #unconfirmedCrashes}. */
+    private final Set<Integer> unconfirmedCrashedRuns = new HashSet<>();
     /** Whether a crash was left uncounted because another task was its likely cause. */
     private boolean explainedCrashPassed;
 
@@ -260,6 +264,24 @@
             return false;
         }
         crashes++;
+        crashedRuns.add(runNumber);
+        return true;
+    }
+
+    /**
+     * Takes back a crash under a run, confirmed or not; returns whether it had been counted. Counts that were restored
+     * stay, as the runs are not known.
+     */
+    boolean retractCrash(int runNumber) {
+        if (unconfirmedCrashedRuns.remove(runNumber)) {
+            unconfirmedCrashes--;
+            return true;
+        }
+        if (!crashedRuns.remove(runNumber)) {
+            return false;
+        }
+        crashes--;
+        exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes);
         return true;
     }
 
@@ -270,6 +292,7 @@
         }
         lastCrashedRun = runNumber;
         unconfirmedCrashes++;
+        unconfirmedCrashedRuns.add(runNumber);
         return true;
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -76,7 +76,11 @@
             }
             case DONE -> handleSuccess(task, incarnation, report, isCurrent);
             case FAILED -> handleFailure(task, incarnation, report, isCurrent);
-            case STOPPED, LAPSED, REFUSED -> {
+            case LAPSED, STOPPED, REFUSED -> {
+                if (report.reason().equals(JobFrame.Report.CRASH_RETRACTED)) {
+                    crashes.handleRetraction(task, report.run());
+                    return; // the lapse was handled before
+                }
                 sidecar.ifPresent(SidecarView::endProbe);
                 boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, isCurrent, sidecar);
                 if (isCurrent && !givenUp) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
@@ -64,7 +64,7 @@
     /** Applies a status to a sidecar, and renews the lease there if it requests that. */
     void applyStatus(SidecarView view, JobFrame.Status status, boolean renewStoredRuns) {
         view.updateStatus(status, loop.monotonicMilliseconds());
-        if (!status.crashes().isEmpty() && evidence.record(view.incarnation(), status.service(), status.crashes())) {
+        if (evidence.record(view.incarnation(), status.service(), status.crashes())) {
             confinement.refresh(/* newCrash= */ true);
         }
         if (status.renewal() != JobFrame.Status.NO_RENEWAL) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerReports.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerReports.java
@@ -51,4 +51,11 @@
                 new JobFrame.Report(
                         run.identity(), RunOutcome.LAPSED, 0, JobFrame.Report.UPSTREAM_CRASHED_UNCONFIRMED));
     }
+
+    /** Reports that the upstream had not crashed under a run that was reported as lost in a crash. */
+    void reportCrashRetracted(LocalRun run) {
+        links.send(
+                run.owner(),
+                new JobFrame.Report(run.identity(), RunOutcome.LAPSED, 0, JobFrame.Report.CRASH_RETRACTED));
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunListener.java
@@ -14,6 +14,9 @@
     /** Called when the upstream may have crashed under a run that was reported as lapsed for its silence. */
     void crashFoundAfterLapse(LocalRun run);
 
+    /** Called when the upstream has not crashed although a run was reported as lost in a crash. */
+    void crashRetracted(LocalRun run);
+
     /** Called when the free resources, the queue or the state of the upstream have changed. */
     void statusChanged();
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -357,6 +357,11 @@
             reports.reportCrashAfterLapse(run);
         }
 
+        @Override
+        public void crashRetracted(LocalRun run) {
+            reports.reportCrashRetracted(run);
+        }
+
         @Override
         public void statusChanged() {
             statusSender.scheduleStatus();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -115,6 +115,7 @@
         }
         loop.log().event(EventName.UPSTREAM_GONE, EventKey.IDENTITY, identity);
         state.setAnnouncement(null);
+        crashes.retract().forEach(listener::crashRetracted);
         expireRuns(LocalRun::isActive, "upstream-gone");
         refuseQueuedRuns("upstream-gone");
         listener.statusChanged();
@@ -228,7 +229,7 @@
 
     @Override
     public void upstreamAnsweredAgain() {
-        crashes.retract();
+        crashes.retract().forEach(listener::crashRetracted);
         listener.statusChanged();
         startQueued();
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -30,8 +30,12 @@
     private boolean crashed;
     /** Runs that have lapsed while the known incarnation was silent without refusing connections. */
     private final List<LocalRun> lapsedInSilence = new ArrayList<>();
+    /** Runs that have lapsed since the known incarnation counts as crashed. */
+    private final List<LocalRun> lapsedInCrash = new ArrayList<>();
     /** Crashes in the retention time, the latest last. */
     private final Deque<RecordedCrash> recorded = new ArrayDeque<>();
+    /** Crash for which the known incarnation counts as crashed; null if there is none, or no run was active. */
+    private RecordedCrash lastCrash;
 
     private final StartRates startRates = new StartRates();
     private long crashCount;
@@ -75,7 +79,8 @@
             }
         }
         if (!present.isEmpty()) {
-            recorded.add(new RecordedCrash(++crashCount, loop.monotonicMilliseconds(), startChances));
+            lastCrash = new RecordedCrash(++crashCount, loop.monotonicMilliseconds(), startChances);
+            recorded.add(lastCrash);
         }
         loop.log()
                 .event(
@@ -121,21 +126,37 @@
                 .toList();
     }
 
-    /** Handles an answer of the known incarnation: it had not crashed. */
-    void retract() {
+    /**
+     * Handles an answer or an orderly end of the known incarnation: it had not crashed. Returns the runs that lapsed
+     * while it counted as crashed.
+     */
+    List<LocalRun> retract() {
         if (crashed) {
-            loop.log().event(EventName.CRASH_RETRACTED, EventKey.IDENTITY, state.identity());
+            loop.log()
+                    .event(
+                            EventName.CRASH_RETRACTED,
+                            EventKey.IDENTITY,
+                            state.identity(),
+                            EventKey.RUNS,
+                            lapsedInCrash.size());
             registry.allRuns().forEach(run -> run.setCrashReason(""));
+            recorded.remove(lastCrash);
         }
+        List<LocalRun> lapsed = List.copyOf(lapsedInCrash);
+        endIncarnation();
+        return lapsed;
+    }
+
+    private void endIncarnation() {
         crashed = false;
+        lastCrash = null;
+        lapsedInCrash.clear();
         lapsedInSilence.clear();
     }
 
     /** Records that a run of the known incarnation has lapsed. */
     void recordLapse(LocalRun run) {
-        if (!run.hasUpstreamCrashed()) {
-            lapsedInSilence.add(run);
-        }
+        (run.hasUpstreamCrashed() ? lapsedInCrash : lapsedInSilence).add(run);
     }
 
     /**
@@ -144,8 +165,7 @@
      */
     List<LocalRun> replaceIncarnation() {
         List<LocalRun> lapsed = crashed ? List.copyOf(lapsedInSilence) : List.of();
-        lapsedInSilence.clear();
-        crashed = false;
+        endIncarnation();
         return lapsed;
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/CrashEvidenceTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/CrashEvidenceTest.java
@@ -80,6 +80,17 @@
         assertTrue(!evidence.hasSeveralCrashes());
     }
 
+    /** Guards against a queue that stays confined for crashes which were only cuts between sidecar and upstream. */
+    @Test
+    void crashThatIsToldNoMoreIsNoEvidence() {
+        crash(Map.of("queue", 1));
+        advance(300);
+        crash(Map.of("queue", 1));
+        assertTrue(evidence.record("sidecar-2", SERVICE, List.of()));
+        assertEquals(Set.of(), evidence.suspectedQueues(SERVICE));
+        assertTrue(!evidence.hasSeveralCrashes());
+    }
+
     /** Guards against innocent tasks that wait for runs of their own because they ran beside a crashing queue. */
     @Test
     void crashBesideASuspectedQueueIsExplainedForOthersOnly() {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
@@ -72,4 +72,20 @@
         task.setCurrentRun("sidecar~1", alone, /* now= */ 4, /* expectedMilliseconds= */ 100);
         assertEquals(true, task.wasExclusive(alone));
     }
+
+    /** Guards against a task that is given up for crashes which were only cuts between sidecar and upstream. */
+    @Test
+    void crashThatIsTakenBackCountsNoMore() {
+        task.recordCrash(1, /* explained= */ false);
+        task.recordCrash(2, /* explained= */ false);
+        task.requireExclusiveRun();
+        task.recordUnconfirmedCrash(3);
+        assertEquals(true, task.retractCrash(3));
+        assertEquals(0, task.unconfirmedCrashes());
+        assertEquals(true, task.retractCrash(1));
+        assertEquals(false, task.retractCrash(1));
+        assertEquals(false, task.retractCrash(3));
+        assertEquals(1, task.crashes());
+        assertEquals(false, task.needsExclusiveRun());
+    }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
@@ -16,6 +16,8 @@
 import io.caperturn.jobs.simulation.VirtualTime;
 import io.caperturn.jobs.zone.ZoneEvacuations;
 import io.caperturn.testkit.known.KnownFailures;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,11 +45,16 @@
         }
     }
 
+    private final Map<String, List<UpstreamCrash>> crashesByNode = new HashMap<>();
+
     private void tell(String node, List<String> labels, List<UpstreamCrash> crashes) {
         tell(node, CAPACITY, labels, crashes);
     }
 
-    private void tell(String node, Resources free, List<String> labels, List<UpstreamCrash> crashes) {
+    /** Sends a status, which repeats the crashes that the sidecar told before, as statuses do for some seconds. */
+    private void tell(String node, Resources free, List<String> labels, List<UpstreamCrash> newCrashes) {
+        List<UpstreamCrash> crashes = crashesByNode.computeIfAbsent(node, key -> new ArrayList<>());
+        crashes.addAll(newCrashes);
         JobFrame.Status status = new JobFrame.Status(
                 /* usable= */ true,
                 "service",
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
@@ -185,6 +185,26 @@
         assertEquals(Set.of(run("later")), sidecar.upstream().activeRuns());
     }
 
+    /** Guards against a cut between sidecar and upstream that counts as a crash for good. */
+    @Test
+    void crashIsTakenBackOnceTheSameIncarnationAnswers() {
+        sidecar.controller().start();
+        dispatch("cut-off", false);
+        advance(20);
+        sidecar.upstream().refuseConnections(true);
+        advance(2 * DOWNTIME);
+        assertTrue(COUNTED_REASONS.contains(reasonOfEnd(run("cut-off"))), () -> reasonOfEnd(run("cut-off")));
+
+        sidecar.frames().clear();
+        sidecar.upstream().refuseConnections(false);
+        advance(1_000);
+        assertEquals(JobFrame.Report.CRASH_RETRACTED, reasonOfEnd(run("cut-off")));
+        sidecar.frames().clear();
+        sidecar.announce();
+        advance(1_000);
+        assertEquals(Set.of(), queuesBlamed());
+    }
+
     @Test
     void crashIsToldUnderARunThatHadStarted() {
         dispatch("started", false);
