Reject records in the table of processes that name no process, or another one than their key

Cause: all fields of a member record are optional on the wire, so an empty record, or one of unknown fields, decoded to an entry without a name. Such an entry counted among the others: jobs of a lost entry were assigned to it by their hash, and nobody adopted them. It was also silent, so an entry removed its record; the table then told of a removal under the record's key, which is not the empty name, so it stayed a member, and the removal was repeated without end. A record without an incarnation led to a frame without its text, which no peer can decode: links were closed. A record under one key that names the instance of another replaced that one, which then declared itself lost.

Change: a member record has a node and an incarnation, and that of an entry an address; and decoding takes the name of the record, which has to be the node.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -206,7 +206,7 @@
     @Override
     public void handleChange(StoredRecord stored) {
         try {
-            MemberRecord member = MemberRecord.decode(stored.value());
+            MemberRecord member = MemberRecord.decode(stored.key().name(), stored.value());
             if (member.role() == ProcessRole.ENTRY) {
                 String previous = entryAddresses.put(stored.key().name(), member.address());
                 if (previous != null && !previous.equals(member.address())) {
@@ -221,7 +221,9 @@
                             EventKey.MEMBER,
                             stored.key().name(),
                             EventKey.REASON,
-                            e.getMessage());
+                            e.getMessage(),
+                            EventKey.ACTION,
+                            "ignored");
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
@@ -29,9 +29,10 @@
     private static final int MAXIMUM_PORT = 65_535;
 
     /**
-     * Checks that nothing is null and that the address, if there is one, has a port.
+     * Checks that nothing is null, that the process is named, and that the address has a port.
      *
-     * @throws IllegalArgumentException if the address is neither empty nor {@code host:port}
+     * @throws IllegalArgumentException if the node or incarnation is empty, the address is neither empty nor
+     *     {@code host:port}, or an entry has no address
      */
     public MemberRecord {
         Objects.requireNonNull(role, "role");
@@ -40,7 +41,11 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(upstream, "upstream");
-        if (!address.isEmpty() && !isHostAndPort(address)) {
+        if (node.isEmpty() || incarnation.isEmpty()) {
+            throw new IllegalArgumentException("no node or incarnation");
+        }
+        boolean mayBeEmpty = role == ProcessRole.SIDECAR;
+        if (!(address.isEmpty() && mayBeEmpty) && !isHostAndPort(address)) {
             throw new IllegalArgumentException("not an address with a port: " + address);
         }
     }
@@ -74,11 +79,12 @@
     /**
      * Decodes a record.
      *
+     * @param name name under which the record is stored: that of the instance
      * @param bytes the encoded record
      * @return the record
-     * @throws IOException if the bytes are not a valid record of a process
+     * @throws IOException if the bytes are not a valid record of the process on that instance
      */
-    public static MemberRecord decode(byte[] bytes) throws IOException {
+    public static MemberRecord decode(String name, byte[] bytes) throws IOException {
         FieldReader reader = new FieldReader(bytes);
         int role = 0;
         String node = "";
@@ -97,6 +103,9 @@
                 default -> reader.skip();
             }
         }
+        if (!node.equals(name)) {
+            throw new IOException("the record is one of instance '" + node + "'");
+        }
         try {
             return new MemberRecord(
                     role == 0 ? ProcessRole.ENTRY : ProcessRole.SIDECAR,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
@@ -171,7 +171,7 @@
     public void handleChange(StoredRecord stored) {
         MemberRecord content;
         try {
-            content = MemberRecord.decode(stored.value());
+            content = MemberRecord.decode(stored.key().name(), stored.value());
         } catch (IOException e) {
             loop.log()
                     .event(
@@ -179,7 +179,9 @@
                             EventKey.MEMBER,
                             stored.key().name(),
                             EventKey.REASON,
-                            e.getMessage());
+                            e.getMessage(),
+                            EventKey.ACTION,
+                            "ignored");
             return;
         }
         Member previous = members.get(content.node());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessRegistration.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessRegistration.java
@@ -136,7 +136,7 @@
 
     private Optional<MemberRecord> parse(StoredRecord current) {
         try {
-            return current == null ? Optional.empty() : Optional.of(MemberRecord.decode(current.value()));
+            return current == null ? Optional.empty() : Optional.of(MemberRecord.decode(node, current.value()));
         } catch (IOException e) {
             loop.log().event(EventName.RECORD_UNREADABLE, EventKey.MEMBER, node, EventKey.REASON, e.getMessage());
             return Optional.empty();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -54,7 +54,7 @@
                 true,
                 List.of(new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0)));
         return Stream.of(
-                new Sample("member", member.toBytes(), MemberRecord::decode),
+                new Sample("member", member.toBytes(), bytes -> MemberRecord.decode("node", bytes)),
                 new Sample("open job", job.toBytes(), JobRecord::decode),
                 new Sample("closed job", new ClosedRecord(JobState.FAILED, 5).toBytes(), ClosedRecord::of));
     }
@@ -99,6 +99,6 @@
                 .writeText(3, "node~1")
                 .writeText(4, address)
                 .toBytes();
-        assertThrows(IOException.class, () -> MemberRecord.decode(encoded));
+        assertThrows(IOException.class, () -> MemberRecord.decode("node", encoded));
     }
 }
