--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
@@ -6,6 +6,7 @@
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.JobFrameCodec;
+import io.caperturn.jobs.model.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -144,9 +145,8 @@
         if (destinations.get(destination.address) != destination) {
             return;
         }
-        int colon = destination.address.lastIndexOf(':');
-        InetSocketAddress socketAddress = new InetSocketAddress(
-                destination.address.substring(0, colon), Integer.parseInt(destination.address.substring(colon + 1)));
+        HostAndPort address = HostAndPort.parse(destination.address);
+        InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
         destination.channel = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
@@ -1,5 +1,6 @@
 package io.caperturn.jobs.message;
 
+import io.caperturn.jobs.model.HostAndPort;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import java.io.IOException;
@@ -26,8 +27,6 @@
         String address,
         String zone,
         Optional<UpstreamIncarnation> upstream) {
-    private static final int MAXIMUM_PORT = 65_535;
-
     /**
      * Checks that nothing is null, that the process is named, and that the address has a port.
      *
@@ -44,19 +43,8 @@
         if (node.isEmpty() || incarnation.isEmpty()) {
             throw new IllegalArgumentException("no node or incarnation");
         }
-        boolean mayBeEmpty = role == ProcessRole.SIDECAR;
-        if (!(address.isEmpty() && mayBeEmpty) && !isHostAndPort(address)) {
-            throw new IllegalArgumentException("not an address with a port: " + address);
-        }
-    }
-
-    private static boolean isHostAndPort(String address) {
-        int colon = address.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(address.substring(colon + 1));
-            return colon > 0 && port > 0 && port <= MAXIMUM_PORT;
-        } catch (NumberFormatException e) {
-            return false;
+        if (role == ProcessRole.ENTRY || !address.isEmpty()) {
+            HostAndPort.parse(address);
         }
     }
 
@@ -143,6 +131,10 @@
                 default -> reader.skip();
             }
         }
-        return new UpstreamIncarnation(identity, startEpochMilliseconds, service, capacity, labels);
+        try {
+            return new UpstreamIncarnation(identity, startEpochMilliseconds, service, capacity, labels);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("invalid upstream in the record of a process: " + e.getMessage(), e);
+        }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/UpstreamIncarnation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/model/UpstreamIncarnation.java
@@ -14,11 +14,21 @@
  */
 public record UpstreamIncarnation(
         String identity, long startEpochMilliseconds, String service, Resources capacity, List<String> labels) {
-    /** Checks that the identity, service and capacity are present, and copies the list. */
+    private static final Resources MAXIMUM_CAPACITY =
+            new Resources(StepPlan.MAXIMUM_RESOURCE, StepPlan.MAXIMUM_RESOURCE, StepPlan.MAXIMUM_RESOURCE);
+
+    /**
+     * Checks that the identity, service and capacity are present, and copies the list.
+     *
+     * @throws IllegalArgumentException if a component of the capacity is negative or too large
+     */
     public UpstreamIncarnation {
         Objects.requireNonNull(identity, "identity");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(capacity, "capacity");
+        if (!capacity.covers(Resources.NONE) || !MAXIMUM_CAPACITY.covers(capacity)) {
+            throw new IllegalArgumentException("the capacity is out of range: " + capacity);
+        }
         labels = List.copyOf(labels);
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -90,6 +90,18 @@
         return random.nextInt(4) == 0 ? Arrays.copyOf(changed, random.nextInt(changed.length)) : changed;
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {-1, 1_000_000_001, Long.MAX_VALUE, Long.MIN_VALUE})
+    void membersWithACapacityOutOfRangeAreRejected(long capacity) {
+        byte[] encoded = new FieldWriter()
+                .writeLong(1, ProcessRole.SIDECAR.ordinal())
+                .writeText(2, "node")
+                .writeText(3, "node~1")
+                .writeMessage(5, upstream -> upstream.writeMessage(4, resources -> resources.writeLong(1, capacity)))
+                .toBytes();
+        assertThrows(IOException.class, () -> MemberRecord.decode("node", encoded));
+    }
+
     /** An address without a port can't be connected to. */
     @ParameterizedTest
     @ValueSource(strings = {"host", "host:", ":80", "host:port", "host:70000", "host:-1"})
