Leave out an unreadable row of an upstream's listing instead of taking the listing for no answer

Cause: the first row of a listing that could not be read ended the reading of the whole answer. The hold counted as unanswered; while the row stays, as a completion does until it is acknowledged, every hold does. The sidecar then takes its upstream for silent, refuses queued runs and gives up the active ones when their leases end. A completion with a number near the largest one was accepted, and hid every later completion.

Seen by ListingReaderTest.oddRowHidesNoOtherRow on the code before, 17 of 17 cases: Unexpected type, expected: <...UpstreamPort.Answer.Listing> but was: <...UpstreamPort.Answer.Unanswered>

Change: ListingReader, split from ExecutorClient, reads row by row. A row that can't be read is left out, counted, and logged as event=listed-run-unreadable with the row, the reason and the action when it first appears; it is remembered while it stays, so that it is logged once, and at most twenty are. A run whose progress can't be read stays active, because a run that is not listed counts as lost and is started elsewhere. Whether a listing can be incomplete depends on the number of its rows, readable or not.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -87,7 +87,7 @@
         this.store = new StoreClient(eventLoop, settings.store());
         this.links = new LinkManager(eventLoop, loop, this);
         SidecarTimings timings = SidecarTimings.forLease(settings.leaseMilliseconds());
-        ExecutorClient executor = new ExecutorClient(eventLoop, upstream);
+        ExecutorClient executor = new ExecutorClient(eventLoop, upstream, loop.log());
         this.evacuations = new ZoneEvacuations(loop);
         ZoneStartGate zoneGate = new ZoneStartGate(evacuations, settings.zone());
         this.sidecar = new SidecarController(loop, executor, links, timings, settings.node(), zoneGate);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -73,6 +73,8 @@
     LINK_FAULT,
     /** A link is closed. */
     LINK_LOST,
+    /** A row of an upstream's listing of runs is unreadable and is left out; logged when it first appears. */
+    LISTED_RUN_UNREADABLE,
     /** A process accepts requests. */
     LISTENING,
     /** A request is malformed. */
