--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/EntryApplication.java
@@ -53,7 +53,7 @@
         this.loop = loop;
         this.settings = settings;
         this.evacuations = new ZoneEvacuations(loop);
-        this.store = new StoreClient(eventLoop, settings.store());
+        this.store = new StoreClient(eventLoop, settings.store(), loop.log());
         this.retries = new StoreRetryBudget(loop, Main.newIncarnation(settings.node()));
         this.links = new LinkManager(eventLoop, loop, this);
     }
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -84,7 +84,7 @@
         this.eventLoop = eventLoop;
         this.loop = loop;
         this.settings = settings;
-        this.store = new StoreClient(eventLoop, settings.store());
+        this.store = new StoreClient(eventLoop, settings.store(), loop.log());
         this.links = new LinkManager(eventLoop, loop, this);
         SidecarTimings timings = SidecarTimings.forLease(settings.leaseMilliseconds());
         ExecutorClient executor = new ExecutorClient(eventLoop, upstream, loop.log());
