--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SettingsWatcher.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SettingsWatcher.java
@@ -43,11 +43,12 @@
     }
 
     private void checkFile() {
+        // Scheduled first, so that an unexpected exception does not end the checks.
+        loop.after(CHECK_INTERVAL_MILLISECONDS, this::checkFile);
         FileTime modified = readLastModified();
         if (modified != null && !modified.equals(lastModified)) {
             reload("file-changed");
         }
-        loop.after(CHECK_INTERVAL_MILLISECONDS, this::checkFile);
     }
 
     /** Reads the file again and logs the names of the settings that have changed. */
