Keep large numbers of a queue's policy from overflowing

A duration objective near the largest number overflowed when the other part of the objective, or a multiple of it, was computed: it became negative, so that all jobs of the queue were late and refused.

Change: these numbers are limited to the range that the process can use, since what the operator writes is valid and takes effect as a whole.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/QueuePolicy.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/model/QueuePolicy.java
@@ -27,6 +27,9 @@
         int maximumAttempts,
         double objectiveFactor,
         long objectiveOffsetMilliseconds) {
+    /** Limit of the parts of an objective, in milliseconds: a multiple of their sum stays within 64 bits. */
+    private static final long MAXIMUM_OBJECTIVE_MILLISECONDS = 1L << 50;
+
     /**
      * Checks that all texts are present.
      *
@@ -46,6 +49,10 @@
      * @return the time, in milliseconds
      */
     public long objectiveMilliseconds(long criticalPathMilliseconds) {
-        return (long) (objectiveFactor * criticalPathMilliseconds) + objectiveOffsetMilliseconds;
+        return limit((long) (objectiveFactor * criticalPathMilliseconds)) + limit(objectiveOffsetMilliseconds);
+    }
+
+    private static long limit(long milliseconds) {
+        return Math.clamp(milliseconds, -MAXIMUM_OBJECTIVE_MILLISECONDS, MAXIMUM_OBJECTIVE_MILLISECONDS);
     }
 }
