Reject stored jobs without an owner, or of a generation whose run numbers overflow

Cause: any text and any 32-bit number was accepted. A job whose owner is empty was assigned to an entry like one of a lost owner; the request to the sidecars to fence that owner is a frame without its text, which they can't decode, so that links were closed, again at each repetition. Run numbers are the generation times a thousand, which overflowed: the upstream refuses the negative numbers as old, and the entry sent the task again at once, without end.

Change: a job record has an owner and a generation from 0 to a million, and one of the last generation is not adopted any more. Anything else is rejected with an IOException, which the readers log as event=record-unreadable with the key, version, reason and action.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -33,11 +33,24 @@
     /** Multiplier of {@link QueuePolicy#objectiveFactor} in the stored form, which holds only integers. */
     private static final double OBJECTIVE_FACTOR_SCALE = 1_000;
 
-    /** Checks the references and copies the list. */
+    /** Maximum number of owners before the present one; the numbers of runs stay within 32 bits. */
+    private static final int MAXIMUM_GENERATION = 1_000_000;
+
+    /**
+     * Checks the references, the owner and the generation, and copies the list.
+     *
+     * @throws IllegalArgumentException if the owner is empty, or the generation is negative or too large
+     */
     public JobRecord {
         Objects.requireNonNull(owner, "owner");
         Objects.requireNonNull(plan, "plan");
         Objects.requireNonNull(policy, "policy");
+        if (owner.isEmpty()) {
+            throw new IllegalArgumentException("no owner");
+        }
+        if (generation < 0 || generation > MAXIMUM_GENERATION) {
+            throw new IllegalArgumentException("generation " + generation + " is out of range");
+        }
         progress = List.copyOf(progress);
     }
 
@@ -117,6 +130,9 @@
                 default -> reader.skip();
             }
         }
+        if (generation == MAXIMUM_GENERATION) {
+            throw new IOException("the job has had too many owners for another one");
+        }
         try {
             return new JobRecord(
                     owner,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
@@ -165,7 +165,9 @@
                         EventKey.VERSION,
                         stored.version(),
                         EventKey.REASON,
-                        e.getMessage());
+                        e.getMessage(),
+                        EventKey.ACTION,
+                        "ignored");
         return new CallerAnswers.Lookup.Unavailable("unreadable");
     }
 }
