Read the open jobs on after one whose handling fails unexpectedly

Cause: the jobs of a page are handed to the receiver one after another, without a guard. An unexpected exception at one of them kept the rest of the page, the next pages and the other parts from being read, so that jobs of a lost entry were not adopted before the next scan, which fails at the same record.

Change: each job is handled on its own, and an unexpected exception is logged as event=exception with the job.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.UnexpectedExceptions;
 import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
 import io.caperturn.jobs.model.JobState;
@@ -98,7 +99,7 @@
                 case RecordStore.ReadOutcome.Found page -> {
                     backoff.reset();
                     readUnreadParts(receiver);
-                    page.records().forEach(receiver);
+                    page.records().forEach(stored -> handle(stored, receiver));
                     if (page.more()) {
                         readOpenJobs(part, page.records().getLast().key().name() + '\0', receiver);
                     }
@@ -113,6 +114,16 @@
         });
     }
 
+    /** Passes on a job; an unexpected exception must neither end the reading nor keep the later jobs from it. */
+    private void handle(StoredRecord stored, Consumer<StoredRecord> receiver) {
+        try {
+            receiver.accept(stored);
+        } catch (RuntimeException e) {
+            UnexpectedExceptions.record(
+                    loop.log(), e, EventKey.JOB, stored.key().name());
+        }
+    }
+
     /** Reads one of the parts that could not be read after a while; the others follow if that succeeds. */
     private void scheduleRetry(Consumer<StoredRecord> receiver) {
         if (retryScheduled) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
@@ -116,7 +116,12 @@
     @Override
     public void level(String level, long value) {}
 
-    List<String> logLines() {
+    /**
+     * Returns the log lines of the process so far.
+     *
+     * @return the lines, each with the time, the name of the process and the event
+     */
+    public List<String> logLines() {
         return logLines;
     }
 }
