Open no link to an address whose host is not an IP address

Cause: the address in a record of a process may have any host. A name was looked up by the Java library, which blocks the event loop of the process while it waits for an answer, and again at each of the attempts every 150 ms, without a line in the log. A text like "10.0.0" was taken for an address of another machine.

Seen by LinkAddressTest on the code before, 6 of 6 cases: expected: <1> but was: <0> link-fault lines; in one of them something that is no process of ours answered. The blocking itself was not measured.

Change: LinkManager opens links to IP addresses only, which is what entries store; any other address is logged once as event=link-fault with the address and action=ignored.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
@@ -22,6 +22,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -106,8 +107,22 @@
                 .syncUninterruptibly();
     }
 
-    /** Keeps a link to an address, {@code host:port}, open until {@link #disconnect} is called. */
+    /**
+     * Keeps a link to an address, {@code host:port}, open until {@link #disconnect} is called. The host must be an IP
+     * address: the lookup of a name would block the event loop.
+     */
     void connect(String address) {
+        String host = HostAndPort.parse(address).host();
+        if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) {
+            loop.log()
+                    .event(
+                            EventName.LINK_FAULT,
+                            EventKey.CAUSE,
+                            "'" + address + "' is no IP address with a port",
+                            EventKey.ACTION,
+                            "ignored");
+            return;
+        }
         if (!destinations.containsKey(address)) {
             Destination destination = new Destination(address);
             destinations.put(address, destination);
