Cut off long values in log lines

Cause: a value that another writer chose, as the state or address of a heartbeat, is part of the reason for which it is dropped, and may have the length of a whole request: half a megabyte. Up to 250 lines a second of an event wait in memory until they are written, in a process whose heap has about a hundred megabytes.

No process was seen to run out of memory by it.

Change: a value beyond 4,096 characters is cut off there, followed by its length.

--- a/caperturn-kernel/src/main/java/io/caperturn/kernel/EventLine.java
+++ b/caperturn-kernel/src/main/java/io/caperturn/kernel/EventLine.java
@@ -9,6 +9,9 @@
  * can be parsed and contains no line break.
  */
 public final class EventLine {
+    /** Maximum length of a value, in characters; a longer one is cut off, because lines wait in memory. */
+    private static final int MAXIMUM_VALUE_LENGTH = 4_096;
+
     private final StringBuilder line;
 
     private EventLine(String event) {
@@ -33,10 +36,17 @@
      * @return this builder
      */
     public EventLine with(String key, Object value) {
-        line.append(' ').append(key).append('=').append(quoteIfNeeded(String.valueOf(value)));
+        line.append(' ').append(key).append('=').append(quoteIfNeeded(shorten(String.valueOf(value))));
         return this;
     }
 
+    /** Returns a text, or its start and its length if it is too long. */
+    private static String shorten(String value) {
+        return value.length() <= MAXIMUM_VALUE_LENGTH
+                ? value
+                : value.substring(0, MAXIMUM_VALUE_LENGTH) + "...(" + value.length() + ")";
+    }
+
     @Override
     public String toString() {
         return line.toString();
