--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInDeployment.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInDeployment.java
@@ -37,6 +37,7 @@
     private final Map<String, Path> settingsFiles = new HashMap<>();
     private final Map<String, String> callerAddresses = new HashMap<>();
     private final Map<String, String> metricsAddresses = new HashMap<>();
+    private final Map<String, String> announcementAddresses = new HashMap<>();
     private final Map<String, Process> processes = new HashMap<>();
     /**
      * Sockets that reserve the ports of each process until its first start; without them, the operating system could
@@ -52,6 +53,11 @@
 
     StandInDeployment(Path folder) throws IOException {
         this.folder = folder;
+        configureQueue(/* version= */ 1);
+    }
+
+    /** Writes a configuration with the queue of this deployment. */
+    void configureQueue(int version) {
         Map<String, Object> route = new LinkedHashMap<>();
         route.put("name", "queue");
         route.put("host", HOST);
@@ -63,7 +69,7 @@
         route.put("stretch", 1.6);
         // plus these milliseconds.
         route.put("targetDurationMs", 20_000);
-        store.configure(Map.of("version", 1, "routes", List.of(route), "limits", Map.of()));
+        store.configure(Map.of("version", version, "routes", List.of(route), "limits", Map.of()));
     }
 
     // The HTTP client sets the Host header of a request only if this property allows it.
@@ -112,6 +118,7 @@
     /** Adds a sidecar and its executor; {@code command} is its command line without the role, which is appended. */
     void addSidecar(String node, List<String> command, long taskMilliseconds) throws IOException {
         String announcementAddress = "127.0.0.1:" + reservePort(node);
+        announcementAddresses.put(node, announcementAddress);
         StandInExecutor executor = new StandInExecutor("i-" + node, announcementAddress, taskMilliseconds);
         executors.add(executor);
         // The address for announcements of the executor.
@@ -256,6 +263,18 @@
                 HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a heartbeat to a sidecar as another writer does; returns the status of the response. */
+    int announce(String node, String identity, String body) throws IOException, InterruptedException {
+        return client.send(
+                        HttpRequest.newBuilder(URI.create(
+                                        "http://" + announcementAddresses.get(node) + "/instances/" + identity))
+                                .timeout(TIMEOUT)
+                                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding())
+                .statusCode();
+    }
+
     private HttpRequest.Builder request(String node, String identity) {
         return HttpRequest.newBuilder(URI.create("http://" + callerAddresses.get(node) + "/jobs/" + identity))
                 .header("Host", HOST)
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInStore.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInStore.java
@@ -61,10 +61,15 @@
                 List.of(Map.of("table", "op", "part", "", "key", "evacuate/" + zone))));
     }
 
-    private synchronized void writeOperatorRow(String key, Object value) {
+    private void writeOperatorRow(String key, Object value) {
+        writeRow("op", "", key, Base64.getEncoder().encodeToString(write(value)));
+    }
+
+    /** Writes a row as another writer does; the value is normally encoded in base64. */
+    synchronized void writeRow(String table, String part, String key, Object value) {
         version++;
-        Map<String, Object> row = createRow("op", "", key);
-        row.put("value", Base64.getEncoder().encodeToString(write(value)));
+        Map<String, Object> row = createRow(table, part, key);
+        row.put("value", value);
         storeRow(row);
     }
 
