--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
@@ -6,6 +6,7 @@
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.JobFrameCodec;
+import io.caperturn.jobs.model.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -21,6 +22,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -105,8 +107,22 @@
                 .syncUninterruptibly();
     }
 
-    /** Keeps a link to an address, {@code host:port}, open until {@link #disconnect} is called. */
+    /**
+     * Keeps a link to an address, {@code host:port}, open until {@link #disconnect} is called. The host must be an IP
+     * address: the lookup of a name would block the event loop.
+     */
     void connect(String address) {
+        String host = HostAndPort.parse(address).host();
+        if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) {
+            loop.log()
+                    .event(
+                            EventName.LINK_FAULT,
+                            EventKey.CAUSE,
+                            "'" + address + "' is no IP address with a port",
+                            EventKey.ACTION,
+                            "ignored");
+            return;
+        }
         if (!destinations.containsKey(address)) {
             Destination destination = new Destination(address);
             destinations.put(address, destination);
@@ -144,9 +160,8 @@
         if (destinations.get(destination.address) != destination) {
             return;
         }
-        int colon = destination.address.lastIndexOf(':');
-        InetSocketAddress socketAddress = new InetSocketAddress(
-                destination.address.substring(0, colon), Integer.parseInt(destination.address.substring(colon + 1)));
+        HostAndPort address = HostAndPort.parse(destination.address);
+        InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
         destination.channel = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/SidecarApplication.java
@@ -84,10 +84,10 @@
         this.eventLoop = eventLoop;
         this.loop = loop;
         this.settings = settings;
-        this.store = new StoreClient(eventLoop, settings.store());
+        this.store = new StoreClient(eventLoop, settings.store(), loop.log());
         this.links = new LinkManager(eventLoop, loop, this);
         SidecarTimings timings = SidecarTimings.forLease(settings.leaseMilliseconds());
-        ExecutorClient executor = new ExecutorClient(eventLoop, upstream);
+        ExecutorClient executor = new ExecutorClient(eventLoop, upstream, loop.log());
         this.evacuations = new ZoneEvacuations(loop);
         ZoneStartGate zoneGate = new ZoneStartGate(evacuations, settings.zone());
         this.sidecar = new SidecarController(loop, executor, links, timings, settings.node(), zoneGate);
@@ -206,7 +206,7 @@
     @Override
     public void handleChange(StoredRecord stored) {
         try {
-            MemberRecord member = MemberRecord.decode(stored.value());
+            MemberRecord member = MemberRecord.decode(stored.key().name(), stored.value());
             if (member.role() == ProcessRole.ENTRY) {
                 String previous = entryAddresses.put(stored.key().name(), member.address());
                 if (previous != null && !previous.equals(member.address())) {
@@ -221,7 +221,9 @@
                             EventKey.MEMBER,
                             stored.key().name(),
                             EventKey.REASON,
-                            e.getMessage());
+                            e.getMessage(),
+                            EventKey.ACTION,
+                            "ignored");
         }
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -54,7 +54,7 @@
                 true,
                 List.of(new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0, 0)));
         return Stream.of(
-                new Sample("member", member.toBytes(), MemberRecord::decode),
+                new Sample("member", member.toBytes(), bytes -> MemberRecord.decode("node", bytes)),
                 new Sample("open job", job.toBytes(), JobRecord::decode),
                 new Sample("closed job", new ClosedRecord(JobState.FAILED, 5).toBytes(), ClosedRecord::of));
     }
@@ -90,6 +90,18 @@
         return random.nextInt(4) == 0 ? Arrays.copyOf(changed, random.nextInt(changed.length)) : changed;
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {-1, 1_000_000_001, Long.MAX_VALUE, Long.MIN_VALUE})
+    void membersWithACapacityOutOfRangeAreRejected(long capacity) {
+        byte[] encoded = new FieldWriter()
+                .writeLong(1, ProcessRole.SIDECAR.ordinal())
+                .writeText(2, "node")
+                .writeText(3, "node~1")
+                .writeMessage(5, upstream -> upstream.writeMessage(4, resources -> resources.writeLong(1, capacity)))
+                .toBytes();
+        assertThrows(IOException.class, () -> MemberRecord.decode("node", encoded));
+    }
+
     /** An address without a port can't be connected to. */
     @ParameterizedTest
     @ValueSource(strings = {"host", "host:", ":80", "host:port", "host:70000", "host:-1"})
@@ -99,6 +111,6 @@
                 .writeText(3, "node~1")
                 .writeText(4, address)
                 .toBytes();
-        assertThrows(IOException.class, () -> MemberRecord.decode(encoded));
+        assertThrows(IOException.class, () -> MemberRecord.decode("node", encoded));
     }
 }
