Let a crash that was taken back explain no other one

The last crash of a sidecar stayed known after it had been taken back, and could still explain a crash under a run of another queue, which then wasn't counted.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CrashEvidence.java
@@ -57,6 +57,8 @@
         Set<Long> toldNumbers = told.stream().map(UpstreamCrash::number).collect(Collectors.toSet());
         boolean isChanged = crashes.removeIf(
                 crash -> crash.incarnation().equals(incarnation) && !toldNumbers.contains(crash.number()));
+        lastCrashBySidecar.computeIfPresent(
+                incarnation, (key, last) -> toldNumbers.contains(last.number()) ? last : null);
         for (UpstreamCrash crash : told) {
             if (crash.number() > highestNumberBySidecar.getOrDefault(incarnation, 0L)
                     && crash.ageMilliseconds() < MAX_AGE_MILLISECONDS) {
