Pause between holds that fail at once, and before starts after an order that was not sent

Since a closed connection no longer counts as a refused one, holds to an upstream that accepts and closes connections were repeated without a pause for up to 750 ms; and an upstream that answers holds but refuses new connections got the next run as soon as a hold was answered, to return it again.

From the second unanswered hold on, the next follows after 25 ms; starts wait for 100 ms after an order that was not sent. HoldCountTest, FleetFaultsTest and LostAnswersTest passed.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -214,10 +214,11 @@
         if (becomesSilent) {
             handler.upstreamSilent(refusedConnection);
         }
-        if (!isUpstreamSilent()) {
-            pause(0);
-        } else {
+        if (isUpstreamSilent()) {
             pause(registry.activeCount() > 0 ? FAULT_PAUSE_MILLISECONDS : IDLE_FAULT_PAUSE_MILLISECONDS);
+        } else {
+            // The first repetition finds out at once whether the upstream refuses connections.
+            pause(reachability.unansweredHolds() > 1 ? IDLE_PAUSE_MILLISECONDS : 0);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
@@ -21,7 +21,7 @@
  * never carried out, so its run is returned to its owner at once.
  */
 final class StartOrders {
-    /** Pause of starts after a refusal for lack of resources or bad health, in milliseconds. */
+    /** Pause of starts after a refusal for lack of resources or bad health, or of a connection, in milliseconds. */
     private static final long REFUSAL_PAUSE_MILLISECONDS = 100;
 
     private final UpstreamPort port;
@@ -173,6 +173,7 @@
         } else {
             handler.refuse(run, JobFrame.Report.UPSTREAM_UNREACHABLE);
         }
+        pausedUntil = loop.monotonicMilliseconds() + REFUSAL_PAUSE_MILLISECONDS;
         holdCycle.recordOrderNotSent();
         listener.statusChanged();
     }
