Leave out rows of the older registry whose address or name can't be that of an entry

Cause: the registry of the older daemons took any text for the address of an entry. A listed one counts in each other entry's share of the limits, and connecting to a port out of range, or to an address without a port, throws: what follows in the same step, as the links to the entries listed later, is left out. A row under another key than its name could not be removed, because the removal goes by the name.

Seen by MembershipRepositoryTest.omitsRowWithAnOddAddressOrName on the code before, 6 of 6 cases: the row was listed (expected: <[Member[process=entry@1, ...]]> but was: <[Member[process=entry@1, ...], Member[process=od...). The consequences above are by reading; the daemons were not run with such a row. omitsRowWithAnOddNumber passed before.

Change: the repository leaves out such rows, and logs each as event=table-row-unreadable with its key when it first appears. HostAndPort is in the kernel now, so that both paths share it.

--- a/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
+++ b/caperturn-fleet/src/main/java/io/caperturn/fleet/LinkManager.java
@@ -6,7 +6,7 @@
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.JobFrameCodec;
-import io.caperturn.jobs.model.HostAndPort;
+import io.caperturn.kernel.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/MemberRecord.java
@@ -1,8 +1,8 @@
 package io.caperturn.jobs.message;
 
-import io.caperturn.jobs.model.HostAndPort;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.UpstreamIncarnation;
+import io.caperturn.kernel.HostAndPort;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/HostAndPort.java
+++ b/caperturn-kernel/src/main/java/io/caperturn/kernel/HostAndPort.java
@@ -1,4 +1,4 @@
-package io.caperturn.jobs.model;
+package io.caperturn.kernel;
 
 import java.util.Objects;
 
--- a/caperturn-store/src/main/java/io/caperturn/store/registry/MembershipRepository.java
+++ b/caperturn-store/src/main/java/io/caperturn/store/registry/MembershipRepository.java
@@ -1,5 +1,7 @@
 package io.caperturn.store.registry;
 
+import io.caperturn.kernel.EventLine;
+import io.caperturn.kernel.HostAndPort;
 import io.caperturn.store.PlatformStore;
 import io.caperturn.store.RowKey;
 import io.caperturn.store.StoreResult;
@@ -14,6 +16,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Access to the membership in the store: one row for each registered entry (a process that accepts submissions), and
@@ -24,9 +28,12 @@
  * and may be called from any thread.
  */
 public final class MembershipRepository {
+    private static final System.Logger LOGGER = System.getLogger(MembershipRepository.class.getName());
     private static final int MAXIMUM_ATTEMPTS = 5;
 
     private final PlatformStore store;
+    /** Keys of the rows that were left out of the latest listing. */
+    private volatile Set<String> unreadableKeys = Set.of();
 
     /**
      * Creates a membership repository.
@@ -103,12 +110,32 @@
             if (versionBefore.equals(versionAfter)) {
                 List<Member> members =
                         rows.get().stream().flatMap(row -> parse(row).stream()).toList();
+                logUnreadable(rows.get());
                 return new MembershipResult.Members(versionAfter.getAsLong(), members);
             }
         }
         return new MembershipResult.Failed("the membership kept changing");
     }
 
+    /** Logs the keys of the rows that are left out; one that stays is logged once. */
+    private void logUnreadable(List<StoreRow> rows) {
+        Set<String> keys = rows.stream()
+                .filter(row -> parse(row).isEmpty())
+                .map(row -> row.key().key())
+                .collect(Collectors.toUnmodifiableSet());
+        for (String key : keys) {
+            if (!unreadableKeys.contains(key)) {
+                LOGGER.log(
+                        System.Logger.Level.WARNING,
+                        EventLine.of("table-row-unreadable")
+                                .with("table", MemberRow.TABLE)
+                                .with("key", key)
+                                .toString());
+            }
+        }
+        unreadableKeys = keys;
+    }
+
     /** Whether a member's row is written or deleted, or left as it is. */
     private enum Action {
         CHANGE,
@@ -182,9 +209,20 @@
                 member.renewalCount());
     }
 
+    private static boolean hasAddress(MemberRow row) {
+        try {
+            HostAndPort.parse(row.linkAddress());
+            return true;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    /** Parses a row; empty if it is not readable, names another entry than its key, or has no usable address. */
     private static Optional<Member> parse(StoreRow row) {
         return row.value()
                 .flatMap(text -> StoreJson.read(text, MemberRow.class))
+                .filter(value -> value.process().name().equals(row.key().key()) && hasAddress(value))
                 .map(value -> new Member(
                         value.process().toProcessId(), value.linkAddress(), value.availabilityZone(), value.renewal()));
     }
--- a/caperturn-store/src/test/java/io/caperturn/store/registry/MembershipRepositoryTest.java
+++ b/caperturn-store/src/test/java/io/caperturn/store/registry/MembershipRepositoryTest.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests of the membership of entries (processes that accept submissions) in the store. */
 class MembershipRepositoryTest {
@@ -79,6 +81,39 @@
         assertEquals(List.of(member("entry", 1, 0)), members().members());
     }
 
+    /** A listed entry counts in each other one's share of the limits, and its address is connected to. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "odd|127.0.0.1:99999",
+                "odd|127.0.0.1:-1",
+                "odd|127.0.0.1",
+                "odd|127.0.0.1:99999999999999999999",
+                "odd|''",
+                "other|127.0.0.1:1"
+            })
+    void omitsRowWithAnOddAddressOrName(String name, String address) {
+        store.put(
+                new RowKey("entries", "odd"),
+                "{\"process\":{\"name\":\"" + name + "\",\"incarnation\":3},\"linkAddress\":\"" + address
+                        + "\",\"availabilityZone\":\"z\",\"renewal\":0}");
+        membership.join(member("entry", 1, 0));
+        assertEquals(List.of(member("entry", 1, 0)), members().members());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"99999999999999999999", "1e400", "[[[[1]]]]", "\"x\""})
+    void omitsRowWithAnOddNumber(String number) {
+        store.put(
+                new RowKey("entries", "odd"),
+                "{\"process\":{\"name\":\"odd\",\"incarnation\":" + number
+                        + "},\"linkAddress\":\"127.0.0.1:1\",\"availabilityZone\":\"z\",\"renewal\":0}");
+        store.put(new RowKey("entries", "nested"), "{\"process\":" + "[".repeat(20_000));
+        membership.join(member("entry", 1, 0));
+        assertEquals(List.of(member("entry", 1, 0)), members().members());
+    }
+
     private MembershipResult.Members members() {
         return assertInstanceOf(MembershipResult.Members.class, membership.list());
     }
