--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 export TROUBLE="${TROUBLE:-1}"
 java_home=$(bin/find-java) || exit 2
 [ -d target/review ] && [ -d target/runtime ] || exit 2
-exec "$java_home/bin/java" -Xmx512m -cp target/review CancelWhileFrozen review/3
+exec "$java_home/bin/java" -Xmx512m -cp target/review LateInsert review/3
--- a/review/standin/Executor.java
+++ b/review/standin/Executor.java
@@ -7,12 +7,13 @@
 import java.util.TreeMap;
 
 /**
- * Stand-in of an executor. A run takes as many milliseconds as the number in the job's spec says ("work 1500").
- * It guards its capacity, keeps the highest fencing token, and kills everything once the lease has expired.
+ * Stand-in of an executor. A run takes as many milliseconds as the job's spec says: "work 1500" for all
+ * tasks, "work 1500 3000" for a first task and the others. A stop takes most of stopTimeoutMs. It guards its capacity, keeps the highest fencing token, and kills everything once the lease has expired.
  */
 final class Executor {
     private static final long MAXIMUM_LEASE_MILLISECONDS = 1_000;
     private static final long HEARTBEAT_MILLISECONDS = 1_500;
+    private static final long STOP_MILLISECONDS = 40;
 
     /** Run that has begun; ended is 0 while it is at work. */
     static final class Run {
@@ -23,6 +24,8 @@
         final long finishAt;
         volatile long ended;
         volatile String how = "";
+        /** When the end was taken note of, in milliseconds; 0 if it was not. */
+        volatile long noted;
 
         Run(String executor, String task, long number, long begun, long finishAt) {
             this.executor = executor;
@@ -52,6 +55,7 @@
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Long> highestOver = new HashMap<>();
     private final TreeMap<Long, List<Object>> ends = new TreeMap<>();
+    private final Map<Long, Run> endedRuns = new HashMap<>();
     /** All runs that have begun here, in order. */
     final List<Run> runs = new ArrayList<>();
 
@@ -138,9 +142,11 @@
         if (running.size() >= tasksAtOnce) {
             return answer(409, Map.of("reason", "room"));
         }
-        long work = Long.parseLong(((String) body.get("spec")).replaceAll(".*work ", ""));
+        String[] work = ((String) body.get("spec")).split(" ");
+        int index = Integer.parseInt(task.substring(task.lastIndexOf('.') + 1));
+        long milliseconds = Long.parseLong(work[Math.min(1 + index, work.length - 1)]);
         long now = Transcript.now();
-        Run run = new Run(identity, task, number, now, now + work);
+        Run run = new Run(identity, task, number, now, now + milliseconds);
         running.put(task, run);
         runs.add(run);
         Transcript.event(identity + " starts " + task + " run " + number);
@@ -155,7 +161,10 @@
         long number = number(body, "run");
         Run present = running.get(task);
         if (present != null && present.number <= number) {
-            end(present, "stopped");
+            Thread.ofVirtual().start(() -> {
+                pause(STOP_MILLISECONDS);
+                endIfRunning(present);
+            });
         }
         highestOver.merge(task, number, Math::max);
         return answer(200, Map.of());
@@ -170,7 +179,7 @@
             if (body.containsKey("untilMs")) {
                 extendLease(body);
             }
-            ends.headMap(number(body, "ackCursor"), true).clear();
+            acknowledge(number(body, "ackCursor"));
             long remaining = (deadline - System.nanoTime()) / 1_000_000;
             while (ends.isEmpty() && remaining > 0) {
                 wait(remaining);
@@ -186,6 +195,12 @@
         }
     }
 
+    private void acknowledge(long cursor) {
+        Map<Long, List<Object>> acknowledged = ends.headMap(cursor, true);
+        acknowledged.keySet().forEach(number -> endedRuns.get(number).noted = Transcript.now());
+        acknowledged.clear();
+    }
+
     private synchronized HttpServer.Response answer(int status, Map<String, Object> fields) {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("clockMs", clock());
@@ -194,12 +209,19 @@
         return new HttpServer.Response(status, Json.write(body));
     }
 
+    private synchronized void endIfRunning(Run run) {
+        if (running.get(run.task) == run) {
+            end(run, "stopped");
+        }
+    }
+
     private synchronized void end(Run run, String how) {
         running.remove(run.task);
         run.how = how;
         run.ended = Transcript.now();
         highestOver.merge(run.task, run.number, Math::max);
         lastNumber++;
+        endedRuns.put(lastNumber, run);
         ends.put(lastNumber, List.of(lastNumber, run.task, run.number, how, ""));
         Transcript.event(identity + " ends " + run.task + " run " + run.number + " " + how);
         notifyAll();
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
 
 /**
@@ -29,6 +30,7 @@
     private final TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
     private final List<Map<String, Object>> history = new ArrayList<>();
     private final List<HttpServer> servers = new ArrayList<>();
+    private final Map<String, Long> toldAt = new ConcurrentHashMap<>();
     private final long startedAt = System.nanoTime();
     private long version = 1;
     /** Decides the fate of a call, by the node and the request. */
@@ -70,7 +72,16 @@
             default -> {}
         }
         Thread.sleep(TRANSACTION_MILLISECONDS);
-        return respond(request);
+        HttpServer.Response response = respond(request);
+        if (request.path().equals("/rows-feed") && !response.body().contains("\"rows\":[]")) {
+            toldAt.put(node, Transcript.now());
+        }
+        return response;
+    }
+
+    /** Returns when a machine that follows a table was last told of a change, in milliseconds; 0 if it never was. */
+    long toldAt(String node) {
+        return toldAt.getOrDefault(node, 0L);
     }
 
     private HttpServer.Response respond(HttpServer.Request request) {
--- a/review/standin/Workload.java
+++ b/review/standin/Workload.java
@@ -40,4 +40,17 @@
         }
         return Json.write(body);
     }
+
+    /** Returns the body of a stored job of one step, whose first task takes a time and the others another one. */
+    static String uneven(int tasks, int cpu, long firstMilliseconds, long otherMilliseconds) {
+        Map<String, Object> step = new LinkedHashMap<>();
+        step.put("count", tasks);
+        step.put("cpu", cpu);
+        step.put("memMb", 64);
+        step.put("estimatedMs", firstMilliseconds);
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("spec", "work " + firstMilliseconds + " " + otherMilliseconds);
+        body.put("steps", List.of(step));
+        return Json.write(body);
+    }
 }
