--- a/review/standin/AdoptTwice.java
+++ b/review/standin/AdoptTwice.java
@@ -72,7 +72,9 @@
                 for (int number = 0; number < JOBS / CLIENTS; number++) {
                     String job = Workload.newIdentity();
                     String body = Workload.uneven(2, 100, SHORT_WORK_MILLISECONDS, LONG_WORK_MILLISECONDS);
-                    if (deployment.submit(entry, job, body, 5_000).status() == 200) {
+                    HttpClient.Answer answer = deployment.submit(entry, job, body, 5_000);
+                    Transcript.event("POST " + job + " at " + entry + ": " + answer);
+                    if (answer.status() == 200) {
                         jobs.add(job);
                     }
                 }
