--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -78,6 +78,8 @@
     JOBS("jobs"),
     /** Whether an upstream is leaving. */
     LEAVING("leaving"),
+    /** Whether a link to the process that is named was open. */
+    LINKED("linked"),
     /** Name of the membership record of a process. */
     MEMBER("member"),
     /** Number of consecutive unanswered holds: requests to an upstream to extend leases and list runs. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -91,6 +91,8 @@
     MEMBER_SILENT,
     /** A request matches no queue of the configuration. */
     NO_QUEUE,
+    /** A sidecar asked an entry about jobs whose runs there have no owner. */
+    OWNER_ASKED,
     /** A sidecar accepts no more orders from an entry that was declared lost. */
     OWNER_FENCED,
     /** A task was dispatched to a sidecar, with the values behind the choice. */
@@ -125,6 +127,8 @@
     RELOAD_FAILED,
     /** An entry that another entry declared lost gives up its jobs and restarts. */
     RESIGNED,
+    /** A sidecar was sent a run again that it knows, by an entry that is its owner from now on. */
+    RUN_CLAIMED,
     /**
      * An upstream crashed under a run, with the number of such runs of its task; at the allowed number, its job fails.
      */
@@ -141,6 +145,8 @@
     RUN_MISSING,
     /** A sidecar ordered its upstream to start a run. */
     RUN_ORDERED,
+    /** A sidecar reported an active run of a task that has another current run at the entry that owns its job. */
+    RUN_SUPERSEDED,
     /** The scan for jobs without an owner could not read the store. */
     SCAN_FAILED,
     /** The settings file cannot be checked for changes. */
@@ -197,6 +203,8 @@
     UPSTREAM_LIFE,
     /** A sidecar uses the description of the upstream that its earlier incarnation stored. */
     UPSTREAM_RECALLED,
+    /** An entry ordered a sidecar to stop a run, with the cause and whether there was a link to send that over. */
+    WITHDRAWN,
     /** A process learned that no task may be started in an availability zone. */
     ZONE_EVACUATED,
     /** A process learned that tasks may be started in an availability zone again, with how long it was evacuated. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -68,9 +68,10 @@
     private void handleReport(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         Optional<SidecarView> sidecar = sidecars.find(incarnation);
         switch (report.outcome()) {
-            case QUEUED -> {}
+            case QUEUED -> logIfSuperseded(task, incarnation, report, isCurrent);
             case RUNNING -> {
                 task.job().markStarted();
+                logIfSuperseded(task, incarnation, report, isCurrent);
                 if (isCurrent && report.reason().equals(JobFrame.Report.STANDS_STILL)) {
                     sidecar.ifPresent(view -> handleStall(task, view));
                 }
@@ -92,6 +93,24 @@
         }
     }
 
+    private void logIfSuperseded(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
+        if (!isCurrent) {
+            loop.log()
+                    .event(
+                            EventName.RUN_SUPERSEDED,
+                            EventKey.RUN,
+                            report.run(),
+                            EventKey.SIDECAR,
+                            incarnation,
+                            EventKey.OUTCOME,
+                            report.outcome(),
+                            EventKey.PHASE,
+                            task.phase(),
+                            EventKey.BEFORE,
+                            task.currentRun());
+        }
+    }
+
     /** Makes the room that a report tells usable before the sidecar's next status. */
     private void applyRoom(JobFrame.Report report, Optional<OwnedTask> currentTask, SidecarView view) {
         if (view.applyRoom(report, currentTask, loop.monotonicMilliseconds())) {
@@ -128,7 +147,7 @@
             return;
         }
         if (!isCurrent && task.isIn(OwnedTask.Phase.SENT)) {
-            links.send(task.sidecarIncarnation(), new JobFrame.Withdraw(task.currentRun())); // another run succeeded
+            sidecars.withdraw(task.currentRun(), task.sidecarIncarnation(), "other-run-done");
         }
         task.setPhase(OwnedTask.Phase.DONE);
         jobs.recordCompletion(job, report.run(), incarnation);
@@ -184,6 +203,6 @@
         task.markStopOrdered();
         task.failedNodes().add(view.node());
         ejection.countFailure(task, view);
-        links.send(task.sidecarIncarnation(), new JobFrame.Withdraw(task.currentRun()));
+        sidecars.withdraw(task.currentRun(), task.sidecarIncarnation(), "stalled");
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
@@ -1,8 +1,11 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.DecisionLoop;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
+import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.zone.ZoneEvacuations;
 import java.util.Collection;
 import java.util.HashMap;
@@ -72,6 +75,23 @@
         }
     }
 
+    /** Orders a sidecar to stop a run, for a cause that is logged; the order is lost if the link to it is. */
+    void withdraw(RunIdentity run, String incarnation, String cause) {
+        Optional<SidecarView> view = find(incarnation);
+        loop.log()
+                .event(
+                        EventName.WITHDRAWN,
+                        EventKey.RUN,
+                        run,
+                        EventKey.NODE,
+                        view.map(SidecarView::node).orElse(""),
+                        EventKey.CAUSE,
+                        cause,
+                        EventKey.LINKED,
+                        view.filter(SidecarView::isLinked).isPresent());
+        links.send(incarnation, new JobFrame.Withdraw(run));
+    }
+
     /** Forgets the sidecars without a link whose runs have stopped long ago. */
     void forgetLost(long now) {
         viewsByIncarnation.values().removeIf(view -> {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -87,7 +87,7 @@
     void stopAllRuns(OwnedJob job) {
         for (OwnedTask task : job.tasks()) {
             if (task.isIn(OwnedTask.Phase.SENT)) {
-                links.send(task.sidecarIncarnation(), new JobFrame.Withdraw(task.currentRun()));
+                sidecars.withdraw(task.currentRun(), task.sidecarIncarnation(), "job-over");
             }
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -234,6 +234,17 @@
         LocalRun known = registry.findRun(identity);
         if (known != null) {
             // The dispatch of a known run makes its sender the owner, for example after the loss of the earlier one.
+            loop.log()
+                    .event(
+                            EventName.RUN_CLAIMED,
+                            EventKey.RUN,
+                            identity,
+                            EventKey.OWNER,
+                            owner.incarnation(),
+                            EventKey.BEFORE,
+                            known.owner(),
+                            EventKey.AFTER,
+                            now - known.ownerChangedOrFinishedAt());
             known.setOwner(owner.incarnation(), now);
             known.setDurable(dispatch.durable());
             known.setWithoutStartReport(dispatch.withoutStartReport());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
@@ -79,9 +79,9 @@
                     owners.values().stream().filter(owner -> owner.isLinked()).toList();
             if (!linked.isEmpty()) {
                 questionsSent++;
-                links.send(
-                        linked.get(questionsSent % linked.size()).incarnation(),
-                        new JobFrame.Unclaimed(List.copyOf(jobs)));
+                String entry = linked.get(questionsSent % linked.size()).incarnation();
+                loop.log().event(EventName.OWNER_ASKED, EventKey.JOBS, jobs.size(), EventKey.OWNER, entry);
+                links.send(entry, new JobFrame.Unclaimed(List.copyOf(jobs)));
             }
         }
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
@@ -2,10 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.caperturn.jobs.DecisionLog;
-import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.TaskIdentity;
+import io.caperturn.jobs.simulation.VirtualLoop;
+import io.caperturn.jobs.simulation.VirtualTime;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,7 +20,8 @@
     private static final long LONGER_THAN_ADOPTION_MILLISECONDS = 5_000;
     private static final int ROUNDS = 6;
 
-    private final ManualLoop loop = new ManualLoop();
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualLoop loop = new VirtualLoop(time, "sidecar");
     private final RunRegistry registry = new RunRegistry();
     private final Map<String, OwnerLease> owners = new HashMap<>();
     private final Map<String, Integer> questionCounts = new TreeMap<>();
@@ -43,34 +44,11 @@
         UnclaimedRuns unclaimed = new UnclaimedRuns(
                 loop, (entry, frame) -> questionCounts.merge(entry, 1, Integer::sum), registry, owners);
         for (int round = 0; round < ROUNDS; round++) {
-            loop.now += LONGER_THAN_ADOPTION_MILLISECONDS;
+            time.runUntil(time.now() + LONGER_THAN_ADOPTION_MILLISECONDS);
             unclaimed.askEntries();
         }
         Map<String, Integer> expected = new TreeMap<>();
         owners.keySet().forEach(owner -> expected.put(owner, ROUNDS / entries));
         assertEquals(expected, questionCounts);
     }
-
-    /** Loop whose time is set by the test; it runs no actions. */
-    private static final class ManualLoop implements DecisionLoop {
-        private long now;
-
-        @Override
-        public long monotonicMilliseconds() {
-            return now;
-        }
-
-        @Override
-        public long wallClockMilliseconds() {
-            return now;
-        }
-
-        @Override
-        public void after(long milliseconds, Runnable action) {}
-
-        @Override
-        public DecisionLog log() {
-            throw new UnsupportedOperationException("nothing to log in this test");
-        }
-    }
 }
