--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameCountTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameCountTest.java
@@ -34,9 +34,9 @@
                 .mapToDouble(number -> SPEEDS[number % SPEEDS.length])
                 .toArray();
         MixedLoad mixed = new MixedLoad(entries, speeds);
-        Map<String, Integer> before = mixed.fleet().frameCounts();
+        Map<String, Integer> before = mixed.fleet().traffic().frameCounts();
         mixed.submitAll(USUAL_LOAD_PER_UPSTREAM * sidecars, seed, ARRIVAL_SECONDS);
-        Map<String, Integer> counts = mixed.fleet().frameCounts();
+        Map<String, Integer> counts = mixed.fleet().traffic().frameCounts();
         int tasks = mixed.fleet().recordOfStarts().succeededTaskCount();
         mixed.awaitCompletion();
 
@@ -61,13 +61,13 @@
     @ValueSource(ints = {1, 4, 10})
     void onlyOwnerOfRunsIsSentPeriodicStatusesOnly(int tasks) {
         SimulatedFleet fleet = new SimulatedFleet(1, 1, task -> 150);
-        Map<String, Integer> before = fleet.frameCounts();
+        Map<String, Integer> before = fleet.traffic().frameCounts();
         for (int number = 0; number < 20; number++) {
             fleet.submit(0, "job-" + number, SampleJobs.plan(tasks, /* durable= */ false));
             fleet.time().runUntil(fleet.time().now() + 200);
         }
         fleet.time().runUntil(fleet.time().now() + 200);
-        Map<String, Integer> counts = fleet.frameCounts();
+        Map<String, Integer> counts = fleet.traffic().frameCounts();
         before.forEach((type, count) -> counts.merge(type, -count, Integer::sum));
         assertEquals(20 * tasks, fleet.recordOfStarts().succeededTaskCount());
         assertEquals(counts.get("Lease"), counts.get("Status"), () -> "frames: " + counts);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/InterferenceTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/InterferenceTest.java
@@ -56,7 +56,7 @@
     private MixedLoad play(int upstreams, double utilization, int seconds, long seed, boolean framesLost) {
         MixedLoad load = createLoad(upstreams);
         if (framesLost) {
-            load.fleet().loseFrames(JobFrame.Slowdowns.class);
+            load.fleet().traffic().loseFrames(JobFrame.Slowdowns.class);
         }
         load.submitAll(loadOf(upstreams, utilization), seed, seconds);
         load.awaitCompletion();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/PlacementExplanationTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/PlacementExplanationTest.java
@@ -214,7 +214,8 @@
             assertTrue(explaining.explainedWithInterference > 0, "no cost of interference was explained");
         }
         assertEquals(silent.decisions(), explaining.decisions());
-        assertEquals(silent.fleet.frameCounts(), explaining.fleet.frameCounts());
+        assertEquals(
+                silent.fleet.traffic().frameCounts(), explaining.fleet.traffic().frameCounts());
     }
 
     @Test
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -28,7 +28,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.ToLongFunction;
 
 /**
@@ -50,13 +49,9 @@
     private final Set<String> isolatedNodes = new HashSet<>();
     private RoutingTable routingTable =
             new RoutingTable(/* version= */ 1, List.of(SampleJobs.QUEUE), /* maximumBodyBytes= */ 100_000);
-    /** Number of frames sent, by the type of the frame. */
-    private final Map<String, Integer> frameCounts = new TreeMap<>();
-
+    private final FrameTraffic traffic = new FrameTraffic();
     private final SimulatedZones zones;
     private int incarnationCount;
-    /** Type of the frames that are lost; null if none are. */
-    private Class<? extends JobFrame> lostFrames;
 
     /**
      * Starts a fleet, and advances the time by 1,500 ms.
@@ -104,6 +99,7 @@
                 if (shouldLink && reachable && !first.peers.contains(second)) {
                     first.peers.add(second);
                     second.peers.add(first);
+                    traffic.recordLink(first.incarnation, second.incarnation);
                     first.handleLinkOpened(second);
                     second.handleLinkOpened(first);
                 }
@@ -141,9 +137,9 @@
         return recordOfStarts;
     }
 
-    /** Returns the number of frames sent between processes so far, by the type of the frame. */
-    Map<String, Integer> frameCounts() {
-        return new TreeMap<>(frameCounts);
+    /** Returns the record of the links and frames between processes, by which frames can also be lost. */
+    FrameTraffic traffic() {
+        return traffic;
     }
 
     SimulatedUpstream upstream(int number) {
@@ -162,11 +158,6 @@
         return processes.get(node).loop;
     }
 
-    /** Loses all further frames of a type. */
-    void loseFrames(Class<? extends JobFrame> type) {
-        lostFrames = type;
-    }
-
     /** Cuts a process off from all other processes, but not from the store or its upstream. */
     void isolate(String node) {
         isolatedNodes.add(node);
@@ -357,15 +348,22 @@
 
         @Override
         public void send(String to, JobFrame frame) {
-            frameCounts.merge(frame.getClass().getSimpleName(), 1, Integer::sum);
-            if (frame.getClass() == lostFrames) {
+            if (!traffic.recordFrame(frame)) {
                 return;
             }
             byte[] bytes = JobFrameCodec.encode(frame);
             for (SimulatedProcess peer : peers) {
                 if (peer.incarnation.equals(to) && canReach(this, peer)) {
                     JobFrame.Hello from = hello();
-                    time.after(LINK_LATENCY_MILLISECONDS, () -> peer.loop.run(() -> peer.handleReceived(from, bytes)));
+                    int link = traffic.linkNumber(incarnation, to);
+                    time.after(
+                            LINK_LATENCY_MILLISECONDS,
+                            () -> peer.loop.run(() -> {
+                                // Frames that the peer has not read when their link closes are lost.
+                                if (peers.contains(peer) && link == traffic.linkNumber(from.incarnation(), to)) {
+                                    peer.handleReceived(from, bytes);
+                                }
+                            }));
                 }
             }
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartRecord.java
@@ -23,6 +23,9 @@
     private final Set<TaskIdentity> succeededTasks = new HashSet<>();
     private final Set<TaskIdentity> acknowledgedTasks = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
+    /** Starts of a task while another run of it was active, which are among the violations too. */
+    private final List<String> overlaps = new ArrayList<>();
+
     private final Map<TaskIdentity, Integer> crashesByTask = new HashMap<>();
     private int startsAfterThreeCrashes;
     private Observer observer = (run, upstream) -> {};
@@ -55,7 +58,9 @@
         lastStartTimes.put(run.task(), now);
         RunIdentity other = runningByTask.put(run.task(), run);
         if (other != null) {
-            violations.add(run + " started at " + upstream + " while " + other + " ran");
+            String overlap = now + " " + run + " started at " + upstream + " while " + other + " ran";
+            overlaps.add(overlap);
+            violations.add(overlap);
         }
         if (acknowledgedTasks.contains(run.task())) {
             violations.add(run + " started at " + upstream + " after its task was done");
@@ -105,6 +110,11 @@
         return succeededTasks.size();
     }
 
+    /** Returns the starts of tasks while another run of them was active: all that a transient job must not do. */
+    List<String> overlaps() {
+        return overlaps;
+    }
+
     List<String> violations() {
         return violations;
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartReportTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StartReportTest.java
@@ -19,14 +19,14 @@
     @ValueSource(ints = {1, 4, 8})
     void onlyOneStartOfEachJobIsReported(int tasks) {
         SimulatedFleet fleet = new SimulatedFleet(1, 2, task -> TASK_MILLISECONDS);
-        Map<String, Integer> before = fleet.frameCounts();
+        Map<String, Integer> before = fleet.traffic().frameCounts();
         fleet.submit(0, "job", SampleJobs.plan(tasks, /* durable= */ true));
         fleet.time().runUntil(fleet.time().now() + START_MILLISECONDS);
         assertEquals(new CallerAnswers.Lookup.Found(JobState.RUNNING), fleet.lookUp(0, "job"));
         fleet.time().runUntil(fleet.time().now() + 2 * TASK_MILLISECONDS);
 
         assertEquals(new CallerAnswers.Lookup.Found(JobState.COMPLETED), fleet.lookUp(0, "job"));
-        int reports = fleet.frameCounts().get("Report") - before.getOrDefault("Report", 0);
+        int reports = fleet.traffic().frameCounts().get("Report") - before.getOrDefault("Report", 0);
         assertEquals(1 + tasks, reports, "one start, and the end of each run");
         assertEquals(List.of(), fleet.recordOfStarts().violations());
     }
