End runs with their owner's lease also if their sidecar can't stop them

What callers saw: tasks of a transient job ran twice at once. The entry of the first attempt was lost, and within the next second its sidecars were frozen or killed, or carried out stops late. The caller submits the job again 1,300 ms after the loss.

Cause: a sidecar ordered the stop at the end of the owner's lease (1,000 ms), but had granted the upstream, which has one lease for all its runs, a full second at that moment. Without the stop a run went on for up to 2.1 s.

Change: RunLeases limits what is requested for the upstream to the leases of its active runs and a margin of 200 ms, in which the stop is carried out and listed; while a stop is under way the lease is not extended. The owner's lease on transient runs is 950 ms, so that 1,150 ms on a clock that is two percent slow end before the caller's next attempt, without any order. A check is scheduled for the moment at which a lease expires, because the upstream's lease would lapse for the runs of other owners otherwise. LeaseExpiry holds what was SidecarController.expireOwners; lease-expired replaces run-dropped.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -25,6 +25,11 @@
     CANCEL,
     /** An entry moved the record of a job that another entry owns to the table of finished jobs, as cancelled. */
     CANCELLED_FOREIGN,
+    /**
+     * The lease of its owner applies to a run no more: the owner opened another link or is lost. The run is stopped
+     * unless an entry claims it.
+     */
+    CLAIM_ENDED,
     /** The configuration was removed from the store; the previous one stays in force. */
     CONFIGURATION_REMOVED,
     /** A configuration is unreadable; the previous one stays in force. */
@@ -63,6 +68,8 @@
     JOB_LOST,
     /** A request submitted a job that was submitted before, and gets the answer for that job. */
     JOINED,
+    /** The lease on a run has expired at a sidecar, which stops or drops the run. */
+    LEASE_EXPIRED,
     /** A process is about to stop and signals that it should get no new work. */
     LEAVING,
     /** Lines were dropped because the output was not read in time. */
@@ -133,8 +140,6 @@
      * An upstream crashed under a run, with the number of such runs of its task; at the allowed number, its job fails.
      */
     RUN_CRASHED,
-    /** A sidecar dropped a queued run, because the entry that owns its job is silent. */
-    RUN_DROPPED,
     /** A run failed, with the number of failures of its task. */
     RUN_FAILED,
     /** An upstream has a run that the current incarnation of its sidecar did not order. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EntryFences.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EntryFences.java
@@ -15,13 +15,15 @@
     private final DecisionLoop loop;
     private final RunRegistry registry;
     private final FinishedRuns finishedRuns;
+    private final RunLeases leases;
     /** Incarnations of the lost entries. */
     private final Set<String> fenced = new HashSet<>();
 
-    EntryFences(DecisionLoop loop, RunRegistry registry, FinishedRuns finishedRuns) {
+    EntryFences(DecisionLoop loop, RunRegistry registry, FinishedRuns finishedRuns, RunLeases leases) {
         this.loop = loop;
         this.registry = registry;
         this.finishedRuns = finishedRuns;
+        this.leases = leases;
     }
 
     /** Returns whether nothing more is accepted from an incarnation of an entry. */
@@ -51,6 +53,8 @@
                 run.setOwner(/* incarnation= */ "", loop.monotonicMilliseconds());
                 if (!run.isDurable()) {
                     finishedRuns.discard(run, "owner-lost");
+                } else if (run.isActive()) {
+                    leases.endClaimOfLostOwner(run);
                 }
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -274,7 +274,7 @@
             LocalRun known = registry.findRun(active.run());
             if (known == null) {
                 loop.log().event(EventName.RUN_FOUND, EventKey.RUN, active.run(), EventKey.FENCE, order.fenceToken());
-                registry.addDiscovered(active.run(), now);
+                registry.addDiscovered(active.run(), new RunClaim.Left(RunLeases.UNLIMITED), now);
                 changed = true;
             } else if (known.isInPhase(Phase.DOUBTFUL)) {
                 known.enterPhase(Phase.RUNNING);
@@ -305,7 +305,7 @@
 
     private void finishRun(UpstreamPort.Completion completion, long now) {
         LocalRun known = registry.findRun(completion.run());
-        LocalRun run = known == null ? registry.addDiscovered(completion.run(), now) : known;
+        LocalRun run = known == null ? registry.addDiscovered(completion.run(), new RunClaim.Held(), now) : known;
         registry.finish(run, completion.outcome(), /* reason= */ "", completion.number(), now);
         loop.log()
                 .event(
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -52,6 +52,9 @@
     /** When the run was created, its owner last set, or the run finished, in milliseconds of the loop's clock. */
     private long ownerChangedOrFinishedAt;
 
+    /** Claim of the owner on the run. */
+    private RunClaim claim = new RunClaim.Held();
+
     /** Whether the run is to be stopped as soon as its start is confirmed. */
     private boolean stopRequested;
 
@@ -109,6 +112,21 @@
         ownerChangedOrFinishedAt = now;
     }
 
+    /** Makes the entry that dispatched the run its owner. */
+    void claim(String incarnation, long now) {
+        setOwner(incarnation, now);
+        claim = new RunClaim.Held();
+    }
+
+    /** Returns the claim of the owner on the run, which decides until when the run may continue. */
+    RunClaim claim() {
+        return claim;
+    }
+
+    void setClaim(RunClaim newClaim) {
+        claim = newClaim;
+    }
+
     void setDetails(
             String newPayload,
             Resources newRequiredResources,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
@@ -131,7 +131,12 @@
 
     /** Returns whether a queued run may start now. */
     boolean isStartAllowed(LocalRun run, long now) {
-        return now < (run.isDurable() ? ownershipConfirmedAt : confirmedAt) + timings.ownerLeaseForStartsMilliseconds();
+        long leaseMilliseconds = Math.min(
+                timings.ownerLeaseForStartsMilliseconds(),
+                run.isDurable()
+                        ? timings.ownerLeaseOnStoredRunsMilliseconds()
+                        : timings.ownerLeaseOnTransientRunsMilliseconds());
+        return now < (run.isDurable() ? ownershipConfirmedAt : confirmedAt) + leaseMilliseconds;
     }
 
     void recordRenewalRequest(long number, long requestedAt) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
@@ -99,8 +99,9 @@
     }
 
     /** Adds a run that the upstream listed but this process did not order. */
-    LocalRun addDiscovered(RunIdentity identity, long now) {
+    LocalRun addDiscovered(RunIdentity identity, RunClaim claim, long now) {
         LocalRun run = new LocalRun(identity, now);
+        run.setClaim(claim);
         run.enterPhase(LocalRun.Phase.RUNNING);
         runs.put(identity, run);
         return run;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -35,6 +35,8 @@
     /** Leases of entries that are linked or recently were, by the incarnation of the entry. */
     private final Map<String, OwnerLease> owners = new HashMap<>();
 
+    private final RunLeases leases;
+    private final LeaseExpiry leaseExpiry;
     private final UnclaimedRuns unclaimedRuns;
     private final FinishedRuns finishedRuns;
     private final EntryFences fences;
@@ -66,14 +68,17 @@
         this.timings = timings;
         this.zoneGate = zoneGate;
         this.unclaimedRuns = new UnclaimedRuns(loop, links, registry, owners);
-        this.upstreamController = new UpstreamController(upstream, loop, timings, registry, new OwnerReporter());
+        this.leases = new RunLeases(loop, registry, owners);
+        this.upstreamController =
+                new UpstreamController(upstream, loop, timings, registry, leases, new OwnerReporter());
         this.finishedRuns = new FinishedRuns(registry, upstreamController);
-        this.fences = new EntryFences(loop, registry, finishedRuns);
+        this.fences = new EntryFences(loop, registry, finishedRuns, leases);
         this.statusSender = new StatusSender(
                 loop, links, timings, registry, upstreamController, owners, new PromptRecipients(node), zoneGate);
         this.reports = new OwnerReports(links, owners, statusSender);
         this.dispatchCheck = new DispatchCheck(loop, registry, upstreamController, statusSender, zoneGate);
         this.slowdownSender = new SlowdownSender(loop, links, registry);
+        this.leaseExpiry = new LeaseExpiry(loop, registry, leases, owners, upstreamController, reports, statusSender);
     }
 
     /** Starts the periodic check of leases. */
@@ -173,9 +178,10 @@
      */
     public void handleLinkOpened(String incarnation) {
         slowdownSender.forgetReceiver(incarnation);
-        owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, timings)).openLink(loop.monotonicMilliseconds());
-        statusSender.sendInventory(owners.get(incarnation), /* fencedEntry= */ "");
-        statusSender.sendStatus(owners.get(incarnation));
+        OwnerLease owner = owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, timings));
+        owner.openLink(loop.monotonicMilliseconds());
+        statusSender.sendInventory(owner, /* fencedEntry= */ "");
+        statusSender.sendStatus(owner);
     }
 
     /**
@@ -245,7 +251,7 @@
                             known.owner(),
                             EventKey.AFTER,
                             now - known.ownerChangedOrFinishedAt());
-            known.setOwner(owner.incarnation(), now);
+            known.claim(owner.incarnation(), now);
             known.setDurable(dispatch.durable());
             known.setWithoutStartReport(dispatch.withoutStartReport());
             known.setQueue(dispatch.queue());
@@ -257,7 +263,7 @@
             return;
         }
         LocalRun run = new LocalRun(identity, now);
-        run.setOwner(owner.incarnation(), now);
+        run.claim(owner.incarnation(), now);
         run.setDurable(dispatch.durable());
         run.setQueue(dispatch.queue());
         run.setWithoutStartReport(dispatch.withoutStartReport());
@@ -298,7 +304,8 @@
 
     private void tick() {
         loop.after(LEASE_CHECK_MILLISECONDS, this::tick);
-        expireOwners();
+        leaseExpiry.endExpiredRuns(LEASE_CHECK_MILLISECONDS);
+        forgetSilentOwners();
         returnRunsOfEvacuatedZone();
         unclaimedRuns.retainCompletionsLocally();
         upstreamController.tick();
@@ -307,40 +314,10 @@
         slowdownSender.tick();
     }
 
-    /**
-     * Refuses queued runs and stops active ones if their owner's lease has expired, and removes owners without a link
-     * that have long been silent.
-     */
-    private void expireOwners() {
-        long now = loop.monotonicMilliseconds();
-        for (LocalRun run : List.copyOf(registry.allRuns())) {
-            OwnerLease owner = owners.get(run.owner());
-            if (owner == null || run.isInPhase(Phase.ENDED)) {
-                continue;
-            }
-            if (now <= owner.expiryFor(run)) {
-                continue;
-            }
-            if (run.isInPhase(Phase.QUEUED)) {
-                loop.log()
-                        .event(
-                                EventName.RUN_DROPPED,
-                                EventKey.RUN,
-                                run.identity(),
-                                EventKey.OWNER,
-                                run.owner(),
-                                EventKey.CAUSE,
-                                "owner-silent");
-                registry.finish(run, RunOutcome.REFUSED, "owner-silent", /* completionNumber= */ 0, now);
-                reports.report(run);
-                statusSender.scheduleStatus();
-            } else if (run.isActive() && !run.isStopRequested()) {
-                upstreamController.withdraw(run, "owner-silent");
-            }
-        }
-        owners.values()
-                .removeIf(owner -> !owner.isLinked()
-                        && now > owner.confirmedAt() + 2 * timings.ownerLeaseOnStoredRunsMilliseconds());
+    /** Removes owners without a link that have long been silent. */
+    private void forgetSilentOwners() {
+        long silentSince = loop.monotonicMilliseconds() - 2 * timings.ownerLeaseOnStoredRunsMilliseconds();
+        owners.values().removeIf(owner -> !owner.isLinked() && owner.confirmedAt() < silentSince);
     }
 
     private final class OwnerReporter implements RunListener {
@@ -387,13 +364,12 @@
 
         @Override
         public void processSuspended() {
-            owners.values().forEach(OwnerLease::expire);
+            leases.expireAll();
         }
 
         @Override
         public boolean isStartAllowed(LocalRun run) {
-            OwnerLease owner = owners.get(run.owner());
-            return zoneGate.isOpen() && owner != null && owner.isStartAllowed(run, loop.monotonicMilliseconds());
+            return zoneGate.isOpen() && leases.isStartAllowed(run);
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
@@ -36,9 +36,11 @@
     public static final long OWNER_LEASE_ON_STORED_RUNS_MILLISECONDS = 4_500;
     /**
      * How long runs of jobs that are not stored continue after their owner's last confirmation, in milliseconds. If the
-     * owner is lost, the caller submits such a job again after 1.3 s; the earlier runs must be stopped by then.
+     * owner is lost, the caller submits such a job again after 1.3 s. The earlier runs must have ended by then also if
+     * they are not stopped but lapse with the lease of the upstream, which expires
+     * {@link RunLeases#STOP_MARGIN_MILLISECONDS} later on a clock that may be slow.
      */
-    public static final long OWNER_LEASE_ON_TRANSIENT_RUNS_MILLISECONDS = 1_000;
+    public static final long OWNER_LEASE_ON_TRANSIENT_RUNS_MILLISECONDS = 950;
     /**
      * Time after the opening of a link within which its entry answers for the first time, in milliseconds. Until then
      * active runs that it has taken over continue; short compared with the margin with which other entries wait for the
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
@@ -80,7 +80,8 @@
         if (!handler.isUsable()
                 || !state.isClockKnown()
                 || loop.monotonicMilliseconds() < pausedUntil
-                || registry.hasRunOfUnknownNeed()) {
+                || registry.hasRunOfUnknownNeed()
+                || !state.isLeaseAvailable()) {
             return;
         }
         List<LocalRun> fitting = new ArrayList<>();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -30,11 +30,16 @@
     private boolean sidecarLeaving;
 
     UpstreamController(
-            UpstreamPort port, DecisionLoop loop, SidecarTimings timings, RunRegistry registry, RunListener listener) {
+            UpstreamPort port,
+            DecisionLoop loop,
+            SidecarTimings timings,
+            RunRegistry registry,
+            RunLeases leases,
+            RunListener listener) {
         this.loop = loop;
         this.registry = registry;
         this.listener = listener;
-        this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds());
+        this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds(), leases::latestUpstreamExpiry);
         AnswerTimeout answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
         this.crashes = new UpstreamCrashes(loop, registry, state);
         this.holdCycle = new HoldCycle(port, loop, timings, registry, state, answerTimeout, this);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -7,6 +7,7 @@
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import io.caperturn.jobs.upstream.UpstreamPort.Order;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /**
  * Known state of a sidecar's upstream: its current incarnation (the time from a start to the next stop), its clock, and
@@ -18,6 +19,9 @@
 
     private final DecisionLoop loop;
     private final long leaseMilliseconds;
+    /** Returns up to when the upstream's lease may be extended, in milliseconds of the loop's clock. */
+    private final LongSupplier latestLeaseExpiry;
+
     private final UpstreamClock clock = new UpstreamClock();
     /** Latest announcement of the upstream; null if it has not announced itself or has stopped. */
     private UpstreamAnnouncement announcement;
@@ -34,13 +38,18 @@
     /** Whether orders address any upstream that answers, because a different one than the known one has answered. */
     private boolean addressAnyUpstream;
 
+    /** Latest expiry of the upstream's lease that was requested, on the upstream's clock. */
+    private long requestedLeaseExpiry;
+
     private long fenceToken;
     /** Fencing token of the last listing; 0 if the known incarnation has not been listed. */
     private long lastListingFenceToken;
 
-    UpstreamState(DecisionLoop loop, long leaseMilliseconds) {
+    /** Creates the state of an unknown upstream, whose lease is extended by at most a time, and up to a time. */
+    UpstreamState(DecisionLoop loop, long leaseMilliseconds, LongSupplier latestLeaseExpiry) {
         this.loop = loop;
         this.leaseMilliseconds = leaseMilliseconds;
+        this.latestLeaseExpiry = latestLeaseExpiry;
     }
 
     /**
@@ -184,6 +193,7 @@
         startEpochMilliseconds = senderStartEpochMilliseconds;
         if (wasKnown) {
             clock.forget();
+            requestedLeaseExpiry = 0;
             if (fenceToken > 0) {
                 raiseFenceToken("upstream-reborn");
             }
@@ -207,11 +217,26 @@
 
     /**
      * Returns the common fields of an order that also extends the lease of the upstream's runs, if its clock is known.
+     * An order that may not extend the lease repeats the expiry that was requested before, unless it has passed.
      */
     Order leaseOrder() {
-        long leaseExpiryMilliseconds =
-                clock.isKnown() ? clock.estimate(loop.monotonicMilliseconds()) + leaseMilliseconds : 0;
-        return new Order(addressAnyUpstream ? "" : identity, fenceToken, leaseExpiryMilliseconds);
+        long expiry = 0;
+        if (clock.isKnown()) {
+            long now = loop.monotonicMilliseconds();
+            long estimate = clock.estimate(now);
+            long extension = Math.min(leaseMilliseconds, latestLeaseExpiry.getAsLong() - now);
+            if (extension > 0) {
+                requestedLeaseExpiry = Math.max(requestedLeaseExpiry, estimate + extension);
+            }
+            expiry = requestedLeaseExpiry > estimate ? requestedLeaseExpiry : 0;
+        }
+        return new Order(addressAnyUpstream ? "" : identity, fenceToken, expiry);
+    }
+
+    /** Returns whether an order can carry a lease that has not expired. */
+    boolean isLeaseAvailable() {
+        long now = loop.monotonicMilliseconds();
+        return latestLeaseExpiry.getAsLong() > now || requestedLeaseExpiry > clock.estimate(now);
     }
 
     /** Returns the common fields of an order that extends no lease. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittedJobsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittedJobsTest.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests that no task of a transient job runs twice at the same time if its caller submits the job again after a fault.
@@ -162,6 +164,53 @@
         }
     }
 
+    /** The sidecars are frozen after the loss of the entry, so that they can't stop its runs. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 300, 500, 700, 900, 1_100})
+    void runsOfALostEntryEndInTimeIfTheirSidecarsAreFrozen(long frozenAfterMilliseconds) {
+        assertRunsOfALostEntryEndInTime(scene -> scene.fleet.time().after(frozenAfterMilliseconds, () -> {
+            for (int sidecar = 0; sidecar < SIDECARS - 1; sidecar++) {
+                VirtualLoop frozen = scene.fleet.loop("sidecar-" + sidecar);
+                frozen.freeze();
+                scene.fleet.time().after(4_000, () -> frozen.resume(/* clockStoodStill= */ false));
+            }
+        }));
+    }
+
+    /** The sidecars are killed after the loss of the entry and don't return. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 300, 500, 700, 900, 1_100})
+    void runsOfALostEntryEndInTimeIfTheirSidecarsAreKilled(long killedAfterMilliseconds) {
+        assertRunsOfALostEntryEndInTime(scene -> scene.fleet.time().after(killedAfterMilliseconds, () -> {
+            for (int sidecar = 0; sidecar < SIDECARS - 1; sidecar++) {
+                scene.fleet.kill("sidecar-" + sidecar);
+            }
+        }));
+    }
+
+    /** Orders to stop are carried out late, but holds, which extend the lease, in time. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300, 600, 900})
+    void runsOfALostEntryEndInTimeIfTheirStopsAreLate(long lateAfterMilliseconds) {
+        assertRunsOfALostEntryEndInTime(scene -> scene.fleet.time().after(lateAfterMilliseconds, () -> {
+            for (int sidecar = 0; sidecar < SIDECARS - 1; sidecar++) {
+                scene.fleet.upstream(sidecar).unansweredOrders().delayAll(3_000);
+            }
+        }));
+    }
+
+    private static void assertRunsOfALostEntryEndInTime(Consumer<Scene> fault) {
+        Scene scene = new Scene(new Random(1));
+        for (int number = 0; number < 6; number++) {
+            scene.callers.submit(0, "job-" + number, SampleJobs.plan(3, false, 2_000));
+            scene.fleet.time().runUntil(scene.fleet.time().now() + 100);
+        }
+        scene.killEntry(0, 10_000);
+        fault.accept(scene);
+        scene.assertNoTaskRunsTwiceAtOnce("");
+        assertTrue(scene.callers.resubmissions() > 0);
+    }
+
     @Test
     void callersOfAKilledEntrySubmitTheirJobsAgain() {
         Scene scene = new Scene(new Random(1));
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
@@ -40,7 +40,9 @@
             owners.put(owner.incarnation(), owner);
         }
         registry.addDiscovered(
-                new RunIdentity(new TaskIdentity("job", 0, 0, 0), /* number= */ 1), loop.monotonicMilliseconds());
+                new RunIdentity(new TaskIdentity("job", 0, 0, 0), /* number= */ 1),
+                new RunClaim.Left(Long.MAX_VALUE),
+                loop.monotonicMilliseconds());
         UnclaimedRuns unclaimed = new UnclaimedRuns(
                 loop, (entry, frame) -> questionCounts.merge(entry, 1, Integer::sum), registry, owners);
         for (int round = 0; round < ROUNDS; round++) {
