Renew over a link only what its entry dispatched over that link

What callers saw: tasks of a transient job ran twice at once after all connections of an entry were reset, with nothing killed. The caller's connection broke, and it submitted the job again at another entry.

Cause: the entry abandons the job and withdraws its runs, but the withdrawal is lost with the link to the sidecar, and never repeated. The next link opens within 150 ms. Its opening counted as a renewal, and the entry's answers renewed its lease on every run that it had ever dispatched there, also on those that it doesn't know any more. They went on to their end.

Change: when a link opens, the claims of its entry on active and queued runs end (claim-ended cause=link-opened). Such a run continues to the end of the lease that it has, and renewals don't apply to it, unless the entry dispatches it again, as it does with each run of the inventory that it still wants. The opening of a link renews nothing; the status, which asks for a renewal, is sent before the inventory, so that the lease is confirmed when the runs are claimed. The played entry of SingleSidecar answers renewals now, as entries do; it had relied on the opening of the link.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -112,7 +112,7 @@
         ownerChangedOrFinishedAt = now;
     }
 
-    /** Makes the entry that dispatched the run its owner. */
+    /** Makes the entry that dispatched the run over its present link its owner. */
     void claim(String incarnation, long now) {
         setOwner(incarnation, now);
         claim = new RunClaim.Held();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
@@ -25,8 +25,11 @@
     /** Whether a link to the entry is open. */
     private boolean linked;
 
-    /** When the link opened or the last answered renewal was requested, in milliseconds of the loop's clock. */
-    private long confirmedAt;
+    /**
+     * When the last answered renewal was requested, in milliseconds of the loop's clock. The opening of a link renews
+     * nothing, because its first frames may have been sent long before they are read.
+     */
+    private long confirmedAt = Long.MIN_VALUE / 2;
     /**
      * Like {@link #confirmedAt}, but counts only renewals for which the entry knew that no other one had adopted its
      * stored jobs.
@@ -64,7 +67,6 @@
         renewalRequestedAt.clear();
         knownFree = Optional.empty();
         lastRenewalRequestedAt = Long.MIN_VALUE / 2;
-        confirmedAt = Math.max(confirmedAt, now);
         firstAnswerExpectedBy = now + SidecarTimings.FIRST_ANSWER_MILLISECONDS;
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunClaim.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunClaim.java
@@ -7,17 +7,19 @@
  * <table>
  * <caption>Transitions</caption>
  * <tr><th>event</th><th>claim afterwards</th></tr>
- * <tr><td>an entry dispatches the run</td><td>{@link Held}</td></tr>
+ * <tr><td>an entry dispatches the run over its present link</td><td>{@link Held}</td></tr>
+ * <tr><td>the owner opens another link</td><td>{@link Left}, until its lease expires</td></tr>
  * <tr><td>the owner is lost, the job is stored</td><td>{@link Left}</td></tr>
  * <tr><td>the upstream lists a run that this process did not start</td><td>{@link Left}</td></tr>
  * </table>
  */
 sealed interface RunClaim {
-    /** The run continues under the lease of its owner. */
+    /** The owner dispatched the run over its present link; the run continues under the owner's lease. */
     record Held() implements RunClaim {}
 
     /**
-     * The owner is lost, or dispatched the run to an earlier incarnation of this process.
+     * The run is known from before the owner's present link, or its owner is lost. The owner may not know the run any
+     * more, so renewals of its lease don't apply to it.
      *
      * @param continuesUntil time until which the run may continue, in milliseconds of the loop's clock
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
@@ -3,6 +3,7 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.upstream.LocalRun.Phase;
 import java.util.List;
 import java.util.Map;
 
@@ -61,7 +62,22 @@
     /** Returns whether the owner of a queued run is entitled to its start now. */
     boolean isStartAllowed(LocalRun run) {
         OwnerLease owner = owners.get(run.owner());
-        return owner != null && owner.isStartAllowed(run, loop.monotonicMilliseconds());
+        return owner != null
+                && run.claim() instanceof RunClaim.Held
+                && owner.isStartAllowed(run, loop.monotonicMilliseconds());
+    }
+
+    /**
+     * Ends the claims of an entry that opens a link, so that renewals over it apply only to what it dispatches again.
+     */
+    void endClaimsOf(OwnerLease owner) {
+        for (LocalRun run : registry.allRuns()) {
+            if (run.owner().equals(owner.incarnation())
+                    && !run.isInPhase(Phase.ENDED)
+                    && run.claim() instanceof RunClaim.Held) {
+                leave(run, expiryOf(run), "link-opened");
+            }
+        }
     }
 
     /** Ends the claim of a lost owner on a run of a stored job, which another entry claims if it adopts the job. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -179,9 +179,11 @@
     public void handleLinkOpened(String incarnation) {
         slowdownSender.forgetReceiver(incarnation);
         OwnerLease owner = owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, timings));
+        leases.endClaimsOf(owner);
         owner.openLink(loop.monotonicMilliseconds());
-        statusSender.sendInventory(owner, /* fencedEntry= */ "");
+        // The status requests a renewal, whose answer then arrives before the runs of the inventory are claimed.
         statusSender.sendStatus(owner);
+        statusSender.sendInventory(owner, /* fencedEntry= */ "");
     }
 
     /**
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SingleSidecar.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SingleSidecar.java
@@ -29,7 +29,7 @@
         controller = new SidecarController(
                 loop,
                 upstream.portFor(loop),
-                (entry, frame) -> frames.add(frame),
+                (entry, frame) -> receive(frame),
                 SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000),
                 "sidecar",
                 new ZoneStartGate(evacuations, /* zone= */ ""));
@@ -41,6 +41,16 @@
         time.runUntil(700);
     }
 
+    /** Keeps a frame, and renews the lease of the entry as entries do if the frame requests that. */
+    private void receive(JobFrame frame) {
+        frames.add(frame);
+        if (frame instanceof JobFrame.Status status && status.renewal() != JobFrame.Status.NO_RENEWAL) {
+            time.after(
+                    /* milliseconds= */ 1,
+                    () -> controller.handleFrame(ENTRY, new JobFrame.Lease(status.renewal(), /* authority= */ true)));
+        }
+    }
+
     void announce() {
         controller.handleAnnouncement(upstream.announcement());
     }
