Stop runs that a later run of their task has replaced

An entry only logged a report of a queued or active run that is not the current one of its task (event run-superseded). Such a run is now withdrawn if its number is not higher than that of the last run that the entry sent, or if the task is done; not while the entry takes its job over from a lost one.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -68,10 +68,10 @@
     private void handleReport(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         Optional<SidecarView> sidecar = sidecars.find(incarnation);
         switch (report.outcome()) {
-            case QUEUED -> logIfSuperseded(task, incarnation, report, isCurrent);
+            case QUEUED -> handleActive(task, incarnation, report, isCurrent);
             case RUNNING -> {
                 task.job().markStarted();
-                logIfSuperseded(task, incarnation, report, isCurrent);
+                handleActive(task, incarnation, report, isCurrent);
                 if (isCurrent && report.reason().equals(JobFrame.Report.STANDS_STILL)) {
                     sidecar.ifPresent(view -> handleStall(task, view));
                 }
@@ -93,21 +93,28 @@
         }
     }
 
-    private void logIfSuperseded(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
-        if (!isCurrent) {
-            loop.log()
-                    .event(
-                            EventName.RUN_SUPERSEDED,
-                            EventKey.RUN,
-                            report.run(),
-                            EventKey.SIDECAR,
-                            incarnation,
-                            EventKey.OUTCOME,
-                            report.outcome(),
-                            EventKey.PHASE,
-                            task.phase(),
-                            EventKey.BEFORE,
-                            task.currentRun());
+    /** Handles the report of a queued or active run: stops one whose task is done or sent again under a later number. */
+    private void handleActive(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
+        if (isCurrent) {
+            return;
+        }
+        loop.log()
+                .event(
+                        EventName.RUN_SUPERSEDED,
+                        EventKey.RUN,
+                        report.run(),
+                        EventKey.SIDECAR,
+                        incarnation,
+                        EventKey.OUTCOME,
+                        report.outcome(),
+                        EventKey.PHASE,
+                        task.phase(),
+                        EventKey.BEFORE,
+                        task.currentRun());
+        boolean givenUp =
+                report.run().number() <= task.currentRun().number() && !task.job().isRecovering();
+        if (givenUp || task.isIn(OwnedTask.Phase.DONE)) {
+            sidecars.withdraw(report.run(), incarnation, "superseded");
         }
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StaleReportTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/StaleReportTest.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.ProcessRole;
@@ -12,6 +13,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests late reports on runs that a later run of the same task has replaced; all times are virtual, in milliseconds.
@@ -74,4 +77,35 @@
         }
         assertCompleted();
     }
+
+    /** The sidecar was out of touch, so the entry has given the run up and sent its task again. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RunOutcome.class,
+            names = {"QUEUED", "RUNNING"})
+    void runThatALaterOneHasReplacedIsStopped(RunOutcome outcome) {
+        submit();
+        RunIdentity current = activeRun(1);
+        RunIdentity earlier = new RunIdentity(current.task(), current.number() - 1);
+        report(earlier, outcome, "");
+        report(current, outcome, "");
+        report(new RunIdentity(current.task(), current.number() + 1), outcome, "");
+        List<String> withdrawn = fleet.loop("entry-0").logLines().stream()
+                .filter(line -> line.contains(" withdrawn "))
+                .toList();
+        assertEquals(1, withdrawn.size(), withdrawn::toString);
+        assertTrue(withdrawn.getFirst().contains("run " + earlier + " "), withdrawn::toString);
+        assertCompleted();
+    }
+
+    @Test
+    void runOfATaskThatIsDoneIsStopped() {
+        submit();
+        RunIdentity first = activeRun(0);
+        fleet.time().runUntil(fleet.time().now() + 300);
+        report(new RunIdentity(first.task(), first.number() + 1), RunOutcome.RUNNING, "");
+        String lines = String.join("\n", fleet.loop("entry-0").logLines());
+        assertTrue(lines.contains(" withdrawn run " + first.task() + "#" + (first.number() + 1) + " "), lines);
+        assertCompleted();
+    }
 }
