Renew leases only after all connections have been read again

An entry that was frozen while callers left reads, before it reads that they have gone, the requests of sidecars for a renewal, some of them only milliseconds old. It renewed its lease at once, and withdrew the runs in the same pass of its event loop or in the next one. In between the sidecars started queued runs, and runs that the entry had just dispatched, of jobs that the callers had submitted at another entry 1.3 s after they left: tasks ran twice at once for some milliseconds. The lease is now renewed after the next pass, that is after the withdrawals; until then a sidecar starts nothing, because the lease has expired during the freeze.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
@@ -20,6 +20,9 @@
     /** Time for which a sidecar without a link is kept after the last renewal of its lease, in milliseconds. */
     private static final long RETENTION_MILLISECONDS = 4 * RunLossDetector.RUN_EXPIRY_MILLISECONDS;
 
+    /** Delay of a timer that is due after the present pass of the event loop, in milliseconds. */
+    private static final long READING_MILLISECONDS = 1;
+
     private final DecisionLoop loop;
     private final LinkPort links;
     private final ZoneEvacuations evacuations;
@@ -64,17 +67,26 @@
         find(incarnation).ifPresent(view -> view.setLinked(false));
     }
 
-    /** Applies a status to a sidecar, and renews the lease there if it requests that. */
+    /** Applies a status to a sidecar, and renews the lease there soon if it requests that. */
     void applyStatus(SidecarView view, JobFrame.Status status, boolean renewStoredRuns) {
         view.updateStatus(status, loop.monotonicMilliseconds());
         if (evidence.record(view.incarnation(), status.service(), status.crashes())) {
             confinement.refresh(/* newCrash= */ true);
         }
         if (status.renewal() != JobFrame.Status.NO_RENEWAL) {
-            links.send(view.incarnation(), new JobFrame.Lease(status.renewal(), renewStoredRuns));
+            afterReading(() -> links.send(view.incarnation(), new JobFrame.Lease(status.renewal(), renewStoredRuns)));
         }
     }
 
+    /**
+     * Runs an action once all is read that had arrived before this event, also if this process was held up meanwhile: a
+     * caller may have gone, whose runs have to be withdrawn before the lease on them is renewed. The first timer may be
+     * due in the present pass of the event loop, the second one only after it has read from all connections again.
+     */
+    private void afterReading(Runnable action) {
+        loop.after(0, () -> loop.after(READING_MILLISECONDS, action));
+    }
+
     /** Orders a sidecar to stop a run, for a cause that is logged; the order is lost if the link to it is. */
     void withdraw(RunIdentity run, String incarnation, String cause) {
         Optional<SidecarView> view = find(incarnation);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittingCallers.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittingCallers.java
@@ -84,7 +84,7 @@
                 return;
             }
             end();
-            fleet.loop("entry-" + entry).run(() -> fleet.entry(entry).abandon(job, "caller-gone"));
+            fleet.loop("entry-" + entry).runLast(() -> fleet.entry(entry).abandon(job, "caller-gone"));
             resubmitLater();
         }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
@@ -15,6 +15,11 @@
     private final VirtualTime time;
     private final String name;
     private final List<Runnable> deferredActions = new ArrayList<>();
+    /** Actions of a frozen process that are run after all others once it is resumed. */
+    private final List<Runnable> lastDeferredActions = new ArrayList<>();
+
+    private long lastActionsDelayMilliseconds;
+
     private final List<String> logLines = new ArrayList<>();
     private boolean killed;
     private boolean frozen;
@@ -60,6 +65,23 @@
         }
     }
 
+    /**
+     * Runs an action like {@link #run}, but after all others that are deferred: an event loop reads from the sockets
+     * that are ready in any order.
+     */
+    void runLast(Runnable action) {
+        if (frozen) {
+            lastDeferredActions.add(action);
+        } else {
+            run(action);
+        }
+    }
+
+    /** Sets how long after the others the last actions are run once the process is resumed, in milliseconds. */
+    void delayLastActions(long milliseconds) {
+        lastActionsDelayMilliseconds = milliseconds;
+    }
+
     boolean isKilled() {
         return killed;
     }
@@ -84,8 +106,15 @@
             clockLagMilliseconds += time.now() - frozenAt;
         }
         List<Runnable> ready = List.copyOf(deferredActions);
+        List<Runnable> last = List.copyOf(lastDeferredActions);
         deferredActions.clear();
+        lastDeferredActions.clear();
         ready.forEach(this::run);
+        if (lastActionsDelayMilliseconds == 0) {
+            last.forEach(this::run);
+        } else {
+            last.forEach(action -> after(lastActionsDelayMilliseconds, action));
+        }
     }
 
     @Override
