--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnansweredOrders.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnansweredOrders.java
@@ -8,6 +8,9 @@
     private static final long LATE_MILLISECONDS = 3_000;
 
     private long delayOfAll;
+    private long delayOfHolds;
+    private double holdShare;
+    private Random holdChoice;
     private double share;
     private Random choice;
 
@@ -16,6 +19,13 @@
         delayOfAll = milliseconds;
     }
 
+    /** Leaves a share of the holds unanswered, chosen by a seed, and executes them after a delay in milliseconds. */
+    void delayHolds(long milliseconds, double newShare, long seed) {
+        delayOfHolds = milliseconds;
+        holdShare = newShare;
+        holdChoice = new Random(seed);
+    }
+
     /** Leaves a share of all orders unanswered, chosen by a seed. */
     void leaveUnanswered(double newShare, long seed) {
         share = newShare;
@@ -24,11 +34,15 @@
 
     /** Returns after which time the next start or stop order is executed; 0 if it is answered. */
     long nextOrderDelay() {
-        return delayOfAll > 0 ? delayOfAll : nextHoldDelay();
+        return delayOfAll > 0 ? delayOfAll : delayOfShare();
     }
 
     /** Returns after which time the next hold is executed; 0 if it is answered. */
     long nextHoldDelay() {
+        return holdShare > 0 && holdChoice.nextDouble() < holdShare ? delayOfHolds : delayOfShare();
+    }
+
+    private long delayOfShare() {
         return share > 0 && choice.nextDouble() < share ? LATE_MILLISECONDS : 0;
     }
 }
