--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SteppedClockTest.java
@@ -0,0 +1,65 @@
+package io.caperturn.jobs.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.jobs.model.JobPlan;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests transient jobs that are submitted again at an entry whose wall clock differs, from which the numbers of their
+ * runs come: no task runs twice at the same time, and all are done in the end.
+ */
+class SteppedClockTest {
+    private static final int SEEDS = Integer.getInteger("caperturn.seeds", 20);
+    private static final int ENTRIES = 2;
+    private static final int SIDECARS = 3;
+    private static final int JOBS = 12;
+    private static final int TASKS = 2;
+
+    @ParameterizedTest
+    @ValueSource(longs = {-10_000, -2_400, -1_300, 1_300, 2_400, 10_000})
+    void jobsAreDoneOnceIfTheClockOfAnEntryIsStepped(long milliseconds) {
+        int resubmissions = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            resubmissions += runAroundAStep(seed, milliseconds);
+        }
+        assertTrue(resubmissions > SEEDS, "too few jobs were submitted again: " + resubmissions);
+    }
+
+    /** Checks the tasks of one seed; returns how many jobs were submitted again. */
+    private static int runAroundAStep(long seed, long milliseconds) {
+        Random random = new Random(seed);
+        SimulatedFleet fleet =
+                new SimulatedFleet(ENTRIES, SIDECARS, task -> 300 + Math.floorMod(task.hashCode(), 2_000));
+        ResubmittingCallers callers =
+                new ResubmittingCallers(fleet, ENTRIES, /* deadlineMilliseconds= */ 6_000, random);
+        int stepped = random.nextInt(ENTRIES);
+        fleet.time().after(random.nextInt(3_000), () -> fleet.loop("entry-" + stepped)
+                .stepWallClock(milliseconds));
+        for (int number = 0; number < 3; number++) {
+            int entry = random.nextInt(ENTRIES);
+            fleet.time().after(500 + random.nextInt(4_000), () -> {
+                callers.breakConnections(entry);
+                fleet.closeLinksBriefly("entry-" + entry);
+            });
+        }
+        JobPlan plan = SampleJobs.plan(TASKS, /* durable= */ false, 1_000);
+        for (int number = 0; number < JOBS; number++) {
+            callers.submit(random.nextInt(ENTRIES), "job-" + number, plan);
+            fleet.time().runUntil(fleet.time().now() + random.nextInt(150));
+        }
+        fleet.time().runUntil(fleet.time().now() + 30_000);
+        assertEquals(List.of(), fleet.recordOfStarts().overlaps(), "seed " + seed);
+        String refusals = Stream.of(fleet.logLines().split("\n"))
+                .filter(line -> line.contains("start-refused"))
+                .collect(Collectors.joining("\n"));
+        assertEquals(JOBS * TASKS, fleet.recordOfStarts().succeededTaskCount(), () -> "seed " + seed + "\n" + refusals);
+        return callers.resubmissions();
+    }
+}
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
@@ -27,6 +27,7 @@
     private long clockLagMilliseconds;
 
     private long frozenAt;
+    private long wallClockOffsetMilliseconds;
 
     /**
      * Creates the loop of a process.
@@ -46,7 +47,12 @@
 
     @Override
     public long wallClockMilliseconds() {
-        return 1_700_000_000_000L + time.now();
+        return 1_700_000_000_000L + time.now() + wallClockOffsetMilliseconds;
+    }
+
+    /** Sets the wall clock of the process ahead, or back by a negative number of milliseconds. */
+    void stepWallClock(long milliseconds) {
+        wallClockOffsetMilliseconds += milliseconds;
     }
 
     @Override
