Begin no second adoption of a stored job while the first is in doubt

Cause: an adoption is a conditional write, retried until its outcome is known. Meanwhile the store may name this entry as the owner. The next scan took such a record for a new job none of whose tasks was ever sent, and adopted it a second time, without recovery. That write raised the version behind the back of the first adoption. The first progress of the job then conflicted with this entry's own write (`job-lost`): its runs were withdrawn, ends that were to be stored were dropped, and all tasks were placed anew at once.

Fix: AdoptionWriter makes an adoption one conditional write with one outcome and knows which are in progress; none of these jobs is adopted again, owned or placed before its outcome. A record that names this entry is no reason to adopt any more: either the write is in progress and its answer makes the job an owned one, with the recovery of the earlier owner's runs, or the record was read before the job finished. So an entry's own write never conflicts with its own adoption, and a job that was lost comes back only by the recovery of an owner that is lost. An adoption that conflicts reports the stored job as found, as the other conflicting writes do, instead of dropping it until the next scan.

--- /dev/null
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/AdoptionWriter.java
@@ -0,0 +1,104 @@
+package io.caperturn.jobs.owner;
+
+import io.caperturn.jobs.DecisionLoop;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.model.QueuePolicy;
+import io.caperturn.jobs.record.JobWriter;
+import io.caperturn.jobs.record.StoredRecord;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Writer of adoptions: each makes this entry, a process that accepts jobs, the owner of a stored job whose owner is
+ * lost, by one conditional write.
+ *
+ * <p>While the answer to that write is outstanding, the store may hold the job with this entry as its owner. Nothing
+ * follows from that before the outcome is known, and no second adoption of the job is begun.
+ */
+final class AdoptionWriter {
+    private final DecisionLoop loop;
+    private final JobWriter writer;
+    private final EntryParameters parameters;
+    private final Set<String> jobsInProgress = new HashSet<>();
+
+    AdoptionWriter(DecisionLoop loop, JobWriter writer, EntryParameters parameters) {
+        this.loop = loop;
+        this.writer = writer;
+        this.parameters = parameters;
+    }
+
+    /** Returns whether the outcome of the adoption of a job is still unknown. */
+    boolean isInProgress(String job) {
+        return jobsInProgress.contains(job);
+    }
+
+    /**
+     * Stores this entry as the next owner of a job, in the next generation.
+     *
+     * @param identity the job's identity; its adoption must not be in progress
+     * @param version expected version of the stored job
+     * @param before record of that version
+     * @param policy policy of the job's queue, to be stored with it
+     * @param adopted receives the job if it was adopted
+     * @param changed receives the stored job if another write was applied first, and it is unfinished
+     */
+    void adopt(
+            String identity,
+            long version,
+            JobRecord before,
+            QueuePolicy policy,
+            Consumer<OwnedJob> adopted,
+            Consumer<StoredRecord> changed) {
+        if (!jobsInProgress.add(identity)) {
+            throw new IllegalStateException("adoption in progress: " + identity);
+        }
+        JobRecord after = new JobRecord(
+                parameters.incarnation(),
+                before.generation() + 1,
+                before.plan(),
+                policy,
+                before.acceptedMilliseconds(),
+                before.started(),
+                before.progress());
+        writer.update(identity, version, after, result -> {
+            jobsInProgress.remove(identity);
+            switch (result) {
+                case JobWriter.Result.Stored stored ->
+                    adopted.accept(restore(identity, before.owner(), after, stored.version()));
+                case JobWriter.Result.Conflicted conflicted -> {
+                    if (conflicted.unfinishedRecord() != null) {
+                        changed.accept(conflicted.unfinishedRecord());
+                    }
+                }
+                case JobWriter.Result.Refused refused ->
+                    throw new IllegalStateException("only job inserts can be refused");
+            }
+        });
+    }
+
+    private OwnedJob restore(String identity, String previousOwner, JobRecord content, long version) {
+        long age = Math.max(0, loop.wallClockMilliseconds() - content.acceptedMilliseconds());
+        OwnedJob job = OwnedJob.restore(
+                identity,
+                content,
+                content.policy(),
+                loop.monotonicMilliseconds() - Math.min(age, parameters.finishedJobRetentionMilliseconds()));
+        job.setVersion(version);
+        loop.log()
+                .event(
+                        EventName.ADOPTED,
+                        EventKey.JOB,
+                        identity,
+                        EventKey.FROM,
+                        previousOwner,
+                        EventKey.GENERATION,
+                        content.generation(),
+                        EventKey.VERSION,
+                        version);
+        loop.log().count("adopted");
+        return job;
+    }
+}
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -160,11 +160,13 @@
     }
 
     /**
-     * Adopts a stored job that this entry does not own, if the owner is lost and the job is assigned to this entry, or
-     * if the stored record already names this entry as the owner.
+     * Adopts a stored job that this entry does not own, if the owner is lost and the job is assigned to this entry.
+     *
+     * <p>A record that names this entry as the owner is never a reason: it is the effect of a write in progress, whose
+     * answer makes the job an owned one, or was read before the job finished.
      */
     void adoptIfEligible(String identity, StoredRecord openRecord) {
-        if (stopped || jobs.find(identity) != null || jobs.isInserting(identity)) {
+        if (stopped || jobs.find(identity) != null || jobs.isBecomingOwner(identity)) {
             return;
         }
         JobRecord content;
@@ -175,7 +177,7 @@
             return;
         }
         boolean ownedHere = content.owner().equals(parameters.incarnation());
-        if (!ownedHere && (membership.isMember(content.owner()) || !isAssignedHere(identity))) {
+        if (ownedHere || membership.isMember(content.owner()) || !isAssignedHere(identity)) {
             return;
         }
         QueuePolicy policy = policyByQueueName.apply(content.plan().queue()).orElse(null);
@@ -189,11 +191,6 @@
                             EventKey.QUEUE,
                             content.plan().queue());
         }
-        if (ownedHere) {
-            // The answer to the write that stored this job was lost: none of its tasks was ever sent to a sidecar.
-            jobs.adopt(identity, openRecord.version(), content, policy, dispatcher::enqueueReadyTasks);
-            return;
-        }
         LostEntryRecovery recovery = recoveries.computeIfAbsent(content.owner(), this::startRecovery);
         jobs.adopt(identity, openRecord.version(), content, policy, recovery::addJob);
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -37,6 +37,7 @@
     private final JobWriter writer;
     private final String incarnation;
     private final FinishedJobs finishedJobs;
+    private final AdoptionWriter adoptions;
     private final Listener listener;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByJobBeingInserted = new HashMap<>();
@@ -47,6 +48,7 @@
         this.writer = writer;
         this.incarnation = parameters.incarnation();
         this.finishedJobs = new FinishedJobs(loop, parameters.finishedJobRetentionMilliseconds());
+        this.adoptions = new AdoptionWriter(loop, writer, parameters);
         this.listener = listener;
     }
 
@@ -84,6 +86,14 @@
         return receiversByJobBeingInserted.containsKey(job);
     }
 
+    /**
+     * Returns whether the write is in progress that makes this entry the owner of a job: the first one of a new job, or
+     * the adoption. The store may have applied it already.
+     */
+    boolean isBecomingOwner(String job) {
+        return isInserting(job) || adoptions.isInProgress(job);
+    }
+
     /** Stores a new job; a job that was submitted before is accepted without a change. */
     void submitDurable(String identity, JobPlan plan, QueuePolicy policy, Consumer<CallerAnswers.Submission> receiver) {
         if (ownedJobs.containsKey(identity) || finishedJobs.contains(identity)) {
@@ -222,41 +232,21 @@
         }
     }
 
-    /** Stores this entry as the next owner of a job, in the next generation; calls the receiver if that succeeds. */
+    /**
+     * Stores this entry as the next owner of a job, in the next generation; calls the receiver if that succeeds. A job
+     * that was changed meanwhile is reported as found, unless it is finished.
+     */
     void adopt(String identity, long version, JobRecord before, QueuePolicy policy, Consumer<OwnedJob> receiver) {
-        JobRecord after = new JobRecord(
-                incarnation,
-                before.generation() + 1,
-                before.plan(),
+        adoptions.adopt(
+                identity,
+                version,
+                before,
                 policy,
-                before.acceptedMilliseconds(),
-                before.started(),
-                before.progress());
-        writer.update(identity, version, after, result -> {
-            if (result instanceof JobWriter.Result.Stored stored && !ownedJobs.containsKey(identity)) {
-                long age = Math.max(0, loop.wallClockMilliseconds() - before.acceptedMilliseconds());
-                OwnedJob job = OwnedJob.restore(
-                        identity,
-                        after,
-                        policy,
-                        loop.monotonicMilliseconds() - Math.min(age, finishedJobs.retentionMilliseconds()));
-                job.setVersion(stored.version());
-                ownedJobs.put(identity, job);
-                loop.log()
-                        .event(
-                                EventName.ADOPTED,
-                                EventKey.JOB,
-                                identity,
-                                EventKey.FROM,
-                                before.owner(),
-                                EventKey.GENERATION,
-                                after.generation(),
-                                EventKey.VERSION,
-                                stored.version());
-                loop.log().count("adopted");
-                receiver.accept(job);
-            }
-        });
+                job -> {
+                    ownedJobs.put(identity, job);
+                    receiver.accept(job);
+                },
+                openRecord -> listener.unownedJobFound(identity, openRecord));
     }
 
     /** Sets the final state of a job, stores it if the job is durable, then reports it to the callers. */
