--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/LateHoldsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/LateHoldsTest.java
@@ -43,7 +43,8 @@
         Random random = new Random(seed);
         SimulatedFleet fleet =
                 new SimulatedFleet(ENTRIES, SIDECARS, task -> 1_000 + Math.floorMod(task.hashCode(), 3_000));
-        ResubmittingCallers callers = new ResubmittingCallers(fleet, ENTRIES, /* deadlineMilliseconds= */ 6_000, random);
+        ResubmittingCallers callers =
+                new ResubmittingCallers(fleet, ENTRIES, /* deadlineMilliseconds= */ 6_000, random);
         double share = 0.1 + 0.8 * random.nextDouble();
         long delay = 260 + random.nextInt(random.nextBoolean() ? 1_500 : 6_000);
         for (int sidecar = 0; sidecar < SIDECARS; sidecar++) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SteppedClockTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SteppedClockTest.java
@@ -40,8 +40,10 @@
         ResubmittingCallers callers =
                 new ResubmittingCallers(fleet, ENTRIES, /* deadlineMilliseconds= */ 6_000, random);
         int stepped = random.nextInt(ENTRIES);
-        fleet.time().after(random.nextInt(3_000), () -> fleet.loop("entry-" + stepped)
-                .stepWallClock(milliseconds));
+        fleet.time()
+                .after(
+                        random.nextInt(3_000),
+                        () -> fleet.loop("entry-" + stepped).stepWallClock(milliseconds));
         for (int number = 0; number < 3; number++) {
             int entry = random.nextInt(ENTRIES);
             fleet.time().after(500 + random.nextInt(4_000), () -> {
