Lose simulated frames that are sent over a link that was closed

A simulated process that was frozen while its links were closed and opened again sent frames over the new link before it had handled the opening. A real process writes them to the old connection, where they are lost.

--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
@@ -12,6 +12,9 @@
     private final Map<String, Integer> frameCounts = new TreeMap<>();
     /** Number of links that were opened, by the incarnations at their ends. */
     private final Map<Set<String>, Integer> linkCounts = new HashMap<>();
+    /** Numbers of the links that a process knows to be open, by its incarnation and then that of its peer. */
+    private final Map<String, Map<String, Integer>> knownLinks = new HashMap<>();
+
     /** Type of the frames that are lost; null if none are. */
     private Class<? extends JobFrame> lostFrames;
 
@@ -39,4 +42,14 @@
     int linkNumber(String first, String second) {
         return linkCounts.getOrDefault(Set.of(first, second), 0);
     }
+
+    /** Records that a process has handled the opening of a link, by its number. */
+    void recordKnownLink(String process, String peer, int number) {
+        knownLinks.computeIfAbsent(process, key -> new HashMap<>()).put(peer, number);
+    }
+
+    /** Returns the number of the latest link that a process knows to be open; 0 if it knows none. */
+    int knownLinkNumber(String process, String peer) {
+        return knownLinks.getOrDefault(process, Map.of()).getOrDefault(peer, 0);
+    }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -329,7 +329,9 @@
         }
 
         void handleLinkOpened(SimulatedProcess peer) {
+            int link = traffic.linkNumber(incarnation, peer.incarnation);
             loop.run(() -> {
+                traffic.recordKnownLink(incarnation, peer.incarnation, link);
                 if (sidecar == null) {
                     entry.handleLinkOpened(peer.hello());
                 } else {
@@ -355,11 +357,11 @@
             for (SimulatedProcess peer : peers) {
                 if (peer.incarnation.equals(to) && canReach(this, peer)) {
                     JobFrame.Hello from = hello();
-                    int link = traffic.linkNumber(incarnation, to);
+                    int link = traffic.knownLinkNumber(incarnation, to);
                     time.after(
                             LINK_LATENCY_MILLISECONDS,
                             () -> peer.loop.run(() -> {
-                                // Frames that the peer has not read when their link closes are lost.
+                                // Frames over a closed link, and those not read when it closes, are lost.
                                 if (peers.contains(peer) && link == traffic.linkNumber(from.incarnation(), to)) {
                                     peer.handleReceived(from, bytes);
                                 }
