--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -93,7 +93,9 @@
         }
     }
 
-    /** Handles the report of a queued or active run: stops one whose task is done or sent again under a later number. */
+    /**
+     * Handles the report of a queued or active run: stops one whose task is done or sent again under a later number.
+     */
     private void handleActive(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         if (isCurrent) {
             return;
@@ -111,8 +113,8 @@
                         task.phase(),
                         EventKey.BEFORE,
                         task.currentRun());
-        boolean givenUp =
-                report.run().number() <= task.currentRun().number() && !task.job().isRecovering();
+        boolean givenUp = report.run().number() <= task.currentRun().number()
+                && !task.job().isRecovering();
         if (givenUp || task.isIn(OwnedTask.Phase.DONE)) {
             sidecars.withdraw(report.run(), incarnation, "superseded");
         }
