Give every write of a job its outcome although a receiver of another one fails

What happened: an unexpected exception in the receiver of one outcome kept the outcomes from the other writes of the same transaction. A job whose write or adoption got none waited for it for good: no later write of it is made, and its end is never shown.

Fix: JobWriter gives all writes of a transaction their outcomes, sends the next transaction, and only then lets the exceptions through to the loop, which logs them as before.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/JobWriter.java
@@ -9,11 +9,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Writer of jobs to the store. The tables are divided into parts (partitions), and each job belongs to one of them.
@@ -278,23 +281,25 @@
                 case WriteOutcome.Committed committed -> {
                     backoff.reset();
                     storeFailingSince = Long.MAX_VALUE;
-                    batch.forEach(pending -> pending.receiver.accept(new Result.Stored(committed.version())));
-                    sendNextBatch();
+                    try {
+                        deliver(batch, pending -> new Result.Stored(committed.version()));
+                    } finally {
+                        sendNextBatch();
+                    }
                 }
                 case WriteOutcome.Conflicted conflicted -> {
                     backoff.reset();
                     storeFailingSince = Long.MAX_VALUE;
-                    resolveConflict(batch, conflicted.current());
-                    sendNextBatch();
+                    try {
+                        resolveConflict(batch, conflicted.current());
+                    } finally {
+                        sendNextBatch();
+                    }
                 }
                 case WriteOutcome.Refused refused -> {
                     recordFailure(EventName.STORE_REFUSED, refused.reason(), batch.size());
-                    List<PendingWrite> expired = new ArrayList<>();
-                    List<PendingWrite> retried = new ArrayList<>();
-                    batch.forEach(pending -> (isExpired(pending) ? expired : retried).add(pending));
-                    requeue(retried);
+                    requeue(batch);
                     scheduleRetry(refused.reason());
-                    expired.forEach(pending -> pending.receiver.accept(new Result.Refused(refused.reason())));
                     refuseExpired(refused.reason());
                 }
                 case WriteOutcome.Unconfirmed unconfirmed -> {
@@ -331,7 +336,24 @@
             List<PendingWrite> expired =
                     waiting.stream().filter(this::isExpired).toList();
             waiting.removeAll(expired);
-            expired.forEach(pending -> pending.receiver.accept(new Result.Refused(reason)));
+            deliver(expired, pending -> new Result.Refused(reason));
+        }
+
+        /** Gives each write its outcome, and then throws the exceptions of the receivers. */
+        private void deliver(Collection<PendingWrite> writes, Function<PendingWrite, Result> outcomes) {
+            List<RuntimeException> failures = new ArrayList<>();
+            for (PendingWrite pending : writes) {
+                try {
+                    pending.receiver.accept(outcomes.apply(pending));
+                } catch (RuntimeException e) {
+                    failures.add(e);
+                }
+            }
+            if (!failures.isEmpty()) {
+                RuntimeException first = failures.removeFirst();
+                failures.forEach(first::addSuppressed);
+                throw first;
+            }
         }
 
         private void recordFailure(EventName event, String reason, int writes) {
@@ -355,7 +377,7 @@
             Map<RecordKey, StoredRecord> known = new HashMap<>();
             current.forEach(stored -> known.put(stored.key(), stored));
             List<PendingWrite> retried = new ArrayList<>();
-            List<Runnable> notifications = new ArrayList<>();
+            Map<PendingWrite, Result> results = new LinkedHashMap<>();
             for (PendingWrite pending : batch) {
                 StoredRecord open = known.get(new RecordKey(OPEN_TABLE, part, pending.job));
                 StoredRecord closed = known.get(new RecordKey(CLOSED_TABLE, part, pending.job));
@@ -365,13 +387,13 @@
                 } else if (pending.openRecord != null
                         && open != null
                         && Arrays.equals(open.value(), pending.openRecord)) {
-                    notifications.add(() -> pending.receiver.accept(new Result.Stored(version)));
+                    results.put(pending, new Result.Stored(version));
                 } else {
-                    notifications.add(() -> pending.receiver.accept(new Result.Conflicted(open, closed)));
+                    results.put(pending, new Result.Conflicted(open, closed));
                 }
             }
             requeue(retried);
-            notifications.forEach(Runnable::run);
+            deliver(results.keySet(), results::get);
         }
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/JobWriteRetryTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/JobWriteRetryTest.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that writes of jobs press a busy store less and less, and are all made once it serves again. */
@@ -102,6 +104,46 @@
         assertTrue(writes <= MAXIMUM_ATTEMPTS, () -> writes + " writes");
     }
 
+    /** Guards against an unexpected exception that keeps the outcome from the other writes of the transaction. */
+    @ParameterizedTest
+    @EnumSource(
+            value = MemoryStore.Fault.class,
+            names = {"NONE", "BUSY", "ANSWERS_LOST"})
+    void everyWriteHasOneOutcomeAlthoughAReceiverFails(MemoryStore.Fault fault) {
+        VirtualTime time = new VirtualTime();
+        VirtualLoop loop = new VirtualLoop(time, "entry");
+        MemoryStore store = new MemoryStore(time);
+        store.setFault(fault);
+        time.after(BUSY_MILLISECONDS, () -> store.setFault(MemoryStore.Fault.NONE));
+        JobWriter writer = new JobWriter(store.viewFor(loop), loop, new StoreRetryBudget(loop, "entry"));
+        List<Integer> outcomes = new ArrayList<>();
+        for (int number = 0; number < JOBS; number++) {
+            int job = number;
+            writer.insert("job-" + job, RECORD, result -> {
+                outcomes.add(job);
+                if (job % 2 == 0) {
+                    throw new IllegalStateException("receiver of " + job);
+                }
+            });
+        }
+        List<IllegalStateException> failures = new ArrayList<>();
+        while (time.now() < 2 * BUSY_MILLISECONDS) {
+            try {
+                time.runUntil(2 * BUSY_MILLISECONDS);
+            } catch (IllegalStateException e) { // A process logs it, and goes on.
+                failures.add(e);
+            }
+        }
+        assertEquals(
+                JOBS / 2,
+                failures.stream()
+                        .mapToInt(failure -> 1 + failure.getSuppressed().length)
+                        .sum());
+        assertEquals(
+                IntStream.range(0, JOBS).boxed().toList(),
+                outcomes.stream().sorted().toList());
+    }
+
     /** A store that closes each connection after the request is pressed less and less too, and no write is lost. */
     @Test
     void closedConnectionsAreRetriedWithDelay() {
