Compute leases from a fresh reading of the upstream's clock

A sidecar whose upstream was idle reads no clock. After 40 s the estimate of a clock that is two percent slow is 800 ms too high; the first start requested a lease that much longer, and each later order repeated that expiry on the upstream's clock, so that for about a second the lease of the upstream was not limited to those of the runs. A lost entry's runs went on past the caller's next attempt if their sidecars were killed or frozen, or stops were late.

The requested expiry is kept on the loop's clock, and translated for each order. Starts wait for a reading that is less than a second old; a hold that doesn't wait fetches it.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -169,6 +169,9 @@
     }
 
     private long waitMilliseconds(long now) {
+        if (!state.isClockRead()) {
+            return 0; // starts wait for the reading
+        }
         return answerTimeout.isSilenceRecent(now)
                 ? Math.min(SHORT_HOLD_WAIT_MILLISECONDS, timings.holdWaitMilliseconds())
                 : timings.holdWaitMilliseconds();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StartOrders.java
@@ -78,12 +78,17 @@
     /** Starts queued runs in the order of their latest start, as far as resources allow. */
     void startQueued() {
         if (!handler.isUsable()
-                || !state.isClockKnown()
                 || loop.monotonicMilliseconds() < pausedUntil
                 || registry.hasRunOfUnknownNeed()
                 || !state.isLeaseAvailable()) {
             return;
         }
+        if (!state.isClockRead()) {
+            if (!registry.queuedRuns().isEmpty()) {
+                holdCycle.startHold(); // its answer starts them
+            }
+            return;
+        }
         List<LocalRun> fitting = new ArrayList<>();
         Resources free = state.capacity().minus(registry.reservedResources());
         for (LocalRun run : registry.queuedRuns()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamClock.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamClock.java
@@ -33,6 +33,11 @@
         return known;
     }
 
+    /** Returns whether the clock is known from a reading at a time of the local clock or later. */
+    boolean isReadSince(long time) {
+        return known && lastReadingAt >= time;
+    }
+
     void forget() {
         known = false;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -241,9 +241,13 @@
 
     @Override
     public void clockRead(long reading) {
+        boolean wasRead = state.isClockRead();
         if (state.readClock(reading)) {
             listener.processSuspended();
         }
+        if (!wasRead) {
+            startQueued(); // starts wait for a reading
+        }
     }
 
     private void expireRuns(Predicate<LocalRun> selected, String cause) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -17,6 +17,12 @@
     /** Number of fencing tokens that this process can assign itself between two registrations in the store. */
     private static final long FENCE_TOKENS_PER_REGISTRATION = 1_000;
 
+    /**
+     * Maximum age of a reading of the upstream's clock from which a lease is computed, in milliseconds: that clock may
+     * be two percent slow, so that the lease would end later than intended.
+     */
+    private static final long MAXIMUM_CLOCK_AGE_MILLISECONDS = 1_000;
+
     private final DecisionLoop loop;
     private final long leaseMilliseconds;
     /** Returns up to when the upstream's lease may be extended, in milliseconds of the loop's clock. */
@@ -38,14 +44,20 @@
     /** Whether orders address any upstream that answers, because a different one than the known one has answered. */
     private boolean addressAnyUpstream;
 
-    /** Latest expiry of the upstream's lease that was requested, on the upstream's clock. */
-    private long requestedLeaseExpiry;
+    /** Latest expiry of the upstream's lease that was requested, in milliseconds of the loop's clock. */
+    private long requestedLeaseExpiry = Long.MIN_VALUE / 2;
 
     private long fenceToken;
     /** Fencing token of the last listing; 0 if the known incarnation has not been listed. */
     private long lastListingFenceToken;
 
-    /** Creates the state of an unknown upstream, whose lease is extended by at most a time, and up to a time. */
+    /**
+     * Creates the state of an unknown upstream.
+     *
+     * @param loop the loop on which all calls are made
+     * @param leaseMilliseconds maximum lease that the upstream grants, in milliseconds
+     * @param latestLeaseExpiry supplies the time up to which its lease may be extended, on the loop's clock
+     */
     UpstreamState(DecisionLoop loop, long leaseMilliseconds, LongSupplier latestLeaseExpiry) {
         this.loop = loop;
         this.leaseMilliseconds = leaseMilliseconds;
@@ -193,7 +205,7 @@
         startEpochMilliseconds = senderStartEpochMilliseconds;
         if (wasKnown) {
             clock.forget();
-            requestedLeaseExpiry = 0;
+            requestedLeaseExpiry = Long.MIN_VALUE / 2;
             if (fenceToken > 0) {
                 raiseFenceToken("upstream-reborn");
             }
@@ -202,8 +214,9 @@
         return wasKnown;
     }
 
-    boolean isClockKnown() {
-        return clock.isKnown();
+    /** Returns whether the upstream's clock was read so lately that a lease can be computed from it. */
+    boolean isClockRead() {
+        return clock.isReadSince(loop.monotonicMilliseconds() - MAXIMUM_CLOCK_AGE_MILLISECONDS);
     }
 
     /** Records a reading of the upstream's clock; returns true if this process must have been suspended. */
@@ -220,23 +233,26 @@
      * An order that may not extend the lease repeats the expiry that was requested before, unless it has passed.
      */
     Order leaseOrder() {
-        long expiry = 0;
-        if (clock.isKnown()) {
-            long now = loop.monotonicMilliseconds();
-            long estimate = clock.estimate(now);
-            long extension = Math.min(leaseMilliseconds, latestLeaseExpiry.getAsLong() - now);
-            if (extension > 0) {
-                requestedLeaseExpiry = Math.max(requestedLeaseExpiry, estimate + extension);
-            }
-            expiry = requestedLeaseExpiry > estimate ? requestedLeaseExpiry : 0;
-        }
-        return new Order(addressAnyUpstream ? "" : identity, fenceToken, expiry);
+        long now = loop.monotonicMilliseconds();
+        requestedLeaseExpiry =
+                Math.max(requestedLeaseExpiry, Math.min(now + leaseMilliseconds, latestLeaseExpiry.getAsLong()));
+        long remaining = remainingLeaseMilliseconds();
+        return new Order(
+                addressAnyUpstream ? "" : identity,
+                fenceToken,
+                clock.isKnown() && remaining > 0 ? clock.estimate(now) + remaining : 0);
     }
 
     /** Returns whether an order can carry a lease that has not expired. */
     boolean isLeaseAvailable() {
-        long now = loop.monotonicMilliseconds();
-        return latestLeaseExpiry.getAsLong() > now || requestedLeaseExpiry > clock.estimate(now);
+        return latestLeaseExpiry.getAsLong() > loop.monotonicMilliseconds() || remainingLeaseMilliseconds() > 0;
+    }
+
+    /**
+     * Returns how long the lease that was requested last is still valid, in milliseconds; not positive if it is not.
+     */
+    long remainingLeaseMilliseconds() {
+        return requestedLeaseExpiry - loop.monotonicMilliseconds();
     }
 
     /** Returns the common fields of an order that extends no lease. */
