Extend a limited lease as soon as the limit is lifted, and stop silent owners' runs on time

A hold waits up to 250 ms. While the lease of the upstream is limited, by a run that is not claimed yet or an owner that answers late, a claim or renewal took effect only after that wait, and the upstream's lease expired for all runs. A hold now waits at most a third of the lease that is left. A found run waits 150 ms for its claim, so that one whose owner is lost doesn't hold up the others.

A slow owner's lease ran out although it answered: its age is that of the last answered request, and requests came each 300 to 400 ms. An owner that hasn't answered the last one is asked again after 100 ms. Transient runs start only with 250 ms of their lease left; below, they were started and stopped in turn.

Of two leases that expired between two checks only the first was ended in time; the check is scheduled for each.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -15,8 +15,9 @@
 
 /**
  * Sequence of hold requests to the upstream, one at a time but for listings under a raised fencing token. A hold
- * request extends the lease of all active runs and acknowledges completions of runs, which the upstream then discards.
- * It waits for new completions, and is answered with a listing of the upstream's runs.
+ * request extends the lease of all active runs, as far as each may continue, and acknowledges completions of runs,
+ * which the upstream then discards. It waits for new completions, and is answered with a listing of the upstream's
+ * runs.
  *
  * <p>Each request carries a fencing token, a number that this process raises; the upstream refuses lower numbers than
  * it has seen.
@@ -36,6 +37,8 @@
      * a hold stays unanswered, which is found out only after its wait.
      */
     private static final long SHORT_HOLD_WAIT_MILLISECONDS = 30;
+    /** Minimum number of waits of hold requests, one after the other, within the lease that was requested last. */
+    private static final long HOLD_WAITS_PER_LEASE = 3;
     /** Maximum percentage by which the upstream's clock is slower than the local one. */
     private static final long CLOCK_DRIFT_PERCENT = 2;
     /**
@@ -172,9 +175,13 @@
         if (!state.isClockRead()) {
             return 0; // starts wait for the reading
         }
-        return answerTimeout.isSilenceRecent(now)
-                ? Math.min(SHORT_HOLD_WAIT_MILLISECONDS, timings.holdWaitMilliseconds())
-                : timings.holdWaitMilliseconds();
+        long shortWait = Math.min(SHORT_HOLD_WAIT_MILLISECONDS, timings.holdWaitMilliseconds());
+        if (answerTimeout.isSilenceRecent(now)) {
+            return shortWait;
+        }
+        // A lease that is limited is extended by the first hold after the renewal or claim that lifts the limit.
+        long part = state.remainingLeaseMilliseconds() / HOLD_WAITS_PER_LEASE;
+        return Math.max(shortWait, Math.min(timings.holdWaitMilliseconds(), part));
     }
 
     private void handleAnswer(Hold hold, Answer answer) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
@@ -39,9 +39,9 @@
      * Ends the runs whose lease has expired. If another one expires before the next periodic call, calls itself then:
      * the stop has to be carried out before the lease of the upstream expires for all its runs.
      *
-     * @param nextCallMilliseconds time until the next periodic call, in milliseconds
+     * @param nextCallAt time of the next periodic call, in milliseconds of the loop's clock
      */
-    void endExpiredRuns(long nextCallMilliseconds) {
+    void endExpiredRuns(long nextCallAt) {
         long now = loop.monotonicMilliseconds();
         long nextExpiry = Long.MAX_VALUE;
         for (LocalRun run : List.copyOf(registry.allRuns())) {
@@ -56,8 +56,8 @@
                 nextExpiry = Math.min(nextExpiry, expiry);
             }
         }
-        if (nextExpiry < now + nextCallMilliseconds) {
-            loop.after(nextExpiry - now, () -> endExpiredRuns(/* nextCallMilliseconds= */ 0));
+        if (nextExpiry < nextCallAt) {
+            loop.after(nextExpiry - now, () -> endExpiredRuns(nextCallAt));
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OwnerLease.java
@@ -17,6 +17,9 @@
     /** Maximum number of renewal requests whose send time is kept: far more than can be in flight. */
     private static final long MAXIMUM_PENDING_RENEWALS = 128;
 
+    /** Least time for which the lease on a transient run has to be valid when it starts, in milliseconds. */
+    private static final long LEASE_LEFT_AT_START_MILLISECONDS = 250;
+
     private final String incarnation;
     private final SidecarTimings timings;
     /** Send times of the unanswered renewal requests by their numbers, in milliseconds of the loop's clock. */
@@ -131,14 +134,16 @@
         return knownFree.filter(free::equals).isPresent() && toldWaitingWork == waitingWork;
     }
 
-    /** Returns whether a queued run may start now. */
+    /** Returns whether a queued run may start now, with enough of the lease left for the next renewal. */
     boolean isStartAllowed(LocalRun run, long now) {
-        long leaseMilliseconds = Math.min(
-                timings.ownerLeaseForStartsMilliseconds(),
-                run.isDurable()
-                        ? timings.ownerLeaseOnStoredRunsMilliseconds()
-                        : timings.ownerLeaseOnTransientRunsMilliseconds());
-        return now < (run.isDurable() ? ownershipConfirmedAt : confirmedAt) + leaseMilliseconds;
+        return run.isDurable()
+                ? now < ownershipConfirmedAt + timings.ownerLeaseForStartsMilliseconds()
+                : now
+                        < confirmedAt
+                                + Math.min(
+                                        timings.ownerLeaseForStartsMilliseconds(),
+                                        timings.ownerLeaseOnTransientRunsMilliseconds()
+                                                - LEASE_LEFT_AT_START_MILLISECONDS);
     }
 
     void recordRenewalRequest(long number, long requestedAt) {
@@ -147,6 +152,11 @@
         renewalRequestedAt.keySet().removeIf(pending -> pending <= number - MAXIMUM_PENDING_RENEWALS);
     }
 
+    /** Returns whether the last request for a renewal has not been answered. */
+    boolean isAnswerOutstanding() {
+        return confirmedAt < lastRenewalRequestedAt;
+    }
+
     /** Returns when a renewal was last requested, in milliseconds of the loop's clock; far in the past if never. */
     long lastRenewalRequestedAt() {
         return lastRenewalRequestedAt;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
@@ -24,7 +24,7 @@
      * Time for which a run of an earlier incarnation of this process waits to be claimed, in milliseconds: its owner
      * claims it as soon as it has received the first inventory.
      */
-    private static final long CLAIM_MILLISECONDS = 300;
+    private static final long CLAIM_MILLISECONDS = 150;
 
     private static final long EXPIRED = Long.MIN_VALUE / 2;
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -306,7 +306,7 @@
 
     private void tick() {
         loop.after(LEASE_CHECK_MILLISECONDS, this::tick);
-        leaseExpiry.endExpiredRuns(LEASE_CHECK_MILLISECONDS);
+        leaseExpiry.endExpiredRuns(loop.monotonicMilliseconds() + LEASE_CHECK_MILLISECONDS);
         forgetSilentOwners();
         returnRunsOfEvacuatedZone();
         unclaimedRuns.retainCompletionsLocally();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -38,6 +38,9 @@
      */
     private static final long EARLY_RENEWAL_DIVISOR = 3;
 
+    /** Divisor of the interval of renewal requests to an owner of runs that has not answered the last one. */
+    private static final long UNANSWERED_RENEWAL_DIVISOR = 3;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final DecisionLoop loop;
@@ -150,6 +153,10 @@
     }
 
     private long renewalIntervalMilliseconds(OwnerLease owner, Set<String> ownersOfRuns) {
+        // The lease counts from the request that is answered, so that of a slow entry must not be an old one.
+        if (ownersOfRuns.contains(owner.incarnation()) && owner.isAnswerOutstanding()) {
+            return timings.statusIntervalMilliseconds() / UNANSWERED_RENEWAL_DIVISOR;
+        }
         return ownersOfRuns.contains(owner.incarnation())
                 ? timings.statusIntervalMilliseconds()
                 : SidecarTimings.IDLE_STATUS_INTERVAL_MILLISECONDS;
