--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
@@ -62,7 +62,11 @@
     }
 
     private void end(LocalRun run, long now) {
-        String cause = run.claim() instanceof RunClaim.Found ? "unclaimed" : "owner-silent";
+        String cause = switch (run.claim()) {
+            case RunClaim.Held held -> "owner-silent";
+            case RunClaim.Expiring expiring -> "claim-ended";
+            case RunClaim.Found found -> "not-claimed";
+        };
         OwnerLease owner = owners.get(run.owner());
         loop.log()
                 .event(
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunClaim.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunClaim.java
@@ -8,9 +8,10 @@
  * <caption>Transitions</caption>
  * <tr><th>event</th><th>claim afterwards</th></tr>
  * <tr><td>an entry dispatches the run over its present link</td><td>{@link Held}</td></tr>
- * <tr><td>the owner opens another link</td><td>{@link Left}, until its lease expires</td></tr>
- * <tr><td>the owner is lost, the job is stored</td><td>{@link Left}, for the time of an adoption</td></tr>
- * <tr><td>the upstream lists a run that this process did not start</td><td>{@link Found}</td></tr>
+ * <tr><td>the owner opens another link</td><td>{@link Expiring}, until its lease expires</td></tr>
+ * <tr><td>the owner is lost, the job is stored</td><td>{@link Expiring}, for the time of an adoption</td></tr>
+ * <tr><td>this process was suspended</td><td>an {@link Expiring} one has expired</td></tr>
+ * <tr><td>the upstream lists a run that this process does not know</td><td>{@link Found}</td></tr>
  * </table>
  */
 sealed interface RunClaim {
@@ -23,11 +24,11 @@
      *
      * @param continuesUntil time until which the run may continue, in milliseconds of the loop's clock
      */
-    record Left(long continuesUntil) implements RunClaim {}
+    record Expiring(long continuesUntil) implements RunClaim {}
 
     /**
-     * The run was started by an earlier incarnation of this process. When its owner was heard of last is unknown, so
-     * the lease of the upstream is not extended for it.
+     * The upstream lists the run, and this process does not know it: an earlier incarnation started it, or it counted
+     * as ended. When its owner was heard of last is unknown, so the lease of the upstream is not extended for it.
      *
      * @param claimExpectedBy time at which the run is stopped, in milliseconds of the loop's clock
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
@@ -45,7 +45,7 @@
         return switch (run.claim()) {
             case RunClaim.Held held ->
                 owners.containsKey(run.owner()) ? owners.get(run.owner()).expiryFor(run) : EXPIRED;
-            case RunClaim.Left left -> left.continuesUntil();
+            case RunClaim.Expiring expiring -> expiring.continuesUntil();
             case RunClaim.Found found -> found.claimExpectedBy();
         };
     }
@@ -83,18 +83,18 @@
             if (run.owner().equals(owner.incarnation())
                     && !run.isInPhase(Phase.ENDED)
                     && run.claim() instanceof RunClaim.Held) {
-                leave(run, expiryOf(run), "link-opened");
+                endClaim(run, expiryOf(run), "link-opened");
             }
         }
     }
 
     /** Ends the claim of a lost owner on a run of a stored job, which another entry claims if it adopts the job. */
     void endClaimOfLostOwner(LocalRun run) {
-        leave(run, loop.monotonicMilliseconds() + timings.ownerLeaseOnStoredRunsMilliseconds(), "owner-lost");
+        endClaim(run, loop.monotonicMilliseconds() + timings.ownerLeaseOnStoredRunsMilliseconds(), "owner-lost");
     }
 
-    private void leave(LocalRun run, long continuesUntil, String cause) {
-        run.setClaim(new RunClaim.Left(continuesUntil));
+    private void endClaim(LocalRun run, long continuesUntil, String cause) {
+        run.setClaim(new RunClaim.Expiring(continuesUntil));
         loop.log()
                 .event(
                         EventName.CLAIM_ENDED,
@@ -121,8 +121,8 @@
     void expireAll() {
         owners.values().forEach(OwnerLease::expire);
         for (LocalRun run : List.copyOf(registry.allRuns())) {
-            if (run.claim() instanceof RunClaim.Left) {
-                run.setClaim(new RunClaim.Left(EXPIRED));
+            if (run.claim() instanceof RunClaim.Expiring) {
+                run.setClaim(new RunClaim.Expiring(EXPIRED));
             }
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
@@ -8,7 +8,7 @@
  *
  * @param upstreamLeaseMilliseconds maximum time for which the upstream executes runs without a request from the sidecar
  * @param holdWaitMilliseconds maximum wait of a hold request, which extends the upstream's lease; well below that
- *     lease, which then does not expire when one answer is lost
+ *     lease, which then does not expire when one answer is lost, unless it is limited by the lease of an owner
  * @param answerTimeoutMilliseconds time after which an order counts as unanswered
  * @param ownerLeaseForStartsMilliseconds how long after its owner's last confirmation a queued run may still start
  * @param ownerLeaseOnStoredRunsMilliseconds how long after the owner's last confirmation runs of stored jobs continue;
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/UnclaimedRunsTest.java
@@ -41,7 +41,7 @@
         }
         registry.addDiscovered(
                 new RunIdentity(new TaskIdentity("job", 0, 0, 0), /* number= */ 1),
-                new RunClaim.Left(Long.MAX_VALUE),
+                new RunClaim.Expiring(Long.MAX_VALUE),
                 loop.monotonicMilliseconds());
         UnclaimedRuns unclaimed = new UnclaimedRuns(
                 loop, (entry, frame) -> questionCounts.merge(entry, 1, Integer::sum), registry, owners);
