--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInDeployment.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInDeployment.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,19 +27,23 @@
  * submissions; a sidecar runs beside each executor. The names and units of the settings are the platform's.
  */
 final class StandInDeployment implements AutoCloseable {
-    private static final String HOST = "jobs.example";
+    /** Host of the queue. */
+    static final String HOST = "jobs.example";
+
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     private final StandInStore store = new StandInStore();
+    private final RunRecord runs = new RunRecord();
     private final List<StandInExecutor> executors = new ArrayList<>();
     /** Command lines of the processes by node, the name of a process, which is also the key of the other maps. */
     private final Map<String, List<String>> commands = new HashMap<>();
 
     private final Map<String, Path> settingsFiles = new HashMap<>();
     private final Map<String, String> callerAddresses = new HashMap<>();
+    private final Map<String, Integer> linkPorts = new HashMap<>();
     private final Map<String, String> metricsAddresses = new HashMap<>();
     private final Map<String, String> announcementAddresses = new HashMap<>();
-    private final Map<String, Process> processes = new HashMap<>();
+    private final Map<String, Process> processes = new ConcurrentHashMap<>();
     /**
      * Sockets that reserve the ports of each process until its first start; without them, the operating system could
      * assign the same port to another listener of this deployment.
@@ -81,6 +86,22 @@
         return store;
     }
 
+    /** Returns the record of the runs of all executors. */
+    RunRecord runs() {
+        return runs;
+    }
+
+    /** Returns the port of an entry for callers. */
+    int callerPort(String node) {
+        String address = callerAddresses.get(node);
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
+    /** Returns the port of a process for links from other processes. */
+    int linkPort(String node) {
+        return linkPorts.get(node);
+    }
+
     /** Returns the executor of the sidecar that was added with this number, counted from 0. */
     StandInExecutor executor(int number) {
         return executors.get(number);
@@ -119,7 +140,7 @@
     void addSidecar(String node, List<String> command, long taskMilliseconds) throws IOException {
         String announcementAddress = "127.0.0.1:" + reservePort(node);
         announcementAddresses.put(node, announcementAddress);
-        StandInExecutor executor = new StandInExecutor("i-" + node, announcementAddress, taskMilliseconds);
+        StandInExecutor executor = new StandInExecutor("i-" + node, announcementAddress, taskMilliseconds, runs);
         executors.add(executor);
         // The address for announcements of the executor.
         addProcess(node, command, "sidecar", Map.of("control", announcementAddress), executor.address());
@@ -133,6 +154,7 @@
         settingsContent.put("zone", zoneOf(node));
         settingsContent.put("ip", "127.0.0.1");
         int port = reservePort(node);
+        linkPorts.put(node, port);
         // A list, of which the process uses the first port.
         settingsContent.put("internalPorts", List.of(port, port));
         settingsContent.put("listen", listen);
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
@@ -24,15 +24,20 @@
 final class StandInExecutor extends StandInHttpServer {
     private static final long MAXIMUM_LEASE_MILLISECONDS = 1_000;
     private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 300;
+    /** Time that a stop takes. */
+    private static final long STOP_MILLISECONDS = 40;
+
+    private static final String DURATION_PREFIX = "work ";
 
     private final String identity;
     private final long taskMilliseconds;
+    private final RunRecord record;
     /** Start time of the executor, in milliseconds since 1970. */
     private final long startMilliseconds = System.currentTimeMillis();
-    /** Start times of the running tasks by task, in milliseconds since the start of the executor. */
-    private final Map<String, Long> runningTasks = new LinkedHashMap<>();
+    /** Running tasks by name. */
+    private final Map<String, Run> runningTasks = new LinkedHashMap<>();
 
-    /** Number of the latest run of each task. */
+    /** Highest number of a run of each task that was started or stopped. */
     private final Map<String, Long> latestRunNumbers = new HashMap<>();
 
     private final Map<String, Integer> startCounts = new HashMap<>();
@@ -49,10 +54,20 @@
     private long heartbeatNumber;
     private volatile boolean closed;
     private volatile boolean failingAllRuns;
+    private volatile long orderDelayMilliseconds;
 
-    StandInExecutor(String identity, String sidecarAddress, long taskMilliseconds) throws IOException {
+    /** Run that has started; times are in milliseconds since the start of the executor. */
+    private record Run(long number, long startMilliseconds, long durationMilliseconds, long stopMilliseconds) {
+        Run stopAt(long milliseconds) {
+            return new Run(number, startMilliseconds, durationMilliseconds, Math.min(stopMilliseconds, milliseconds));
+        }
+    }
+
+    StandInExecutor(String identity, String sidecarAddress, long taskMilliseconds, RunRecord record)
+            throws IOException {
         this.identity = identity;
         this.taskMilliseconds = taskMilliseconds;
+        this.record = record;
         Thread heartbeats = new Thread(() -> sendHeartbeats(sidecarAddress), "heartbeats");
         heartbeats.setDaemon(true);
         heartbeats.start();
@@ -66,6 +81,19 @@
         failingAllRuns = failing;
     }
 
+    /**
+     * Sets the time after which orders to start or stop a run are executed, in milliseconds; those that are executed
+     * late get no answer. 0 executes orders at once.
+     */
+    void setOrderDelay(long milliseconds) {
+        orderDelayMilliseconds = milliseconds;
+    }
+
+    /** Returns a job's specification with which each task takes the given time. */
+    static String specification(long milliseconds) {
+        return DURATION_PREFIX + milliseconds;
+    }
+
     /** Returns how often each task was started at this executor. */
     synchronized Map<String, Integer> startCounts() {
         return Map.copyOf(startCounts);
@@ -118,11 +146,14 @@
     private void completeDueRuns() {
         while (!closed) {
             synchronized (this) {
-                for (Map.Entry<String, Long> run : List.copyOf(runningTasks.entrySet())) {
+                for (Map.Entry<String, Run> entry : List.copyOf(runningTasks.entrySet())) {
+                    Run run = entry.getValue();
                     if (now() > leaseExpiryMilliseconds) {
-                        complete(run.getKey(), "lapsed");
-                    } else if (now() - run.getValue() >= taskMilliseconds) {
-                        complete(run.getKey(), failingAllRuns ? "failed" : "done");
+                        complete(entry.getKey(), "lapsed");
+                    } else if (now() >= run.stopMilliseconds()) {
+                        complete(entry.getKey(), "stopped");
+                    } else if (now() - run.startMilliseconds() >= run.durationMilliseconds()) {
+                        complete(entry.getKey(), failingAllRuns ? "failed" : "done");
                     }
                 }
             }
@@ -131,20 +162,24 @@
     }
 
     private void complete(String task, String outcome) {
-        if (runningTasks.remove(task) != null) {
-            latestCompletionNumber++;
-            // The row consists of the number of the completion, the task, the run number, the outcome and a detail.
-            completions.put(
-                    latestCompletionNumber,
-                    List.of(latestCompletionNumber, task, latestRunNumbers.get(task), outcome, ""));
-            notifyAll();
-        }
+        Run run = runningTasks.remove(task);
+        latestCompletionNumber++;
+        // The row consists of the number of the completion, the task, the run number, the outcome and a detail.
+        completions.put(latestCompletionNumber, List.of(latestCompletionNumber, task, run.number(), outcome, ""));
+        record.end(task, identity, run.number(), outcome);
+        notifyAll();
     }
 
     @Override
-    synchronized Response respond(
-            String method, String path, Map<String, String> query, Map<?, ?> body, HttpExchange exchange)
+    Response respond(String method, String path, Map<String, String> query, Map<?, ?> body, HttpExchange exchange)
             throws InterruptedException {
+        long delay = path.equals("/hold") ? 0 : orderDelayMilliseconds;
+        Thread.sleep(delay);
+        Response response = execute(path, body);
+        return delay == 0 ? response : new Response(0, Map.of());
+    }
+
+    private synchronized Response execute(String path, Map<?, ?> body) throws InterruptedException {
         long token = (long) body.get("fencingToken");
         if (token < highestFencingToken) {
             return refuse("fence");
@@ -152,10 +187,7 @@
         highestFencingToken = token;
         return switch (path) {
             case "/run-start" -> start(body);
-            case "/run-stop" -> {
-                complete((String) body.get("task"), "stopped");
-                yield listRuns();
-            }
+            case "/run-stop" -> stop(body);
             case "/hold" -> hold(body);
             default -> new Response(404, Map.of());
         };
@@ -163,26 +195,45 @@
 
     private Response start(Map<?, ?> body) {
         String task = (String) body.get("task");
-        long run = (long) body.get("run");
+        long number = (long) body.get("run");
         long requestedExpiry = (long) body.get("untilMs");
         if (requestedExpiry <= now()) {
             return refuse("late");
         }
         leaseExpiryMilliseconds =
                 Math.max(leaseExpiryMilliseconds, Math.min(requestedExpiry, now() + MAXIMUM_LEASE_MILLISECONDS));
-        if (latestRunNumbers.getOrDefault(task, 0L) == run && runningTasks.containsKey(task)) {
+        Run present = runningTasks.get(task);
+        if (present != null && present.number() == number) {
             return listRuns();
         }
-        if (run <= latestRunNumbers.getOrDefault(task, 0L)) {
-            // The run number is not new.
+        if (present != null || number <= latestRunNumbers.getOrDefault(task, 0L)) {
+            // Another run of the task is here, or the run number is not new.
             return refuse("old");
         }
-        latestRunNumbers.put(task, run);
-        runningTasks.put(task, now());
+        latestRunNumbers.put(task, number);
+        runningTasks.put(
+                task,
+                new Run(number, now(), duration((String) body.get("spec")), /* stopMilliseconds= */ Long.MAX_VALUE));
+        record.start(task, identity, number);
         startCounts.merge(task, 1, Integer::sum);
         return listRuns();
     }
 
+    private long duration(String specification) {
+        return specification.startsWith(DURATION_PREFIX)
+                ? Long.parseLong(specification.substring(DURATION_PREFIX.length()))
+                : taskMilliseconds;
+    }
+
+    private Response stop(Map<?, ?> body) {
+        String task = (String) body.get("task");
+        long number = (long) body.get("run");
+        latestRunNumbers.merge(task, number, Math::max);
+        runningTasks.computeIfPresent(
+                task, (key, run) -> run.number() <= number ? run.stopAt(now() + STOP_MILLISECONDS) : run);
+        return listRuns();
+    }
+
     private Response hold(Map<?, ?> body) throws InterruptedException {
         // The cursor is the number of the last acknowledged completion.
         completions.headMap((Long) body.get("ackCursor"), true).clear();
@@ -200,8 +251,11 @@
     private Response listRuns() {
         List<Object> runningRows = new ArrayList<>();
         // A row consists of the task, the run number, a text that is not used, and the progress in percent.
-        runningTasks.forEach((task, since) -> runningRows.add(
-                List.of(task, latestRunNumbers.get(task), "", 100 * (now() - since) / Math.max(1, taskMilliseconds))));
+        runningTasks.forEach((task, run) -> runningRows.add(List.of(
+                task,
+                run.number(),
+                "",
+                100 * (now() - run.startMilliseconds()) / Math.max(1, run.durationMilliseconds()))));
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("clockMs", now());
         body.put("born", startMilliseconds);
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInStore.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInStore.java
@@ -1,13 +1,16 @@
 package io.caperturn.fleet.standin;
 
 import com.sun.net.httpserver.HttpExchange;
+import io.caperturn.jobs.message.MemberRecord;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Stand-in of the platform's store: rows with versions, conditional transactions and a feed of changes.
@@ -17,6 +20,8 @@
  */
 final class StandInStore extends StandInHttpServer {
     private static final long RESPONSE_DELAY_MILLISECONDS = 3;
+    /** Table of the records of processes. */
+    private static final String MEMBER_TABLE = "caperturn-members";
 
     /** Rows by the text that {@link #rowKey} returns. */
     private final TreeMap<String, Map<String, Object>> rows = new TreeMap<>();
@@ -27,6 +32,8 @@
     private long version;
     private volatile int refusalStatus;
     private volatile boolean responsesLost;
+    /** Addresses that readers find in the records of processes instead of their own, by the name of the process. */
+    private final Map<String, String> replacedAddresses = new ConcurrentHashMap<>();
 
     StandInStore() throws IOException {}
 
@@ -40,6 +47,35 @@
         responsesLost = lost;
     }
 
+    /** Sets the address that readers find in the record of a process instead of its own, such as that of a proxy. */
+    void replaceAddress(String node, String address) {
+        replacedAddresses.put(node, address);
+    }
+
+    private Map<String, Object> replaceAddressIn(Map<String, Object> row) {
+        String address = replacedAddresses.get((String) row.get("key"));
+        if (address == null || !row.get("table").equals(MEMBER_TABLE) || !(row.get("value") instanceof String value)) {
+            return row;
+        }
+        try {
+            MemberRecord member = MemberRecord.decode(
+                    (String) row.get("key"), Base64.getDecoder().decode(value));
+            byte[] replaced = new MemberRecord(
+                            member.role(),
+                            member.node(),
+                            member.incarnation(),
+                            address,
+                            member.zone(),
+                            member.upstream())
+                    .toBytes();
+            Map<String, Object> copy = new LinkedHashMap<>(row);
+            copy.put("value", Base64.getEncoder().encodeToString(replaced));
+            return copy;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Writes a configuration row as the operator does. */
     void configure(Object configuration) {
         writeOperatorRow("config", configuration);
@@ -164,7 +200,7 @@
                     && row.get("part").equals(query.get("part"))
                     && key.compareTo(firstKey) >= 0
                     && (endKey.isEmpty() || key.compareTo(endKey) < 0)) {
-                found.add(row);
+                found.add(replaceAddressIn(row));
             }
         }
         return createResponse(200, found);
@@ -177,7 +213,7 @@
             List<Object> changes = new ArrayList<>();
             for (Map<String, Object> row : changeHistory) {
                 if (row.get("table").equals(query.get("table")) && (long) row.get("schemaVersion") > after) {
-                    changes.add(row);
+                    changes.add(replaceAddressIn(row));
                 }
             }
             long remainingMilliseconds = (deadlineNanoseconds - System.nanoTime()) / 1_000_000;
