Let entries learn of a caller's reset also while its connection is silent

The disruption ENTRY_SILENT lost the reset of a caller that submitted its job again 1,300 ms later, long before its deadline. No entry can know of that, so that overlaps after it showed no fault. Callers of a silent entry wait until their deadline now; the entry still doesn't see that they close the connection then.

--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/Disruption.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/Disruption.java
@@ -21,13 +21,14 @@
             (deployment, callers, random) -> deployment.restrictLinks(entry(deployment, random), TcpProxy.Flow.NONE)),
     LINKS_ONE_WAY((deployment, callers, random) -> deployment.restrictLinks(
             entry(deployment, random), random.nextBoolean() ? TcpProxy.Flow.TO_TARGET : TcpProxy.Flow.FROM_TARGET)),
-    /** All connections of an entry lose all bytes; the callers reset theirs later. */
+    /**
+     * All connections of an entry lose all bytes. A caller waits until its deadline, which the entry knows; the entry
+     * learns nothing of the end of that connection, but it learns that a caller resets one earlier.
+     */
     ENTRY_SILENT((deployment, callers, random) -> {
         String entry = entry(deployment, random);
-        deployment.restrictCallers(entry, TcpProxy.Flow.NONE);
+        deployment.restrictCallers(entry, TcpProxy.Flow.RESETS_ONLY);
         deployment.restrictLinks(entry, TcpProxy.Flow.NONE);
-        Thread.sleep(random.nextInt(2_000));
-        callers.resetConnections(entry);
     }),
     ENTRY_KILLED((deployment, callers, random) -> deployment.kill(Map.of(entry(deployment, random), downtime(random)))),
     SIDECAR_KILLED(
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/TcpProxy.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/TcpProxy.java
@@ -30,7 +30,9 @@
         TO_TARGET,
         /** Only bytes from the target are passed on, the others are lost. */
         FROM_TARGET,
-        /** All bytes are lost, and neither end learns that the other closes the connection. */
+        /** All bytes are lost, and an end learns that the other resets the connection, but not that it closes it. */
+        RESETS_ONLY,
+        /** All bytes are lost, and neither end learns that the other closes or resets the connection. */
         NONE
     }
 
@@ -118,7 +120,7 @@
                     connections.remove(this);
                 }
             } catch (IOException e) {
-                if (flow == Flow.BOTH_WAYS || flow == direction) {
+                if (flow == Flow.BOTH_WAYS || flow == direction || flow == Flow.RESETS_ONLY) {
                     reset();
                 }
             }
