End a lapsed run at the expiry of its lease also if the stand-in's thread is late

An order that arrives meanwhile can't prolong an expired lease any more, which the stand-in allowed until now.

--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/RunRecord.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/RunRecord.java
@@ -47,11 +47,11 @@
         runsByTask.computeIfAbsent(task, key -> new ArrayList<>()).add(new Run(executor, number, System.nanoTime()));
     }
 
-    /** Records that an executor has ended a run. */
-    synchronized void end(String task, String executor, long number, String outcome) {
+    /** Records that an executor has ended a run, at a time of {@link System#nanoTime}. */
+    synchronized void end(String task, String executor, long number, String outcome, long endNanoseconds) {
         for (Run run : runsByTask.getOrDefault(task, List.of())) {
             if (run.executor.equals(executor) && run.number == number && run.outcome.isEmpty()) {
-                run.endNanoseconds = System.nanoTime();
+                run.endNanoseconds = endNanoseconds;
                 run.outcome = outcome;
             }
         }
--- a/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
+++ b/caperturn-fleet/src/test/java/io/caperturn/fleet/standin/StandInExecutor.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Stand-in of an executor, the process that runs tasks on the orders of a sidecar.
@@ -146,27 +147,37 @@
     private void completeDueRuns() {
         while (!closed) {
             synchronized (this) {
-                for (Map.Entry<String, Run> entry : List.copyOf(runningTasks.entrySet())) {
-                    Run run = entry.getValue();
-                    if (now() > leaseExpiryMilliseconds) {
-                        complete(entry.getKey(), "lapsed");
-                    } else if (now() >= run.stopMilliseconds()) {
-                        complete(entry.getKey(), "stopped");
-                    } else if (now() - run.startMilliseconds() >= run.durationMilliseconds()) {
-                        complete(entry.getKey(), failingAllRuns ? "failed" : "done");
-                    }
-                }
+                endDueRuns();
             }
             sleep(2);
         }
     }
 
-    private void complete(String task, String outcome) {
+    /**
+     * Ends the runs whose time has come; called before each order too, so that an order never prolongs a lease that has
+     * expired. A run that lapses ends at the expiry of the lease, however late this thread gets to it.
+     */
+    private void endDueRuns() {
+        long now = now();
+        for (Map.Entry<String, Run> entry : List.copyOf(runningTasks.entrySet())) {
+            Run run = entry.getValue();
+            if (now > leaseExpiryMilliseconds) {
+                complete(entry.getKey(), "lapsed", leaseExpiryMilliseconds + 1);
+            } else if (now >= run.stopMilliseconds()) {
+                complete(entry.getKey(), "stopped", now);
+            } else if (now - run.startMilliseconds() >= run.durationMilliseconds()) {
+                complete(entry.getKey(), failingAllRuns ? "failed" : "done", now);
+            }
+        }
+    }
+
+    private void complete(String task, String outcome, long endMilliseconds) {
         Run run = runningTasks.remove(task);
         latestCompletionNumber++;
         // The row consists of the number of the completion, the task, the run number, the outcome and a detail.
         completions.put(latestCompletionNumber, List.of(latestCompletionNumber, task, run.number(), outcome, ""));
-        record.end(task, identity, run.number(), outcome);
+        long lateNanoseconds = TimeUnit.MILLISECONDS.toNanos(Math.max(0, now() - endMilliseconds));
+        record.end(task, identity, run.number(), outcome, System.nanoTime() - lateNanoseconds);
         notifyAll();
     }
 
@@ -180,6 +191,7 @@
     }
 
     private synchronized Response execute(String path, Map<?, ?> body) throws InterruptedException {
+        endDueRuns();
         long token = (long) body.get("fencingToken");
         if (token < highestFencingToken) {
             return refuse("fence");
