--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunLeases.java
@@ -105,7 +105,7 @@
                         EventKey.CAUSE,
                         cause,
                         EventKey.SLACK,
-                        continuesUntil - loop.monotonicMilliseconds());
+                        Math.max(0, continuesUntil - loop.monotonicMilliseconds()));
     }
 
     /**
