Extend no lease by the time for which a sidecar was suspended

After a suspension, during which the clock of the sidecar stands still, an order that may not extend the lease repeated the requested expiry on the loop's clock, translated with the new reading of the upstream's clock: later than was requested, by the time of the suspension. The run of a lost entry went on past the caller's next attempt if the sidecar was killed then. The expiry is kept on both clocks, and the earlier one holds.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -47,6 +47,9 @@
     /** Latest expiry of the upstream's lease that was requested, in milliseconds of the loop's clock. */
     private long requestedLeaseExpiry = Long.MIN_VALUE / 2;
 
+    /** The same expiry as a reading of the upstream's clock, as estimated when it was first requested. */
+    private long requestedExpiryReading;
+
     private long fenceToken;
     /** Fencing token of the last listing; 0 if the known incarnation has not been listed. */
     private long lastListingFenceToken;
@@ -234,13 +237,18 @@
      */
     Order leaseOrder() {
         long now = loop.monotonicMilliseconds();
-        requestedLeaseExpiry =
-                Math.max(requestedLeaseExpiry, Math.min(now + leaseMilliseconds, latestLeaseExpiry.getAsLong()));
-        long remaining = remainingLeaseMilliseconds();
+        long estimate = clock.estimate(now);
+        long latestExpiry = Math.min(now + leaseMilliseconds, latestLeaseExpiry.getAsLong());
+        if (latestExpiry > requestedLeaseExpiry) {
+            requestedLeaseExpiry = latestExpiry;
+            requestedExpiryReading = estimate + latestExpiry - now;
+        }
+        // The reading was too high if the upstream's clock is slow; the present one is if this process was suspended.
+        long expiryReading = Math.min(requestedExpiryReading, estimate + remainingLeaseMilliseconds());
         return new Order(
                 addressAnyUpstream ? "" : identity,
                 fenceToken,
-                clock.isKnown() && remaining > 0 ? clock.estimate(now) + remaining : 0);
+                clock.isKnown() && expiryReading > estimate ? expiryReading : 0);
     }
 
     /** Returns whether an order can carry a lease that has not expired. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittedJobsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ResubmittedJobsTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -185,6 +186,22 @@
         }));
     }
 
+    /** The sidecars are suspended with their clocks when the entry is lost, and killed as soon as they have resumed. */
+    @ParameterizedTest
+    @CsvSource({"400, 40", "400, 300", "500, 260", "500, 300", "600, 280", "700, 40", "700, 260", "700, 300", "800, 10"
+    })
+    void runsOfALostEntryEndInTimeIfTheirSidecarsWereSuspended(long suspensionMilliseconds, long killedAfter) {
+        assertRunsOfALostEntryEndInTime(scene -> {
+            for (int sidecar = 0; sidecar < SIDECARS - 1; sidecar++) {
+                String node = "sidecar-" + sidecar;
+                VirtualLoop suspended = scene.fleet.loop(node);
+                suspended.freeze();
+                scene.fleet.time().after(suspensionMilliseconds, () -> suspended.resume(/* clockStoodStill= */ true));
+                scene.fleet.time().after(suspensionMilliseconds + killedAfter, () -> scene.fleet.kill(node));
+            }
+        });
+    }
+
     /** Orders to stop are carried out late, but holds, which extend the lease, in time. */
     @ParameterizedTest
     @ValueSource(longs = {0, 300, 600, 900})
