--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LeaseExpiry.java
@@ -45,8 +45,7 @@
         long now = loop.monotonicMilliseconds();
         long nextExpiry = Long.MAX_VALUE;
         for (LocalRun run : List.copyOf(registry.allRuns())) {
-            boolean ending = run.isInPhase(Phase.ENDED) || run.isStopRequested();
-            if (ending) {
+            if (run.isInPhase(Phase.ENDED) || run.isStopRequested()) {
                 continue;
             }
             long expiry = leases.expiryOf(run);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarTimings.java
@@ -37,8 +37,8 @@
     /**
      * How long runs of jobs that are not stored continue after their owner's last confirmation, in milliseconds. If the
      * owner is lost, the caller submits such a job again after 1.3 s. The earlier runs must have ended by then also if
-     * they are not stopped but lapse with the lease of the upstream, which expires
-     * {@link RunLeases#STOP_MARGIN_MILLISECONDS} later on a clock that may be slow.
+     * they are not stopped but lapse with the lease of the upstream, which expires a margin later on a clock that may
+     * be slow.
      */
     public static final long OWNER_LEASE_ON_TRANSIENT_RUNS_MILLISECONDS = 950;
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -153,7 +153,7 @@
     }
 
     private long renewalIntervalMilliseconds(OwnerLease owner, Set<String> ownersOfRuns) {
-        // The lease counts from the request that is answered, so that of a slow entry must not be an old one.
+        // A lease counts from the request that is answered, so a slow entry is asked more often.
         if (ownersOfRuns.contains(owner.incarnation()) && owner.isAnswerOutstanding()) {
             return timings.statusIntervalMilliseconds() / UNANSWERED_RENEWAL_DIVISOR;
         }
