Fence only entries that the table of processes proves to be lost, and tell a fenced entry so

Cause: an entry took the owner of a stored job for lost if its own replica of the table of processes lacked it. The replica may be older than the job: the owner had joined since. The entry adopted the job and fenced its living owner at all sidecars. Sidecars never forgot a fence, and ignored what the fenced entry sent without an answer, so it waited for ever.

Change: - An entry writes jobs only once its own record is stored. So an owner is lost if the table lacks it at a version that is not older than the job's record. If the replica is older, the table is read from the store (OwnerVerifier). An entry that isn't registered adopts nothing, or others would take it for lost by the same rule. - A sidecar tells a fenced entry that nothing more is accepted from it: when the fence is set, when it opens a link, and in answer to a dispatch. The entry resigns and starts as another incarnation, to which the fence doesn't apply; its jobs are adopted.

Cost: no frame and no store call in ordinary running; one read of the table of processes for each batch of jobs whose owner is missing in a replica older than the job's record.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -148,6 +148,8 @@
     STORED("stored"),
     /** Table of the store. */
     TABLE("table"),
+    /** Version of the store up to which the table of processes was read. */
+    TABLE_VERSION("tableVersion"),
     /** Number of tasks. */
     TASKS("tasks"),
     /** Time of the line, in milliseconds since 1970. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -102,6 +102,11 @@
     OWNER_ASKED,
     /** A sidecar accepts no more orders from an entry that was declared lost. */
     OWNER_FENCED,
+    /**
+     * An entry read the table of processes, because its replica is older than the record of a job whose owner it lacks,
+     * and found whether that owner is lost.
+     */
+    OWNER_VERIFIED,
     /** A task was dispatched to a sidecar, with the values behind the choice. */
     PLACED,
     /**
@@ -132,7 +137,10 @@
     RELOAD,
     /** Settings could not be reloaded; the previous ones stay in force. */
     RELOAD_FAILED,
-    /** An entry that another entry declared lost gives up its jobs and restarts. */
+    /**
+     * An entry that another entry declared lost gives up its jobs and restarts; it learned of that from the table of
+     * processes, or from a sidecar that accepts nothing more from it.
+     */
     RESIGNED,
     /** A sidecar was sent a run again that it knows, by an entry that is its owner from now on. */
     RUN_CLAIMED,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -249,7 +249,8 @@
 
     /**
      * Order to accept nothing more from a lost entry, sent by the entry that adopts its jobs; answered by
-     * {@link Inventory}.
+     * {@link Inventory}. The sidecar sends it on to the lost entry, if there is a link to it: that entry gives up its
+     * jobs.
      *
      * @param incarnation incarnation of the lost entry
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/AdoptionWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/AdoptionWriter.java
@@ -51,6 +51,7 @@
      * @param version expected version of the stored job
      * @param before record of that version
      * @param policy policy of the job's queue, to be stored with it
+     * @param lost proof that the previous owner is lost
      * @param adopted receives the job if it was adopted
      * @param changed receives the stored job if another write was applied first, and it is unfinished
      */
@@ -59,6 +60,7 @@
             long version,
             JobRecord before,
             QueuePolicy policy,
+            OwnerStanding.Lost lost,
             Consumer<OwnedJob> adopted,
             Consumer<StoredRecord> changed) {
         if (!jobsInProgress.add(identity)) {
@@ -79,7 +81,7 @@
             }
             switch (result) {
                 case JobWriter.Result.Stored stored ->
-                    adopted.accept(restore(identity, before.owner(), after, stored.version()));
+                    adopted.accept(restore(identity, before.owner(), lost, after, stored.version()));
                 case JobWriter.Result.Conflicted conflicted -> {
                     if (conflicted.unfinishedRecord() != null) {
                         changed.accept(conflicted.unfinishedRecord());
@@ -91,7 +93,8 @@
         });
     }
 
-    private OwnedJob restore(String identity, String previousOwner, JobRecord content, long version) {
+    private OwnedJob restore(
+            String identity, String previousOwner, OwnerStanding.Lost lost, JobRecord content, long version) {
         long age = Math.max(0, loop.wallClockMilliseconds() - content.acceptedMilliseconds());
         OwnedJob job = OwnedJob.restore(
                 identity,
@@ -106,6 +109,8 @@
                         identity,
                         EventKey.FROM,
                         previousOwner,
+                        EventKey.TABLE_VERSION,
+                        lost.tableVersion(),
                         EventKey.GENERATION,
                         content.generation(),
                         EventKey.VERSION,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -43,8 +43,10 @@
     private final StoredJobReader storedJobReader;
     private final OrphanedJobAdopter jobAdopter;
     private final JobCancellation cancellation;
+    private final JobLookup lookup;
     private final JobAdmission admission;
     private final WaitingJobCounts waitingJobCounts;
+    private final ReceivedFrames receivedFrames;
     private final EntryTick tick;
     private final PlacementExplainer placementExplainer;
     private RoutingTable routingTable;
@@ -81,6 +83,7 @@
         this.waitingJobCounts = new WaitingJobCounts(loop, jobs);
         this.membership = new ProcessMembership(loop, store, retries, parameters, new MembershipListener());
         this.storedJobReader = new StoredJobReader(loop, store, retries);
+        this.lookup = new JobLookup(jobs, storedJobReader);
         this.cancellation =
                 new JobCancellation(loop, links, parameters, writer, jobs, dispatcher, membership, storedJobReader);
         this.admission = new JobAdmission(loop, writer, dispatcher, membership, jobs, evacuations);
@@ -97,6 +100,15 @@
         this.placementExplainer = new PlacementExplainer(loop, dispatcher, this::assess);
         this.jobAdopter = new OrphanedJobAdopter(
                 loop, storedJobReader, links, parameters, membership, dispatcher, jobs, this::findQueue);
+        this.receivedFrames = new ReceivedFrames(
+                loop,
+                parameters,
+                membership,
+                dispatcher,
+                jobAdopter,
+                cancellation,
+                waitingJobCounts,
+                sidecar -> resign("fenced", sidecar));
     }
 
     /** Registers this entry, starts to follow the stored table of processes, and starts the periodic checks. */
@@ -225,15 +237,7 @@
      * @param receiver receiver of the answer
      */
     public void lookUpState(String identity, Consumer<CallerAnswers.Lookup> receiver) {
-        OwnedJob job = jobs.find(identity);
-        JobState finalState = jobs.findFinalState(identity);
-        if (job != null) {
-            receiver.accept(new CallerAnswers.Lookup.Found(job.state()));
-        } else if (finalState != null) {
-            receiver.accept(new CallerAnswers.Lookup.Found(finalState));
-        } else {
-            storedJobReader.read(identity, (openRecord, answer) -> receiver.accept(answer));
-        }
+        lookup.find(identity, receiver);
     }
 
     /**
@@ -318,24 +322,27 @@
             return;
         }
         membership.recordContact(from.node());
-        String incarnation = from.incarnation();
-        switch (frame) {
-            case JobFrame.Status status ->
-                dispatcher.handleStatus(incarnation, status, membership.hasConfirmedMembership());
-            case JobFrame.Report report -> dispatcher.handleReport(incarnation, report);
-            case JobFrame.Inventory inventory -> {
-                jobAdopter.handleInventory(incarnation, inventory);
-                if (inventory.fenced().isEmpty()) { // not sent for the recovery of a lost entry
-                    dispatcher.handleInventory(incarnation, inventory);
-                }
-            }
-            case JobFrame.Unclaimed unclaimed ->
-                unclaimed.jobs().forEach(job -> jobAdopter.handleUnclaimed(incarnation, job)); // without owner
-            case JobFrame.EntryState state -> waitingJobCounts.updatePeer(incarnation, state.waitingJobs());
-            case JobFrame.Slowdowns slowdowns -> dispatcher.handleSlowdowns(incarnation, slowdowns);
-            case JobFrame.CancelJob cancel -> cancellation.cancelForPeer(cancel.job());
-            default -> loop.log().event(EventName.FRAME_UNEXPECTED, EventKey.FROM, incarnation, EventKey.FRAME, frame);
-        }
+        receivedFrames.handle(from.incarnation(), frame);
+    }
+
+    /** Gives up all jobs, which other entries adopt, and lets the host start this entry anew; logs why. */
+    private void resign(String cause, String toldBy) {
+        stopped = true;
+        tick.stop();
+        jobAdopter.stop();
+        membership.stop();
+        loop.log()
+                .event(
+                        EventName.RESIGNED,
+                        EventKey.INCARNATION,
+                        parameters.incarnation(),
+                        EventKey.CAUSE,
+                        cause,
+                        EventKey.FROM,
+                        toldBy);
+        jobs.clear();
+        dispatcher.clear();
+        host.handleDeclaredLost();
     }
 
     private final class JobListener implements OwnedJobRepository.Listener {
@@ -385,14 +392,7 @@
 
         @Override
         public void handleDeclaredLost() {
-            stopped = true;
-            tick.stop();
-            jobAdopter.stop();
-            membership.stop();
-            loop.log().event(EventName.RESIGNED, EventKey.INCARNATION, parameters.incarnation());
-            jobs.clear();
-            dispatcher.clear();
-            host.handleDeclaredLost();
+            resign("removed", ProcessRegistration.MEMBER_TABLE);
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -167,7 +167,7 @@
      * answer makes the job an owned one, or was read before the job finished.
      */
     void adoptIfEligible(String identity, StoredRecord openRecord) {
-        if (stopped || jobs.find(identity) != null || jobs.isBecomingOwner(identity)) {
+        if (!mayAdopt(identity)) {
             return;
         }
         JobRecord content;
@@ -177,10 +177,28 @@
             storedJobReader.handleUnreadable(openRecord, e);
             return;
         }
-        boolean ownedHere = content.owner().equals(parameters.incarnation());
-        if (ownedHere || membership.isMember(content.owner()) || !isAssignedHere(identity)) {
-            return;
+        if (!content.owner().equals(parameters.incarnation())) {
+            membership.verifyOwner(content.owner(), openRecord.version(), standing -> {
+                if (standing instanceof OwnerStanding.Lost lost && mayAdopt(identity)) {
+                    adopt(identity, openRecord.version(), content, lost);
+                }
+            });
         }
+    }
+
+    /**
+     * Returns whether this entry may adopt a job if the owner is lost. An entry whose own record is not stored yet
+     * would be taken for lost itself.
+     */
+    private boolean mayAdopt(String identity) {
+        return !stopped
+                && membership.isRegistered()
+                && jobs.find(identity) == null
+                && !jobs.isBecomingOwner(identity)
+                && isAssignedHere(identity);
+    }
+
+    private void adopt(String identity, long version, JobRecord content, OwnerStanding.Lost lost) {
         QueuePolicy policy = policyByQueueName.apply(content.plan().queue()).orElse(null);
         if (policy == null) {
             policy = content.policy(); // as stored with the job
@@ -193,7 +211,7 @@
                             content.plan().queue());
         }
         LostEntryRecovery recovery = recoveries.computeIfAbsent(content.owner(), this::startRecovery);
-        jobs.adopt(identity, openRecord.version(), content, policy, recovery::addJob);
+        jobs.adopt(identity, version, content, policy, lost, recovery::addJob);
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -236,12 +236,19 @@
      * Stores this entry as the next owner of a job, in the next generation; calls the receiver if that succeeds. A job
      * that was changed meanwhile is reported as found, unless it is finished.
      */
-    void adopt(String identity, long version, JobRecord before, QueuePolicy policy, Consumer<OwnedJob> receiver) {
+    void adopt(
+            String identity,
+            long version,
+            JobRecord before,
+            QueuePolicy policy,
+            OwnerStanding.Lost lost,
+            Consumer<OwnedJob> receiver) {
         adoptions.adopt(
                 identity,
                 version,
                 before,
                 policy,
+                lost,
                 job -> {
                     ownedJobs.put(identity, job);
                     receiver.accept(job);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
@@ -64,6 +64,7 @@
     private final StoreRetryBudget retries;
     private final TableFollower tableFollower;
     private final MemberRemoval removal;
+    private final OwnerVerifier ownerVerifier;
     private final Map<String, Member> members = new HashMap<>();
     /** Incarnations to which a link is open; some may not be in the table yet. */
     private final Set<String> linkedIncarnations = new HashSet<>();
@@ -90,6 +91,7 @@
                 FollowPace.gathering(LONGEST_FOLLOW_PAUSE_MILLISECONDS, FOLLOW_WAIT_MILLISECONDS),
                 retries);
         this.removal = new MemberRemoval(loop, store, retries, parameters.node(), tableFollower::hasten);
+        this.ownerVerifier = new OwnerVerifier(loop, store, retries, this);
     }
 
     /** Listener for changes of the table of processes. */
@@ -145,6 +147,7 @@
     /** Stops following the table, and reports no further loss of this entry. */
     void stop() {
         leaving = true;
+        ownerVerifier.stop();
         tableFollower.stop();
     }
 
@@ -263,6 +266,23 @@
                 .anyMatch(member -> member.content.incarnation().equals(incarnation));
     }
 
+    /** Returns the version of the store up to which the changes of the table are known; 0 before the first read. */
+    long tableVersion() {
+        return tableFollower.replicaVersion();
+    }
+
+    /**
+     * Verifies whether the owner that the record of a stored job names is lost, at once if the replica of the table
+     * suffices.
+     *
+     * @param owner incarnation of the owner
+     * @param recordVersion version of the job's record
+     * @param receiver receives the standing of the owner, unless this entry stops before it is known
+     */
+    void verifyOwner(String owner, long recordVersion, Consumer<OwnerStanding> receiver) {
+        ownerVerifier.verify(owner, recordVersion, receiver);
+    }
+
     Collection<MemberRecord> membersWithRole(ProcessRole role) {
         return members.values().stream()
                 .map(member -> member.content)
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/record/TableFollower.java
@@ -107,6 +107,15 @@
         return lastAnswerAt;
     }
 
+    /**
+     * Returns the version of the store up to which the replica is complete.
+     *
+     * @return the version, or 0 before the first read has ended
+     */
+    public long replicaVersion() {
+        return replicaVersion;
+    }
+
     /** Stops following; answers that arrive later are ignored. */
     public void stop() {
         stopped = true;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -72,7 +72,7 @@
         this.upstreamController =
                 new UpstreamController(upstream, loop, timings, registry, leases, new OwnerReporter());
         this.finishedRuns = new FinishedRuns(registry, upstreamController);
-        this.fences = new EntryFences(loop, registry, finishedRuns, leases);
+        this.fences = new EntryFences(loop, links, registry, finishedRuns, leases);
         this.statusSender = new StatusSender(
                 loop, links, timings, registry, upstreamController, owners, new PromptRecipients(node), zoneGate);
         this.reports = new OwnerReports(links, owners, statusSender);
@@ -181,6 +181,7 @@
         OwnerLease owner = owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, timings));
         leases.endClaimsOf(owner);
         owner.openLink(loop.monotonicMilliseconds());
+        fences.tellIfFenced(incarnation);
         // The status requests a renewal, whose answer then arrives before the runs of the inventory are claimed.
         statusSender.sendStatus(owner);
         statusSender.sendInventory(owner, /* fencedEntry= */ "");
@@ -233,8 +234,7 @@
         owner.recordDispatch(dispatch);
         slowdownSender.recordDispatch(owner.incarnation(), dispatch.queue());
         RunIdentity identity = dispatch.run();
-        if (fences.contains(owner.incarnation())) {
-            loop.log().event(EventName.DISPATCH_FENCED, EventKey.RUN, identity, EventKey.OWNER, owner.incarnation());
+        if (fences.isRefused(owner.incarnation(), identity)) {
             return;
         }
         long now = loop.monotonicMilliseconds();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
@@ -27,6 +27,8 @@
     private int pageRows = 500;
     /** Processes that the store refuses while it serves the others. */
     private final Set<VirtualLoop> refusedProcesses = new HashSet<>();
+    /** Processes whose calls to follow a table are not answered. */
+    private final Set<VirtualLoop> silentFollowers = new HashSet<>();
     /** Number of calls so far, by kind: write, read or follow. */
     private final Map<String, Integer> callCounts = new TreeMap<>();
     /** Number of calls in each second, by kind and second. */
@@ -67,6 +69,15 @@
         }
     }
 
+    /** Leaves all calls of a process to follow a table without an answer from now on, or answers them again. */
+    void setFollowSilent(VirtualLoop process, boolean silent) {
+        if (silent) {
+            silentFollowers.add(process);
+        } else {
+            silentFollowers.remove(process);
+        }
+    }
+
     /** Returns the number of calls so far of a kind: write, read or follow. */
     int callCount(String kind) {
         return callCounts.getOrDefault(kind, 0);
@@ -199,6 +210,8 @@
             countCall("follow");
             if (isUnavailable()) {
                 answer(TIMEOUT_MILLISECONDS, () -> new FollowOutcome.Failed("unavailable"), receiver);
+            } else if (silentFollowers.contains(loop)) {
+                answer(waitMilliseconds + TIMEOUT_MILLISECONDS, () -> new FollowOutcome.Failed("silent"), receiver);
             } else {
                 pollChanges(table, afterVersion, time.now() + waitMilliseconds, receiver);
             }
@@ -208,6 +221,10 @@
             List<StoredRecord> changes = history.stream()
                     .filter(row -> row.key().table().equals(table) && row.version() > after)
                     .toList();
+            if (silentFollowers.contains(loop)) {
+                answer(until - time.now() + TIMEOUT_MILLISECONDS, () -> new FollowOutcome.Failed("silent"), receiver);
+                return;
+            }
             // The version belongs to the changes; a transaction may follow before the answer leaves the store.
             long version = lastTransactionVersion;
             if (after < historyDiscardedUpToVersion) {
