Give each accepted stored job an owner, also if the store inserts it late, and look for orphans at an interval

Cause: the store may perform an insert seconds after its entry was killed, when the scans for that entry's jobs are over. The client's second attempt at another entry conflicts with the late record. That entry answered 200 after a call that did nothing: the job still counted as being inserted there, and would also have been ignored wherever its hash selects another entry. Orphans were looked for only after a loss or a start.

Change: - A request whose job is stored already is answered 2xx only once the owner is a member of the table of processes, the job has finished, or this entry has adopted it, whichever entry its hash selects (OrphanedJobAdopter.ensureOwner). If an adoption finds the job changed, the new owner is verified likewise (AdoptionOutcome). The same goes for a job that a lookup shows, or whose runs have no owner. - All open jobs are read at an interval as well (OpenJobScans): by the entries in turn, one scan of all parts in five seconds however many entries there are, none while the store doesn't answer or a scan after an event is due. - JobInsertion is split off OwnedJobRepository.

Cost: no frame. Four reads in five seconds for all entries together; one read of the table of processes, and one write if the job is adopted, for a request that meets a job whose owner is not in the replica of that table.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/AdoptionWriter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/AdoptionWriter.java
@@ -6,7 +6,6 @@
 import io.caperturn.jobs.message.JobRecord;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.record.JobWriter;
-import io.caperturn.jobs.record.StoredRecord;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -52,8 +51,7 @@
      * @param before record of that version
      * @param policy policy of the job's queue, to be stored with it
      * @param lost proof that the previous owner is lost
-     * @param adopted receives the job if it was adopted
-     * @param changed receives the stored job if another write was applied first, and it is unfinished
+     * @param receiver receives the outcome, unless adoptions are stopped before
      */
     void adopt(
             String identity,
@@ -61,8 +59,7 @@
             JobRecord before,
             QueuePolicy policy,
             OwnerStanding.Lost lost,
-            Consumer<OwnedJob> adopted,
-            Consumer<StoredRecord> changed) {
+            Consumer<AdoptionOutcome> receiver) {
         if (!jobsInProgress.add(identity)) {
             throw new IllegalStateException("adoption in progress: " + identity);
         }
@@ -79,17 +76,18 @@
             if (stopped) {
                 return;
             }
-            switch (result) {
-                case JobWriter.Result.Stored stored ->
-                    adopted.accept(restore(identity, before.owner(), lost, after, stored.version()));
-                case JobWriter.Result.Conflicted conflicted -> {
-                    if (conflicted.unfinishedRecord() != null) {
-                        changed.accept(conflicted.unfinishedRecord());
-                    }
-                }
-                case JobWriter.Result.Refused refused ->
-                    throw new IllegalStateException("only job inserts can be refused");
-            }
+            receiver.accept(
+                    switch (result) {
+                        case JobWriter.Result.Stored stored ->
+                            new AdoptionOutcome.Adopted(
+                                    restore(identity, before.owner(), lost, after, stored.version()));
+                        case JobWriter.Result.Conflicted conflicted
+                        when conflicted.unfinishedRecord() != null ->
+                            new AdoptionOutcome.Changed(conflicted.unfinishedRecord());
+                        case JobWriter.Result.Conflicted finished -> new AdoptionOutcome.Finished();
+                        case JobWriter.Result.Refused refused ->
+                            throw new IllegalStateException("only job inserts can be refused");
+                    });
         });
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -83,7 +83,6 @@
         this.waitingJobCounts = new WaitingJobCounts(loop, jobs);
         this.membership = new ProcessMembership(loop, store, retries, parameters, new MembershipListener());
         this.storedJobReader = new StoredJobReader(loop, store, retries);
-        this.lookup = new JobLookup(jobs, storedJobReader);
         this.cancellation =
                 new JobCancellation(loop, links, parameters, writer, jobs, dispatcher, membership, storedJobReader);
         this.admission = new JobAdmission(loop, writer, dispatcher, membership, jobs, evacuations);
@@ -100,6 +99,7 @@
         this.placementExplainer = new PlacementExplainer(loop, dispatcher, this::assess);
         this.jobAdopter = new OrphanedJobAdopter(
                 loop, storedJobReader, links, parameters, membership, dispatcher, jobs, this::findQueue);
+        this.lookup = new JobLookup(jobs, storedJobReader, jobAdopter);
         this.receivedFrames = new ReceivedFrames(
                 loop,
                 parameters,
@@ -114,6 +114,7 @@
     /** Registers this entry, starts to follow the stored table of processes, and starts the periodic checks. */
     public void start() {
         membership.start();
+        jobAdopter.start();
         tick.start();
     }
 
@@ -369,8 +370,8 @@
         }
 
         @Override
-        public void unownedJobFound(String job, StoredRecord open) {
-            jobAdopter.adoptIfEligible(job, open);
+        public void unownedJobFound(String job, StoredRecord open, Runnable owned) {
+            jobAdopter.ensureOwner(job, open, owned);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobLookup.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobLookup.java
@@ -7,10 +7,12 @@
 final class JobLookup {
     private final OwnedJobRepository jobs;
     private final StoredJobReader storedJobReader;
+    private final OrphanedJobAdopter jobAdopter;
 
-    JobLookup(OwnedJobRepository jobs, StoredJobReader storedJobReader) {
+    JobLookup(OwnedJobRepository jobs, StoredJobReader storedJobReader, OrphanedJobAdopter jobAdopter) {
         this.jobs = jobs;
         this.storedJobReader = storedJobReader;
+        this.jobAdopter = jobAdopter;
     }
 
     /** Looks up the state of a job; the receiver gets it, or the reason why it is not known. */
@@ -22,7 +24,12 @@
         } else if (finalState != null) {
             receiver.accept(new CallerAnswers.Lookup.Found(finalState));
         } else {
-            storedJobReader.read(identity, (openRecord, answer) -> receiver.accept(answer));
+            storedJobReader.read(identity, (openRecord, answer) -> {
+                receiver.accept(answer);
+                if (openRecord != null) {
+                    jobAdopter.ensureOwner(identity, openRecord, () -> {}); // a job that is shown has to run
+                }
+            });
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -26,15 +26,6 @@
  * <p>The stored table of open (unfinished) jobs is divided into parts, by the hash of the job.
  */
 final class OrphanedJobAdopter {
-    /**
-     * Delay before the second scan for jobs whose owner is lost, in milliseconds: it finds jobs that the lost entry
-     * wrote after the first scan had read them.
-     */
-    private static final long RESCAN_MILLISECONDS = 1_500;
-
-    /** Shortest time between the first scans for lost entries, in milliseconds. */
-    private static final long SCAN_INTERVAL_MILLISECONDS = 250;
-
     private final DecisionLoop loop;
     private final LinkPort links;
     private final EntryParameters parameters;
@@ -44,14 +35,7 @@
     private final StoredJobReader storedJobReader;
     private final Function<String, Optional<QueuePolicy>> policyByQueueName;
     private final Map<String, LostEntryRecovery> recoveries = new HashMap<>();
-    private boolean scanRequested;
-    /** When the latest first scan for lost entries was made, in milliseconds of the loop's clock. */
-    private long scannedAt = Long.MIN_VALUE / 2;
-
-    /** When the latest scan that was asked for is due, in milliseconds of the loop's clock. */
-    private long scanDueAt;
-
-    private boolean scanScheduled;
+    private final OpenJobScans scans;
     private boolean stopped;
 
     OrphanedJobAdopter(
@@ -71,55 +55,30 @@
         this.dispatcher = dispatcher;
         this.jobs = jobs;
         this.policyByQueueName = policyByQueueName;
+        this.scans = new OpenJobScans(loop, parameters, membership, this::scan);
+    }
+
+    /** Starts to look for jobs without an owner at an interval. */
+    void start() {
+        scans.start();
     }
 
     /** Stops the adoption of jobs, also of those for which it is in progress: other entries adopt them from now on. */
     void stop() {
         stopped = true;
+        scans.stop();
         jobs.stopAdoptions();
     }
 
     /** Recovers the runs and adopts the jobs of a lost incarnation (start) of an entry. */
     void entryLost(String incarnation) {
         recoveries.computeIfAbsent(incarnation, this::startRecovery);
-        if (!scanRequested) {
-            // Entries whose loss is told by one answer of the store, or within the interval, share their scans.
-            scanRequested = true;
-            long delay = Math.max(0, scannedAt + SCAN_INTERVAL_MILLISECONDS - loop.monotonicMilliseconds());
-            loop.after(delay, () -> {
-                scanRequested = false;
-                scannedAt = loop.monotonicMilliseconds();
-                scan();
-                requestRescan();
-            });
-        }
+        scans.entryLost();
     }
 
     /** Handles a process that joined; its previous incarnation may have left jobs without an owner. */
     void processJoined() {
-        requestRescan();
-    }
-
-    /**
-     * Asks for a scan after the delay. Several that are asked for within that time are met by one after the last of
-     * them, and one in between.
-     */
-    private void requestRescan() {
-        scanDueAt = loop.monotonicMilliseconds() + RESCAN_MILLISECONDS;
-        if (!scanScheduled) {
-            scanScheduled = true;
-            loop.after(RESCAN_MILLISECONDS, this::scanWhenDue);
-        }
-    }
-
-    private void scanWhenDue() {
-        scanScheduled = false;
-        scan();
-        long remaining = scanDueAt - loop.monotonicMilliseconds();
-        if (remaining > 0) {
-            scanScheduled = true;
-            loop.after(remaining, this::scanWhenDue);
-        }
+        scans.request();
     }
 
     /** Handles the inventory (list of all runs) of a sidecar that was told to accept nothing more from a lost entry. */
@@ -148,28 +107,34 @@
                                 answer);
                 links.send(sidecar, new JobFrame.JobOver(job));
             } else if (openRecord != null) {
-                adoptIfEligible(job, openRecord);
+                ensureOwner(job, openRecord, () -> {});
             }
         });
     }
 
-    /** Reads all open jobs from the store, and adopts those that are eligible. */
-    private void scan() {
-        if (!stopped) {
-            storedJobReader.readOpenJobs(stored -> adoptIfEligible(stored.key().name(), stored));
-        }
+    /** Reads all open jobs from the store, and adopts those whose owner is lost. */
+    private void scan(boolean onlyAssigned) {
+        storedJobReader.readOpenJobs(stored -> {
+            String identity = stored.key().name();
+            if (!jobs.isInserting(identity) && (!onlyAssigned || isAssignedHere(identity))) {
+                ensureOwner(identity, stored, () -> {});
+            }
+        });
     }
 
     /**
-     * Adopts a stored job that this entry does not own, if the owner is lost and the job is assigned to this entry.
+     * Adopts a stored job if the owner is lost, whichever entry it is assigned to. While nothing proves that the owner
+     * is lost or is not, nothing follows.
+     *
+     * <p>A record that names this entry as the owner is no reason to adopt it: it is the effect of a write in progress,
+     * whose answer makes the job an owned one, or was read before the job finished.
      *
-     * <p>A record that names this entry as the owner is never a reason: it is the effect of a write in progress, whose
-     * answer makes the job an owned one, or was read before the job finished.
+     * @param identity the job's identity
+     * @param openRecord the stored job
+     * @param owned called once an entry is known to own the job, or the job has finished; not if this entry stops
+     *     before
      */
-    void adoptIfEligible(String identity, StoredRecord openRecord) {
-        if (!mayAdopt(identity)) {
-            return;
-        }
+    void ensureOwner(String identity, StoredRecord openRecord, Runnable owned) {
         JobRecord content;
         try {
             content = JobRecord.decode(openRecord.value());
@@ -177,28 +142,29 @@
             storedJobReader.handleUnreadable(openRecord, e);
             return;
         }
-        if (!content.owner().equals(parameters.incarnation())) {
-            membership.verifyOwner(content.owner(), openRecord.version(), standing -> {
-                if (standing instanceof OwnerStanding.Lost lost && mayAdopt(identity)) {
-                    adopt(identity, openRecord.version(), content, lost);
-                }
-            });
+        if (isOwnedOrAdopted(identity) || content.owner().equals(parameters.incarnation())) {
+            owned.run();
+            return;
         }
+        membership.verifyOwner(content.owner(), openRecord.version(), standing -> {
+            switch (standing) {
+                case OwnerStanding.Member member -> owned.run();
+                case OwnerStanding.Lost lost -> {
+                    if (isOwnedOrAdopted(identity)) {
+                        owned.run();
+                    } else if (!stopped && membership.isRegistered()) {
+                        adopt(identity, openRecord.version(), content, lost, owned);
+                    }
+                }
+            }
+        });
     }
 
-    /**
-     * Returns whether this entry may adopt a job if the owner is lost. An entry whose own record is not stored yet
-     * would be taken for lost itself.
-     */
-    private boolean mayAdopt(String identity) {
-        return !stopped
-                && membership.isRegistered()
-                && jobs.find(identity) == null
-                && !jobs.isBecomingOwner(identity)
-                && isAssignedHere(identity);
+    private boolean isOwnedOrAdopted(String identity) {
+        return jobs.find(identity) != null || jobs.isAdopting(identity);
     }
 
-    private void adopt(String identity, long version, JobRecord content, OwnerStanding.Lost lost) {
+    private void adopt(String identity, long version, JobRecord content, OwnerStanding.Lost lost, Runnable owned) {
         QueuePolicy policy = policyByQueueName.apply(content.plan().queue()).orElse(null);
         if (policy == null) {
             policy = content.policy(); // as stored with the job
@@ -211,7 +177,16 @@
                             content.plan().queue());
         }
         LostEntryRecovery recovery = recoveries.computeIfAbsent(content.owner(), this::startRecovery);
-        jobs.adopt(identity, version, content, policy, lost, recovery::addJob);
+        jobs.adopt(identity, version, content, policy, lost, outcome -> {
+            switch (outcome) {
+                case AdoptionOutcome.Adopted adopted -> {
+                    recovery.addJob(adopted.job());
+                    owned.run();
+                }
+                case AdoptionOutcome.Changed changed -> ensureOwner(identity, changed.openRecord(), owned);
+                case AdoptionOutcome.Finished finished -> owned.run();
+            }
+        });
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -38,9 +38,9 @@
     private final String incarnation;
     private final FinishedJobs finishedJobs;
     private final AdoptionWriter adoptions;
+    private final JobInsertion insertion;
     private final Listener listener;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
-    private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByJobBeingInserted = new HashMap<>();
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByTransientJob = new HashMap<>();
 
     OwnedJobRepository(DecisionLoop loop, JobWriter writer, EntryParameters parameters, Listener listener) {
@@ -50,6 +50,7 @@
         this.finishedJobs = new FinishedJobs(loop, parameters.finishedJobRetentionMilliseconds());
         this.adoptions = new AdoptionWriter(loop, writer, parameters);
         this.listener = listener;
+        this.insertion = new JobInsertion(loop, writer, incarnation, new InsertionListener());
     }
 
     /** Listener for changes of the owned jobs. */
@@ -63,8 +64,14 @@
         /** Completions are stored, or need not be, so the sidecars that reported them can discard them. */
         void completionsDiscardable(List<OwnedJob.PendingCompletion> completions);
 
-        /** A stored job was found that is unknown here: another entry owns it, or the answer to its write was lost. */
-        void unownedJobFound(String job, StoredRecord openRecord);
+        /**
+         * A stored job was found that is unknown here: another entry owns it, or its owner is lost.
+         *
+         * @param job identity of the job
+         * @param openRecord the stored job
+         * @param owned called once an entry is known to own the job, or the job has finished
+         */
+        void unownedJobFound(String job, StoredRecord openRecord, Runnable owned);
     }
 
     Collection<OwnedJob> ownedJobs() {
@@ -83,15 +90,12 @@
 
     /** Returns whether the first write of a new job is in progress. */
     boolean isInserting(String job) {
-        return receiversByJobBeingInserted.containsKey(job);
+        return insertion.isInProgress(job);
     }
 
-    /**
-     * Returns whether the write is in progress that makes this entry the owner of a job: the first one of a new job, or
-     * the adoption. The store may have applied it already.
-     */
-    boolean isBecomingOwner(String job) {
-        return isInserting(job) || adoptions.isInProgress(job);
+    /** Returns whether the outcome of the adoption of a job is still unknown; the store may have applied it already. */
+    boolean isAdopting(String job) {
+        return adoptions.isInProgress(job);
     }
 
     /** Stores a new job; a job that was submitted before is accepted without a change. */
@@ -101,16 +105,12 @@
             receiver.accept(new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ true));
             return;
         }
-        List<Consumer<CallerAnswers.Submission>> receivers = receiversByJobBeingInserted.get(identity);
-        if (receivers != null) {
+        if (insertion.isInProgress(identity)) {
             logDuplicateSubmission(identity);
-            receivers.add(receiver);
+            insertion.join(identity, receiver);
             return;
         }
-        receiversByJobBeingInserted.put(identity, new ArrayList<>(List.of(receiver)));
-        OwnedJob job = new OwnedJob(
-                identity, plan, policy, /* generation */ 0, loop.wallClockMilliseconds(), loop.monotonicMilliseconds());
-        writer.insert(identity, job.toRecord(incarnation), result -> handleInsertResult(job, result));
+        insertion.insert(identity, plan, policy, receiver);
     }
 
     /** Runs a transient job; the receiver gets the answer once the job has finished. */
@@ -186,55 +186,10 @@
         }
     }
 
-    private void handleInsertResult(OwnedJob job, JobWriter.Result result) {
-        CallerAnswers.Submission answer = switch (result) {
-            case JobWriter.Result.Stored stored -> {
-                job.setVersion(stored.version());
-                ownedJobs.put(job.identity(), job);
-                loop.log()
-                        .event(
-                                EventName.ACCEPTED,
-                                EventKey.JOB,
-                                job.identity(),
-                                EventKey.QUEUE,
-                                job.policy().name(),
-                                EventKey.TASKS,
-                                job.tasks().size(),
-                                EventKey.VERSION,
-                                stored.version(),
-                                EventKey.TOOK,
-                                loop.monotonicMilliseconds() - job.arrivedAt(),
-                                EventKey.OBJECTIVE,
-                                job.objectiveMilliseconds());
-                yield new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ false);
-            }
-            case JobWriter.Result.Conflicted conflicted -> {
-                loop.log()
-                        .event(
-                                EventName.JOINED,
-                                EventKey.JOB,
-                                job.identity(),
-                                EventKey.OPEN,
-                                conflicted.unfinishedRecord() != null);
-                if (conflicted.unfinishedRecord() != null) {
-                    listener.unownedJobFound(job.identity(), conflicted.unfinishedRecord());
-                }
-                yield new CallerAnswers.Submission.Accepted(true);
-            }
-            case JobWriter.Result.Refused refused ->
-                new CallerAnswers.Submission.Refused(
-                        "store-" + refused.reason(), EntryController.FAULT_RETRY_MILLISECONDS, /* overloaded= */ false);
-        };
-        receiversByJobBeingInserted.remove(job.identity()).forEach(receiver -> receiver.accept(answer));
-        if (result instanceof JobWriter.Result.Stored) {
-            loop.log().duration("accept", loop.monotonicMilliseconds() - job.arrivedAt());
-            listener.jobAccepted(job);
-        }
-    }
-
     /**
-     * Stores this entry as the next owner of a job, in the next generation; calls the receiver if that succeeds. A job
-     * that was changed meanwhile is reported as found, unless it is finished.
+     * Stores this entry as the next owner of a job, in the next generation, which makes the job an owned one.
+     *
+     * @see AdoptionWriter#adopt
      */
     void adopt(
             String identity,
@@ -242,18 +197,13 @@
             JobRecord before,
             QueuePolicy policy,
             OwnerStanding.Lost lost,
-            Consumer<OwnedJob> receiver) {
-        adoptions.adopt(
-                identity,
-                version,
-                before,
-                policy,
-                lost,
-                job -> {
-                    ownedJobs.put(identity, job);
-                    receiver.accept(job);
-                },
-                openRecord -> listener.unownedJobFound(identity, openRecord));
+            Consumer<AdoptionOutcome> receiver) {
+        adoptions.adopt(identity, version, before, policy, lost, outcome -> {
+            if (outcome instanceof AdoptionOutcome.Adopted adopted) {
+                ownedJobs.put(identity, adopted.job());
+            }
+            receiver.accept(outcome);
+        });
     }
 
     /** Stops the adoption of jobs, also of those for which it is in progress. */
@@ -361,7 +311,7 @@
                         conflicted.unfinishedRecord().version());
         ownedJobs.remove(job.identity());
         listener.jobFinished(job, JobState.CANCELLED);
-        listener.unownedJobFound(job.identity(), conflicted.unfinishedRecord());
+        listener.unownedJobFound(job.identity(), conflicted.unfinishedRecord(), () -> {});
     }
 
     /** Reports a final state, which is stored if the job is durable, to the listener and to waiting callers. */
@@ -395,4 +345,21 @@
             receivers.forEach(receiver -> receiver.accept(answer));
         }
     }
+
+    private final class InsertionListener implements JobInsertion.Listener {
+        @Override
+        public void jobStored(OwnedJob job) {
+            ownedJobs.put(job.identity(), job);
+        }
+
+        @Override
+        public void jobAccepted(OwnedJob job) {
+            listener.jobAccepted(job);
+        }
+
+        @Override
+        public void storedJobFound(String job, StoredRecord openRecord, Runnable owned) {
+            listener.unownedJobFound(job, openRecord, owned);
+        }
+    }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
@@ -24,6 +24,7 @@
     private long lastTransactionVersion;
     private long historyDiscardedUpToVersion;
     private Fault fault = Fault.NONE;
+    private long latenessMilliseconds = 1_000;
     private int pageRows = 500;
     /** Processes that the store refuses while it serves the others. */
     private final Set<VirtualLoop> refusedProcesses = new HashSet<>();
@@ -43,7 +44,7 @@
         SILENT,
         /** Executes writes, but loses their answers. */
         ANSWERS_LOST,
-        /** Executes writes only a second after they have timed out. */
+        /** Executes writes only after they have timed out: a second later, or the time that was set. */
         LATE
     }
 
@@ -55,6 +56,11 @@
         fault = next;
     }
 
+    /** Sets how long after their time-out late writes are executed, in milliseconds. */
+    void setLateness(long milliseconds) {
+        latenessMilliseconds = milliseconds;
+    }
+
     /** Sets how many rows an answer to a read holds at most. */
     void setPageRows(int rows) {
         pageRows = rows;
@@ -174,7 +180,7 @@
                     if (current == Fault.ANSWERS_LOST) {
                         time.after(CALL_LATENCY_MILLISECONDS / 2, () -> apply(transaction));
                     } else if (current == Fault.LATE) {
-                        time.after(TIMEOUT_MILLISECONDS + 1_000, () -> apply(transaction));
+                        time.after(TIMEOUT_MILLISECONDS + latenessMilliseconds, () -> apply(transaction));
                     }
                     answer(TIMEOUT_MILLISECONDS, () -> new WriteOutcome.Unconfirmed("no answer"), receiver);
                 }
