Stop the runs of a job that is cancelled while they are recovered

Cause: LostEntryRecovery.restoreRuns took the runs that the sidecars list over without looking at the final state of the job. Nor did it look whether the job has another owner by now, in which case it would have enqueued tasks too.

Change: the active runs of a job with a final state are withdrawn, and nothing is done for a job that isn't owned any more.

In the simulation a frozen process no longer completes the opening of a link, as no real one does; no test asks less by that.

Cost: no frame and no store call, but one Withdraw for each run of such a job.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LostEntryRecovery.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LostEntryRecovery.java
@@ -38,6 +38,7 @@
     private final LinkPort links;
     private final ProcessMembership membership;
     private final TaskDispatcher dispatcher;
+    private final OwnedJobRepository jobs;
     private final String lostEntry;
     private final long startedAt;
     private final Set<String> answeredSidecars = new HashSet<>();
@@ -50,11 +51,13 @@
             LinkPort links,
             ProcessMembership membership,
             TaskDispatcher dispatcher,
+            OwnedJobRepository jobs,
             String lostEntry) {
         this.loop = loop;
         this.links = links;
         this.membership = membership;
         this.dispatcher = dispatcher;
+        this.jobs = jobs;
         this.lostEntry = lostEntry;
         this.startedAt = loop.monotonicMilliseconds();
     }
@@ -138,29 +141,35 @@
         adoptedJobs.clear();
     }
 
-    /** Applies the listed runs of an adopted job to its tasks, and enqueues the tasks without a run. */
+    /**
+     * Applies the listed runs of an adopted job to its tasks, and enqueues the tasks without a run. If the job was
+     * cancelled meanwhile, its active runs are stopped; if it has another owner by now, nothing is done.
+     */
     private void restoreRuns(OwnedJob job) {
+        boolean over = job.finalState() != null;
+        if (!over && jobs.find(job.identity()) != job) {
+            return;
+        }
         job.setRecovering(true);
-        for (Map.Entry<RunIdentity, ListedRun> element : listedRuns.entrySet()) {
-            RunIdentity run = element.getKey();
-            if (!run.task().job().equals(job.identity())) {
-                continue;
-            }
-            OwnedTask task = job.findTask(run.task());
-            if (task == null) {
-                continue;
+        listedRuns.forEach((run, listedRun) -> {
+            if (run.task().job().equals(job.identity()) && job.findTask(run.task()) != null) {
+                restoreRun(job, job.findTask(run.task()), run, listedRun, over);
             }
-            ListedRun listedRun = element.getValue();
-            if (listedRun.report().outcome().isFinished()) {
-                dispatcher.handleReport(listedRun.sidecarIncarnation(), listedRun.report());
-            } else if (!task.isIn(OwnedTask.Phase.DONE)) {
-                job.markStarted();
-                dispatcher.takeOverRun(task, run, listedRun.sidecarIncarnation());
-            }
-        }
+        });
         job.setRecovering(false);
         if (job.finalState() == null) {
             dispatcher.enqueueReadyTasks(job);
         }
     }
+
+    private void restoreRun(OwnedJob job, OwnedTask task, RunIdentity run, ListedRun listedRun, boolean over) {
+        if (listedRun.report().outcome().isFinished()) {
+            dispatcher.handleReport(listedRun.sidecarIncarnation(), listedRun.report());
+        } else if (over) {
+            dispatcher.withdraw(run, listedRun.sidecarIncarnation(), "job-over");
+        } else if (!task.isIn(OwnedTask.Phase.DONE)) {
+            job.markStarted();
+            dispatcher.takeOverRun(task, run, listedRun.sidecarIncarnation());
+        }
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -203,7 +203,7 @@
     }
 
     private LostEntryRecovery startRecovery(String lost) {
-        LostEntryRecovery recovery = new LostEntryRecovery(loop, links, membership, dispatcher, lost);
+        LostEntryRecovery recovery = new LostEntryRecovery(loop, links, membership, dispatcher, jobs, lost);
         recovery.start();
         return recovery;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
@@ -103,6 +103,11 @@
         reports.handleReport(incarnation, report);
     }
 
+    /** Orders a sidecar to stop a run, for a cause that is logged. */
+    void withdraw(RunIdentity run, String incarnation, String cause) {
+        sidecars.withdraw(run, incarnation, cause);
+    }
+
     void stopAllRuns(OwnedJob job) {
         placement.stopAllRuns(job);
     }
--- /dev/null
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
@@ -0,0 +1,87 @@
+package io.caperturn.jobs.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.caperturn.jobs.model.JobState;
+import io.caperturn.jobs.owner.CallerAnswers;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests jobs that are cancelled while an entry (process that accepts jobs) which may start their tasks does not learn
+ * of it: it is frozen, recovers the jobs, or inserts them. All times are virtual and in milliseconds.
+ */
+class CancelledJobTest {
+    /** Time after the acknowledgement of a cancellation by which all runs of the job must have ended. */
+    private static final long CANCEL_MILLISECONDS = 3_000;
+    /** Time for the stop of a run. */
+    private static final long STOP_MILLISECONDS = 50;
+
+    private static final int SIDECARS = 3;
+    private static final int JOBS = 6;
+    private static final long TASK_MILLISECONDS = 60_000;
+
+    /**
+     * Guards against a cancelled job whose runs are taken over: it was cancelled after the adoption and before the end
+     * of the recovery, which waits here for a sidecar that is cut off.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void jobStopsIfItIsCancelledDuringTheRecoveryOfItsRuns(int cancellingEntry) {
+        SimulatedFleet fleet = fleetWithRunningJobs();
+        fleet.isolate("sidecar-2");
+        fleet.kill("entry-0");
+        fleet.time().after(500, () -> fleet.restart("entry-0"));
+        fleet.time().runUntil(fleet.time().now() + 1_000);
+        assertTrue(fleet.logLines().contains(" adopted "), fleet::logLines);
+        cancelAll(fleet, cancellingEntry);
+        fleet.reconnect("sidecar-2");
+        fleet.time().runUntil(fleet.time().now() + CANCEL_MILLISECONDS + STOP_MILLISECONDS);
+
+        assertEquals(0, activeRuns(fleet), fleet::logLines);
+        assertEquals(JOBS, fleet.recordOfStarts().startCount(), fleet::logLines);
+    }
+
+    /** Returns a fleet with jobs of one long task each, which run and are owned by entry 0. */
+    private static SimulatedFleet fleetWithRunningJobs() {
+        SimulatedFleet fleet = new SimulatedFleet(3, SIDECARS, task -> TASK_MILLISECONDS);
+        submitAll(fleet, TASK_MILLISECONDS);
+        fleet.time().runUntil(fleet.time().now() + 1_000);
+        assertEquals(JOBS, activeRuns(fleet));
+        return fleet;
+    }
+
+    private static void submitAll(SimulatedFleet fleet, long taskMilliseconds) {
+        for (int number = 0; number < JOBS; number++) {
+            fleet.submit(0, "job-" + number, SampleJobs.plan(1, /* durable= */ true, taskMilliseconds));
+        }
+    }
+
+    /** Cancels all jobs at an entry, and returns its answers, all of which arrive within 50 ms. */
+    private static List<CallerAnswers.Lookup> cancelAll(SimulatedFleet fleet, int entry) {
+        List<CallerAnswers.Lookup> answers = new ArrayList<>();
+        for (int number = 0; number < JOBS; number++) {
+            fleet.entry(entry).cancel("job-" + number, answers::add);
+        }
+        fleet.time().runUntil(fleet.time().now() + 50);
+        assertEquals(JOBS, answers.size(), fleet::logLines);
+        for (CallerAnswers.Lookup answer : answers) {
+            assertTrue(
+                    answer instanceof CallerAnswers.Lookup.Unknown
+                            || answer.equals(new CallerAnswers.Lookup.Found(JobState.CANCELLED)),
+                    answer::toString);
+        }
+        return answers;
+    }
+
+    private static int activeRuns(SimulatedFleet fleet) {
+        int active = 0;
+        for (int number = 0; number < SIDECARS; number++) {
+            active += fleet.upstream(number).activeRunCount();
+        }
+        return active;
+    }
+}
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -95,7 +95,7 @@
             for (SimulatedProcess second : all) {
                 boolean shouldLink =
                         first.sidecar == null && (second.sidecar != null || first.node.compareTo(second.node) < 0);
-                boolean reachable = !first.loop.isKilled() && !second.loop.isKilled() && canReach(first, second);
+                boolean reachable = first.loop.isResponsive() && second.loop.isResponsive() && canReach(first, second);
                 if (shouldLink && reachable && !first.peers.contains(second)) {
                     first.peers.add(second);
                     second.peers.add(first);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/VirtualLoop.java
@@ -88,6 +88,11 @@
         lastActionsDelayMilliseconds = milliseconds;
     }
 
+    /** Returns whether the process answers now: one that is killed or frozen completes no opening of a link. */
+    boolean isResponsive() {
+        return !killed && !frozen;
+    }
+
     boolean isKilled() {
         return killed;
     }
