Cancel a job whose insertion or adoption is in progress once its outcome is known

Cause: JobCancellation.cancelForPeer looked among the owned jobs only. A job that is being inserted or adopted isn't owned yet, and became so without anybody remembering that it was cancelled; likewise if the same entry was asked.

Change: a cancellation that meets such a job is kept with it. Once the write has succeeded, the job is closed as cancelled and no task of it is enqueued; its callers get their answer as before.

Tests: CancelledJobTest.jobDoesNotRunIfItIsCancelledWhileItsInsertIsUnanswered, 2 of 2 cases failed on (cancelled at another entry, and at the same one) and pass now.

Cost: no frame; one write, which closes the job, for each job cancelled so.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
@@ -72,8 +72,10 @@
                 // The answer is the state before this cancellation, so the caller gets it only if the job is not open.
                 if (openRecord == null) {
                     if (answer instanceof CallerAnswers.Lookup.Unknown) {
-                        // A job that is not stored is known only to the entry at which its caller waits.
+                        // A job that is not stored is known only to the entry at which its caller waits, or which
+                        // is inserting it.
                         notifyOtherEntries(identity);
+                        cancelForPeer(identity);
                     }
                     receiver.accept(answer);
                 } else {
@@ -119,6 +121,7 @@
                                 EventKey.VERSION,
                                 openRecord.version());
                 notifyOtherEntries(identity);
+                cancelForPeer(identity); // this entry may have adopted the job meanwhile
                 receiver.accept(new CallerAnswers.Lookup.Found(JobState.CANCELLED));
             } else if (result instanceof JobWriter.Result.Conflicted conflicted
                     && conflicted.unfinishedRecord() != null) {
@@ -129,12 +132,15 @@
         });
     }
 
-    /** Cancels a job on behalf of another entry, if this entry owns it. */
+    /** Cancels a job on behalf of another entry, if this entry owns it or is about to. */
     void cancelForPeer(String identity) {
         OwnedJob job = jobs.find(identity);
         if (job != null) {
+            loop.log().event(EventName.CANCEL, EventKey.JOB, identity);
             jobs.finish(job, JobState.CANCELLED);
             dispatcher.stopAllRuns(job);
+        } else {
+            jobs.cancelOnceOwned(identity);
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -41,6 +43,9 @@
     private final JobInsertion insertion;
     private final Listener listener;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
+    /** Jobs that were cancelled while the write was in progress that makes this entry their owner. */
+    private final Set<String> jobsCancelledBefore = new HashSet<>();
+
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByTransientJob = new HashMap<>();
 
     OwnedJobRepository(DecisionLoop loop, JobWriter writer, EntryParameters parameters, Listener listener) {
@@ -203,9 +208,25 @@
                 ownedJobs.put(identity, adopted.job());
             }
             receiver.accept(outcome);
+            finishIfCancelledBefore(identity);
         });
     }
 
+    /** Cancels a job once this entry owns it, if the write that makes it the owner is in progress. */
+    void cancelOnceOwned(String identity) {
+        if (isInserting(identity) || isAdopting(identity)) {
+            loop.log().event(EventName.CANCEL, EventKey.JOB, identity);
+            jobsCancelledBefore.add(identity);
+        }
+    }
+
+    /** Finishes a job that was cancelled before the outcome of its insertion or adoption was known. */
+    private void finishIfCancelledBefore(String identity) {
+        if (jobsCancelledBefore.remove(identity) && ownedJobs.containsKey(identity)) {
+            finish(ownedJobs.get(identity), JobState.CANCELLED);
+        }
+    }
+
     /** Stops the adoption of jobs, also of those for which it is in progress. */
     void stopAdoptions() {
         adoptions.stop();
@@ -354,7 +375,10 @@
 
         @Override
         public void jobAccepted(OwnedJob job) {
-            listener.jobAccepted(job);
+            finishIfCancelledBefore(job.identity());
+            if (job.finalState() == null) {
+                listener.jobAccepted(job);
+            }
         }
 
         @Override
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
@@ -45,6 +45,30 @@
         assertEquals(JOBS, fleet.recordOfStarts().startCount(), fleet::logLines);
     }
 
+    /**
+     * Guards against a job that is stored and run after its cancellation was acknowledged: the store turned its entry
+     * away, so that the cancelling entry did not find the job.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void jobDoesNotRunIfItIsCancelledWhileItsInsertIsUnanswered(int cancellingEntry) {
+        SimulatedFleet fleet = new SimulatedFleet(3, SIDECARS, task -> 200);
+        fleet.store().setFault(MemoryStore.Fault.SILENT);
+        submitAll(fleet, 200);
+        fleet.time().runUntil(fleet.time().now() + 20);
+        fleet.store().setFault(MemoryStore.Fault.NONE);
+        fleet.store().setWritesRefused(fleet.loop("entry-0"), true);
+        fleet.time().runUntil(fleet.time().now() + 500);
+        for (CallerAnswers.Lookup answer : cancelAll(fleet, cancellingEntry)) {
+            assertEquals(new CallerAnswers.Lookup.Unknown(), answer);
+        }
+        fleet.time().runUntil(fleet.time().now() + 5_000);
+        fleet.store().setWritesRefused(fleet.loop("entry-0"), false);
+        fleet.time().runUntil(fleet.time().now() + 10_000);
+
+        assertEquals(0, fleet.recordOfStarts().startCount(), fleet::logLines);
+    }
+
     /** Returns a fleet with jobs of one long task each, which run and are owned by entry 0. */
     private static SimulatedFleet fleetWithRunningJobs() {
         SimulatedFleet fleet = new SimulatedFleet(3, SIDECARS, task -> TASK_MILLISECONDS);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/MemoryStore.java
@@ -28,6 +28,8 @@
     private int pageRows = 500;
     /** Processes that the store refuses while it serves the others. */
     private final Set<VirtualLoop> refusedProcesses = new HashSet<>();
+    /** Processes whose writes the store refuses. */
+    private final Set<VirtualLoop> writersRefused = new HashSet<>();
     /** Processes whose calls to follow a table are not answered. */
     private final Set<VirtualLoop> silentFollowers = new HashSet<>();
     /** Number of calls so far, by kind: write, read or follow. */
@@ -75,6 +77,15 @@
         }
     }
 
+    /** Refuses the writes of a process from now on, or executes them again. */
+    void setWritesRefused(VirtualLoop process, boolean refused) {
+        if (refused) {
+            writersRefused.add(process);
+        } else {
+            writersRefused.remove(process);
+        }
+    }
+
     /** Leaves all calls of a process to follow a table without an answer from now on, or answers them again. */
     void setFollowSilent(VirtualLoop process, boolean silent) {
         if (silent) {
@@ -172,7 +183,7 @@
         @Override
         public void transact(RecordTransaction transaction, Consumer<WriteOutcome> receiver) {
             countCall("write");
-            Fault current = refusedProcesses.contains(loop) ? Fault.BUSY : fault;
+            Fault current = refusedProcesses.contains(loop) || writersRefused.contains(loop) ? Fault.BUSY : fault;
             switch (current) {
                 case NONE -> answer(CALL_LATENCY_MILLISECONDS, () -> apply(transaction), receiver);
                 case BUSY -> answer(CALL_LATENCY_MILLISECONDS, () -> new WriteOutcome.Refused("busy"), receiver);
