Let a cancellation reach a job whose owner is frozen, out of touch or lost

Cause: the cancelling entry closes the job in the store and tells the owner by one frame. A frame is lost with its link, and a frozen process closes its links unread when it wakes. Nobody repeated it. The owner finds out by its next write of the job, when the task has ended, and goes on renewing the lease of the runs. If the owner is declared lost instead, the runs end only once a sidecar has asked an entry about them.

Change, for each party that can start a task of the job: - The notice is kept for 15 s and sent again to an entry that opens a link (CancelNotices); for a stored job it goes to its owner only. Nothing is acknowledged, as a frame is lost only with its link. - If the owner is out of touch for a second or lost, all sidecars are told that the job is over (the existing JobOver). They stop the runs of a stored job whichever entry owns them, and refuse further ones for 15 s (OverJobs). An owner that is refused so writes the job, which tells it the state, instead of repeating the task at once. - An entry compares its stored jobs with each scan of the open ones, and writes those that are missing (OwnedJobCheck); a new link to another entry asks for a scan. So the owner finds out also if the cancelling entry is lost.

Cost: a cancelled stored job of another entry costs one frame instead of one for each other entry. If the owner is out of touch, one frame for each sidecar. Four reads after a link between entries was opened, at most once in 1.5 s.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -23,8 +23,15 @@
     ANNOUNCEMENT_DROPPED,
     /** An entry cancels a job that it owns. */
     CANCEL,
+    /** An entry told another one again of a job that was cancelled, because a new link to it is open. */
+    CANCEL_REPEATED,
+    /**
+     * An entry told all sidecars that a cancelled job is over, because the entry that owns it is out of touch or lost.
+     */
+    CANCEL_TOLD_SIDECARS,
     /** An entry moved the record of a job that another entry owns to the table of finished jobs, as cancelled. */
     CANCELLED_FOREIGN,
+
     /**
      * The lease of its owner applies to a run no more: the owner opened another link or is lost. The run is stopped
      * unless an entry claims it.
@@ -70,6 +77,8 @@
     JOINED,
     /** The lease on a run has expired at a sidecar, which stops or drops the run. */
     LEASE_EXPIRED,
+    /** An entry found that a stored job that it owns is not among the open ones, and writes it to learn why. */
+    JOB_MISSING,
     /** A process is about to stop and signals that it should get no new work. */
     LEAVING,
     /** Lines were dropped because the output was not read in time. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -205,6 +205,9 @@
          */
         public static final String UPSTREAM_CRASHED_UNCONFIRMED = "upstream-crashed-unconfirmed";
 
+        /** Reason of a refusal: another entry has told that the job is over. */
+        public static final String JOB_OVER = "job-over";
+
         /** Reason of a second report on a lapse that was put down to a crash: the upstream had not crashed. */
         public static final String CRASH_RETRACTED = "crash-retracted";
 
@@ -270,7 +273,8 @@
     }
 
     /**
-     * Answer to {@link Unclaimed}: the job has finished, so its runs can be stopped and their completions discarded.
+     * Answer to {@link Unclaimed}, and news of a cancelled job to all sidecars: the job has finished, so its runs can
+     * be stopped and their completions discarded.
      *
      * @param job identity of the job
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -32,11 +32,9 @@
     static final long FAULT_RETRY_MILLISECONDS = 1_000;
 
     private final DecisionLoop loop;
-    private final RecordStore store;
     private final LinkPort links;
     private final EntryParameters parameters;
     private final EntryHost host;
-    private final JobWriter writer;
     private final OwnedJobRepository jobs;
     private final TaskDispatcher dispatcher;
     private final ProcessMembership membership;
@@ -73,11 +71,10 @@
             EntryHost host,
             ZoneEvacuations evacuations) {
         this.loop = loop;
-        this.store = store;
         this.links = links;
         this.parameters = parameters;
         this.host = host;
-        this.writer = new JobWriter(store, loop, retries);
+        JobWriter writer = new JobWriter(store, loop, retries);
         this.jobs = new OwnedJobRepository(loop, writer, parameters, new JobListener());
         this.dispatcher = new TaskDispatcher(loop, links, jobs, evacuations);
         this.waitingJobCounts = new WaitingJobCounts(loop, jobs);
@@ -90,6 +87,7 @@
                 loop,
                 List.of(
                         new EntryTick.Duty("membership", membership::tick),
+                        new EntryTick.Duty("cancellations", cancellation.notices()::tick),
                         new EntryTick.Duty("jobs", jobs::tick),
                         new EntryTick.Duty("evacuations", admission.evacuationImpact()::abandonJobs),
                         new EntryTick.Duty("dispatch", dispatcher::tick),
@@ -297,8 +295,11 @@
      */
     public void handleLinkOpened(JobFrame.Hello hello) {
         membership.setLinked(hello.node(), hello.incarnation(), true);
+        cancellation.notices().linkOpened(hello);
         if (hello.role() == ProcessRole.SIDECAR) {
             dispatcher.linkOpened(hello);
+        } else {
+            jobAdopter.entryLinkOpened();
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
@@ -5,8 +5,6 @@
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.ClosedRecord;
-import io.caperturn.jobs.message.JobFrame;
-import io.caperturn.jobs.message.ProcessRole;
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.record.JobWriter;
 import io.caperturn.jobs.record.StoredRecord;
@@ -27,13 +25,11 @@
     private static final long POLL_MILLISECONDS = 5;
 
     private final DecisionLoop loop;
-    private final LinkPort links;
-    private final EntryParameters parameters;
     private final JobWriter writer;
     private final OwnedJobRepository jobs;
     private final TaskDispatcher dispatcher;
-    private final ProcessMembership membership;
     private final StoredJobReader storedJobReader;
+    private final CancelNotices notices;
 
     JobCancellation(
             DecisionLoop loop,
@@ -45,13 +41,11 @@
             ProcessMembership membership,
             StoredJobReader storedJobReader) {
         this.loop = loop;
-        this.links = links;
-        this.parameters = parameters;
         this.writer = writer;
         this.jobs = jobs;
         this.dispatcher = dispatcher;
-        this.membership = membership;
         this.storedJobReader = storedJobReader;
+        this.notices = new CancelNotices(loop, links, parameters, membership);
     }
 
     /**
@@ -74,7 +68,7 @@
                     if (answer instanceof CallerAnswers.Lookup.Unknown) {
                         // A job that is not stored is known only to the entry at which its caller waits, or which
                         // is inserting it.
-                        notifyOtherEntries(identity);
+                        notices.notifyAll(identity);
                         cancelForPeer(identity);
                     }
                     receiver.accept(answer);
@@ -103,12 +97,6 @@
         }
     }
 
-    private void notifyOtherEntries(String identity) {
-        membership.membersWithRole(ProcessRole.ENTRY).stream()
-                .filter(member -> !member.incarnation().equals(parameters.incarnation()))
-                .forEach(member -> links.send(member.incarnation(), new JobFrame.CancelJob(identity)));
-    }
-
     private void cancelStored(String identity, StoredRecord openRecord, Consumer<CallerAnswers.Lookup> receiver) {
         ClosedRecord closedRecord = new ClosedRecord(JobState.CANCELLED, loop.wallClockMilliseconds());
         writer.close(identity, openRecord.version(), closedRecord, result -> {
@@ -120,7 +108,7 @@
                                 identity,
                                 EventKey.VERSION,
                                 openRecord.version());
-                notifyOtherEntries(identity);
+                storedJobReader.ownerOf(openRecord).ifPresent(owner -> notices.notifyOwner(identity, owner));
                 cancelForPeer(identity); // this entry may have adopted the job meanwhile
                 receiver.accept(new CallerAnswers.Lookup.Found(JobState.CANCELLED));
             } else if (result instanceof JobWriter.Result.Conflicted conflicted
@@ -143,4 +131,9 @@
             jobs.cancelOnceOwned(identity);
         }
     }
+
+    /** Returns the notices to the entries that may own cancelled jobs. */
+    CancelNotices notices() {
+        return notices;
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -36,6 +37,7 @@
     private final Function<String, Optional<QueuePolicy>> policyByQueueName;
     private final Map<String, LostEntryRecovery> recoveries = new HashMap<>();
     private final OpenJobScans scans;
+    private final OwnedJobCheck ownedJobCheck;
     private boolean stopped;
 
     OrphanedJobAdopter(
@@ -55,6 +57,7 @@
         this.dispatcher = dispatcher;
         this.jobs = jobs;
         this.policyByQueueName = policyByQueueName;
+        this.ownedJobCheck = new OwnedJobCheck(loop, jobs);
         this.scans = new OpenJobScans(loop, parameters, membership, this::scan);
     }
 
@@ -81,6 +84,11 @@
         scans.request();
     }
 
+    /** Handles a new link to another entry: a notice of a cancelled job may have been lost with the earlier one. */
+    void entryLinkOpened() {
+        scans.request();
+    }
+
     /** Handles the inventory (list of all runs) of a sidecar that was told to accept nothing more from a lost entry. */
     void handleInventory(String sidecar, JobFrame.Inventory inventory) {
         LostEntryRecovery recovery = recoveries.get(inventory.fenced());
@@ -112,12 +120,23 @@
         });
     }
 
-    /** Reads all open jobs from the store, and adopts those whose owner is lost. */
+    /**
+     * Reads all open jobs from the store, adopts those whose owner is lost, and checks that those which this entry owns
+     * are among them.
+     */
     private void scan(boolean onlyAssigned) {
-        storedJobReader.readOpenJobs(stored -> {
-            String identity = stored.key().name();
-            if (!jobs.isInserting(identity) && (!onlyAssigned || isAssignedHere(identity))) {
-                ensureOwner(identity, stored, () -> {});
+        storedJobReader.readOpenJobs(new StoredJobReader.ScanReceiver() {
+            @Override
+            public Consumer<StoredJobReader.Page> pageRequested() {
+                return ownedJobCheck.begin();
+            }
+
+            @Override
+            public void jobFound(StoredRecord openRecord) {
+                String identity = openRecord.key().name();
+                if (!jobs.isInserting(identity) && (!onlyAssigned || isAssignedHere(identity))) {
+                    ensureOwner(identity, openRecord, () -> {});
+                }
             }
         });
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
@@ -266,6 +266,14 @@
                 .anyMatch(member -> member.content.incarnation().equals(incarnation));
     }
 
+    /** Returns whether there is a link to an incarnation in the table, and a frame of it has arrived within a time. */
+    boolean isInContact(String incarnation, long silenceMilliseconds) {
+        return members.values().stream()
+                .anyMatch(member -> member.content.incarnation().equals(incarnation)
+                        && isLinked(member)
+                        && silence(member) <= silenceMilliseconds);
+    }
+
     /** Returns the version of the store up to which the changes of the table are known; 0 before the first read. */
     long tableVersion() {
         return tableFollower.replicaVersion();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -15,6 +15,12 @@
  * process that accepts jobs: it records successes, and repeats runs that failed, stalled or were refused.
  */
 final class RunReportHandler {
+    /**
+     * Time after which a task is repeated whose job a sidecar takes for over, in milliseconds; a write to the store
+     * takes far less.
+     */
+    private static final long OVER_RETRY_MILLISECONDS = 500;
+
     private final DecisionLoop loop;
     private final LinkPort links;
     private final OwnedJobRepository jobs;
@@ -83,6 +89,10 @@
                     crashes.handleRetraction(task, report.run());
                     return; // the lapse was handled before
                 }
+                if (isCurrent && report.reason().equals(JobFrame.Report.JOB_OVER)) {
+                    handleOver(task, report.run());
+                    return;
+                }
                 sidecar.ifPresent(SidecarView::endProbe);
                 boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, sidecar);
                 if (isCurrent && !givenUp) {
@@ -93,6 +103,19 @@
         }
     }
 
+    /**
+     * Handles that a run was refused because another entry has told the sidecar that the job is over: the next write of
+     * the job shows its state. The task is repeated if the job turns out to be open.
+     */
+    private void handleOver(OwnedTask task, RunIdentity run) {
+        jobs.storeProgress(task.job());
+        loop.after(OVER_RETRY_MILLISECONDS, () -> {
+            if (task.isIn(OwnedTask.Phase.SENT) && run.equals(task.currentRun())) {
+                retry.repeat(task, JobFrame.Report.JOB_OVER);
+            }
+        });
+    }
+
     /**
      * Handles the report of a queued or active run: stops one whose task is done or sent again under a later number.
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
@@ -16,7 +16,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Reader of stored jobs that this entry, a process that accepts jobs, does not own. Each table of jobs is divided into
@@ -55,6 +58,43 @@
         void accept(StoredRecord openRecord, CallerAnswers.Lookup answer);
     }
 
+    /** Receiver of what a scan of the open jobs finds. */
+    interface ScanReceiver {
+        /** Called before a page is read; what it returns is given that page, after its jobs. */
+        Consumer<Page> pageRequested();
+
+        /** Receives an open job. */
+        void jobFound(StoredRecord openRecord);
+    }
+
+    /**
+     * Page of the table of open jobs: all jobs of a part whose names are in a range.
+     *
+     * @param part the part
+     * @param from first name of the range
+     * @param last last name of the range; empty if it ends with the part
+     * @param names the names
+     */
+    record Page(String part, String from, Optional<String> last, Set<String> names) {
+        private static Page of(String part, String from, RecordStore.ReadOutcome.Found found) {
+            Set<String> names =
+                    found.records().stream().map(stored -> stored.key().name()).collect(Collectors.toUnmodifiableSet());
+            return new Page(
+                    part,
+                    from,
+                    found.more() ? Optional.of(found.records().getLast().key().name()) : Optional.empty(),
+                    names);
+        }
+
+        /** Returns whether a job would be on this page if it were open, and is not. */
+        boolean lacks(String job) {
+            return part.equals(JobWriter.partOf(job))
+                    && job.compareTo(from) >= 0
+                    && last.map(name -> job.compareTo(name) <= 0).orElse(true)
+                    && !names.contains(job);
+        }
+    }
+
     /**
      * Reads a job from the store: first from the table of open (unfinished) jobs, then from that of closed jobs. This
      * order finds a job that is closed between the two reads; the reverse order would miss it.
@@ -86,20 +126,22 @@
     }
 
     /** Reads all open jobs, and repeats what cannot be read until it has been. */
-    void readOpenJobs(Consumer<StoredRecord> receiver) {
+    void readOpenJobs(ScanReceiver receiver) {
         for (int number = 0; number < JobWriter.PARTS; number++) {
             readOpenJobs(JobWriter.partName(number), /* from= */ "", receiver);
         }
     }
 
     /** Reads one part of the open jobs, from the job with a given name to the end of the part. */
-    private void readOpenJobs(String part, String from, Consumer<StoredRecord> receiver) {
+    private void readOpenJobs(String part, String from, ScanReceiver receiver) {
+        Consumer<Page> pageReceiver = receiver.pageRequested();
         store.read(JobWriter.OPEN_TABLE, part, from, "", outcome -> {
             switch (outcome) {
                 case RecordStore.ReadOutcome.Found page -> {
                     backoff.reset();
                     readUnreadParts(receiver);
                     page.records().forEach(stored -> handle(stored, receiver));
+                    pageReceiver.accept(Page.of(part, from, page));
                     if (page.more()) {
                         readOpenJobs(part, page.records().getLast().key().name() + '\0', receiver);
                     }
@@ -115,9 +157,9 @@
     }
 
     /** Passes on a job; an unexpected exception must neither end the reading nor keep the later jobs from it. */
-    private void handle(StoredRecord stored, Consumer<StoredRecord> receiver) {
+    private void handle(StoredRecord stored, ScanReceiver receiver) {
         try {
-            receiver.accept(stored);
+            receiver.jobFound(stored);
         } catch (RuntimeException e) {
             UnexpectedExceptions.record(
                     loop.log(), e, EventKey.JOB, stored.key().name());
@@ -125,7 +167,7 @@
     }
 
     /** Reads one of the parts that could not be read after a while; the others follow if that succeeds. */
-    private void scheduleRetry(Consumer<StoredRecord> receiver) {
+    private void scheduleRetry(ScanReceiver receiver) {
         if (retryScheduled) {
             return;
         }
@@ -139,12 +181,22 @@
         });
     }
 
-    private void readUnreadParts(Consumer<StoredRecord> receiver) {
+    private void readUnreadParts(ScanReceiver receiver) {
         Map<String, String> parts = new LinkedHashMap<>(unreadParts); // Map.copyOf has no fixed order.
         unreadParts.clear();
         parts.forEach((part, from) -> readOpenJobs(part, from, receiver));
     }
 
+    /** Returns the incarnation of the entry that the record of an open job names as its owner; empty if unreadable. */
+    Optional<String> ownerOf(StoredRecord open) {
+        try {
+            return Optional.of(JobRecord.decode(open.value()).owner());
+        } catch (IOException e) {
+            handleUnreadable(open, e);
+            return Optional.empty();
+        }
+    }
+
     private CallerAnswers.Lookup stateOf(StoredRecord open) {
         try {
             return new CallerAnswers.Lookup.Found(
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
@@ -13,6 +13,7 @@
 final class DispatchCheck {
     private final DecisionLoop loop;
     private final RunRegistry registry;
+    private final OverJobs overJobs;
     private final UpstreamController upstreamController;
     private final StatusSender statusSender;
     private final ZoneStartGate zoneGate;
@@ -20,11 +21,13 @@
     DispatchCheck(
             DecisionLoop loop,
             RunRegistry registry,
+            OverJobs overJobs,
             UpstreamController upstreamController,
             StatusSender statusSender,
             ZoneStartGate zoneGate) {
         this.loop = loop;
         this.registry = registry;
+        this.overJobs = overJobs;
         this.upstreamController = upstreamController;
         this.statusSender = statusSender;
         this.zoneGate = zoneGate;
@@ -38,6 +41,9 @@
     }
 
     private Optional<String> findRefusal(LocalRun run) {
+        if (overJobs.contains(run)) {
+            return Optional.of(JobFrame.Report.JOB_OVER);
+        }
         Optional<String> zoneRefusal = zoneGate.refusalReason();
         if (zoneRefusal.isPresent()) {
             return zoneRefusal;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/FinishedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/FinishedRuns.java
@@ -43,15 +43,6 @@
         }
     }
 
-    /** Discards the runs of a finished job that have no owner. */
-    void discardUnclaimed(String job) {
-        for (LocalRun run : List.copyOf(registry.allRuns())) {
-            if (run.identity().task().job().equals(job) && run.owner().isEmpty()) {
-                discard(run, "job-over");
-            }
-        }
-    }
-
     /** Stops a run that no entry will own again, or removes it if it has finished. */
     void discard(LocalRun run, String cause) {
         if (run.isInPhase(Phase.ENDED)) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -40,6 +40,7 @@
     private final UnclaimedRuns unclaimedRuns;
     private final FinishedRuns finishedRuns;
     private final EntryFences fences;
+    private final OverJobs overJobs;
 
     private final StatusSender statusSender;
     private final OwnerReports reports;
@@ -72,11 +73,12 @@
         this.upstreamController =
                 new UpstreamController(upstream, loop, timings, registry, leases, new OwnerReporter());
         this.finishedRuns = new FinishedRuns(registry, upstreamController);
+        this.overJobs = new OverJobs(loop, registry, finishedRuns);
         this.fences = new EntryFences(loop, links, registry, finishedRuns, leases);
         this.statusSender = new StatusSender(
                 loop, links, timings, registry, upstreamController, owners, new PromptRecipients(node), zoneGate);
         this.reports = new OwnerReports(links, owners, statusSender);
-        this.dispatchCheck = new DispatchCheck(loop, registry, upstreamController, statusSender, zoneGate);
+        this.dispatchCheck = new DispatchCheck(loop, registry, overJobs, upstreamController, statusSender, zoneGate);
         this.slowdownSender = new SlowdownSender(loop, links, registry);
         this.leaseExpiry = new LeaseExpiry(loop, registry, leases, owners, upstreamController, reports, statusSender);
     }
@@ -225,7 +227,7 @@
                 statusSender.sendInventory(owner, fence.incarnation());
                 statusSender.scheduleStatus();
             }
-            case JobFrame.JobOver over -> finishedRuns.discardUnclaimed(over.job());
+            case JobFrame.JobOver over -> overJobs.add(over.job());
             default -> loop.log().event(EventName.FRAME_UNEXPECTED, EventKey.FROM, incarnation, EventKey.FRAME, frame);
         }
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/StoredJobReaderTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/StoredJobReaderTest.java
@@ -12,6 +12,7 @@
 import io.caperturn.jobs.record.StoredRecord;
 import io.caperturn.jobs.simulation.VirtualLoop;
 import io.caperturn.jobs.simulation.VirtualTime;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -44,12 +45,23 @@
             public void follow(String table, long after, long waitMilliseconds, Consumer<FollowOutcome> receiver) {}
         };
         TreeSet<String> handled = new TreeSet<>();
-        new StoredJobReader(loop, store, new StoreRetryBudget(loop, "process")).readOpenJobs(stored -> {
-            if (stored.key().name().equals(failing)) {
-                throw new IllegalStateException("unexpected");
-            }
-            handled.add(stored.key().name());
-        });
+        List<String> pages = new ArrayList<>();
+        new StoredJobReader(loop, store, new StoreRetryBudget(loop, "process"))
+                .readOpenJobs(new StoredJobReader.ScanReceiver() {
+                    @Override
+                    public Consumer<StoredJobReader.Page> pageRequested() {
+                        return page -> pages.add(
+                                page.part() + page.from() + page.last().orElse(""));
+                    }
+
+                    @Override
+                    public void jobFound(StoredRecord stored) {
+                        if (stored.key().name().equals(failing)) {
+                            throw new IllegalStateException("unexpected");
+                        }
+                        handled.add(stored.key().name());
+                    }
+                });
         TreeSet<String> expected = new TreeSet<>();
         for (int number = 0; number < JobWriter.PARTS; number++) {
             String part = JobWriter.partName(number);
@@ -57,6 +69,7 @@
         }
         expected.remove(failing);
         assertEquals(expected, handled);
+        assertEquals(2 * JobWriter.PARTS, pages.size(), () -> "pages: " + pages);
         assertTrue(loop.logLines().stream().anyMatch(line -> line.contains(" " + EventName.EXCEPTION.label() + " ")));
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -19,11 +20,47 @@
     private static final long CANCEL_MILLISECONDS = 3_000;
     /** Time for the stop of a run. */
     private static final long STOP_MILLISECONDS = 50;
+    /** Time without a frame after which processes close their links, and some more. */
+    private static final long LINK_TIMEOUT_MILLISECONDS = 1_900;
 
     private static final int SIDECARS = 3;
     private static final int JOBS = 6;
     private static final long TASK_MILLISECONDS = 60_000;
 
+    /**
+     * Guards against a cancelled job that runs on to its end, because its owner was frozen when it was told, or was
+     * declared lost then.
+     */
+    @ParameterizedTest
+    @CsvSource({"300, 1000", "300, 2000", "1950, 2000", "300, 2400", "300, 4000", "1500, 4000", "2400, 6000"})
+    void jobStopsInTimeIfItsOwnerIsFrozenWhenItIsCancelled(long cancelMilliseconds, long freezeMilliseconds) {
+        SimulatedFleet fleet = fleetWithRunningJobs();
+        freeze(fleet, freezeMilliseconds);
+        fleet.time().runUntil(fleet.time().now() + cancelMilliseconds);
+        cancelAll(fleet, 1);
+        fleet.time().runUntil(fleet.time().now() + CANCEL_MILLISECONDS + STOP_MILLISECONDS);
+
+        assertEquals(0, activeRuns(fleet), fleet::logLines);
+        fleet.time().runUntil(fleet.time().now() + 10_000);
+        assertEquals(0, activeRuns(fleet), fleet::logLines);
+        assertEquals(JOBS, fleet.recordOfStarts().startCount(), fleet::logLines);
+    }
+
+    /** Guards against a cancelled job that runs on because the entry that cancelled it is lost too. */
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 4_000})
+    void jobStopsIfTheEntryThatCancelledItIsLost(long freezeMilliseconds) {
+        SimulatedFleet fleet = fleetWithRunningJobs();
+        freeze(fleet, freezeMilliseconds);
+        fleet.time().runUntil(fleet.time().now() + 300);
+        cancelAll(fleet, 1);
+        fleet.kill("entry-1");
+        fleet.time().runUntil(fleet.time().now() + freezeMilliseconds + CANCEL_MILLISECONDS + STOP_MILLISECONDS);
+
+        assertEquals(0, activeRuns(fleet), fleet::logLines);
+        assertEquals(JOBS, fleet.recordOfStarts().startCount(), fleet::logLines);
+    }
+
     /**
      * Guards against a cancelled job whose runs are taken over: it was cancelled after the adoption and before the end
      * of the recovery, which waits here for a sidecar that is cut off.
@@ -84,6 +121,13 @@
         }
     }
 
+    /** Freezes entry 0 for a time; after the time-out its links are closed, with the frames that it has not read. */
+    private static void freeze(SimulatedFleet fleet, long milliseconds) {
+        fleet.loop("entry-0").freeze();
+        fleet.time().after(Math.min(milliseconds, LINK_TIMEOUT_MILLISECONDS), () -> fleet.closeLinksBriefly("entry-0"));
+        fleet.time().after(milliseconds, () -> fleet.loop("entry-0").resume(/* clockStoodStill= */ false));
+    }
+
     /** Cancels all jobs at an entry, and returns its answers, all of which arrive within 50 ms. */
     private static List<CallerAnswers.Lookup> cancelAll(SimulatedFleet fleet, int entry) {
         List<CallerAnswers.Lookup> answers = new ArrayList<>();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/QueuedInEvacuatedZoneTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/QueuedInEvacuatedZoneTest.java
@@ -25,7 +25,7 @@
     private final ZoneEvacuations evacuations = new ZoneEvacuations(loop);
     private final RunRegistry registry = new RunRegistry();
     private final DispatchCheck check =
-            new DispatchCheck(loop, registry, null, null, new ZoneStartGate(evacuations, "own"));
+            new DispatchCheck(loop, registry, null, null, null, new ZoneStartGate(evacuations, "own"));
 
     private LocalRun enqueue() {
         LocalRun run = new LocalRun(new RunIdentity(new TaskIdentity("job", 0, 0, 0), 1), /* createdAt= */ 0);
