Accept no job whose stored record is unreadable, and leave unclaimed jobs to the entry that they are assigned to

Callers saw: 200 for a job whose record in the store is unreadable, so that no entry of this build can run it. A 503 would promise that it never runs, which isn't known either.

Cause: the answer to a request whose job is stored did not depend on whether the record names an owner that can be verified.

Change: such a request gets 504 at once (Submission.Undecided), after which its caller may submit it again. Besides, a sidecar's question about a run without an owner is followed by an adoption only at the entry to which the hash assigns the job, as before: periodic scans find what it leaves. The probe of an upstream ends also if a run is refused because its job is over.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CallerAnswers.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CallerAnswers.java
@@ -24,6 +24,13 @@
          */
         record Refused(String reason, long retryAfterMilliseconds, boolean overloaded) implements Submission {}
 
+        /**
+         * The job is stored, but whether an entry will run it is not known; the caller may submit it again.
+         *
+         * @param reason code of the reason
+         */
+        record Undecided(String reason) implements Submission {}
+
         /**
          * A job that is not stored has finished.
          *
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -371,8 +371,8 @@
         }
 
         @Override
-        public void unownedJobFound(String job, StoredRecord open, Runnable owned) {
-            jobAdopter.ensureOwner(job, open, owned);
+        public boolean unownedJobFound(String job, StoredRecord open, Runnable owned) {
+            return jobAdopter.ensureOwner(job, open, owned);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
@@ -45,8 +45,9 @@
          * @param job identity of the job
          * @param openRecord the stored job
          * @param owned called once an entry is known to own the job, or the job has finished
+         * @return false if the stored job is unreadable, so that its owner stays unknown
          */
-        void storedJobFound(String job, StoredRecord openRecord, Runnable owned);
+        boolean storedJobFound(String job, StoredRecord openRecord, Runnable owned);
     }
 
     /** Returns whether the insertion of a job is in progress. */
@@ -104,16 +105,18 @@
         listener.jobAccepted(job);
     }
 
-    /** Handles that the store holds the job: the answer to an earlier request was lost, or came from another entry. */
+    /**
+     * Handles that the store holds the job: the answer to an earlier request was lost, or another entry received that
+     * request. If the insert was performed late, the owner that it names may be lost; then nobody would run the job.
+     */
     private void handleConflict(OwnedJob job, JobWriter.Result.Conflicted conflicted) {
         boolean open = conflicted.unfinishedRecord() != null;
         loop.log().event(EventName.JOINED, EventKey.JOB, job.identity(), EventKey.OPEN, open);
         Runnable accept = () -> answer(job.identity(), new CallerAnswers.Submission.Accepted(true));
-        if (open) {
-            // An insert that was performed late may name an owner that is lost; then nobody would run the job.
-            listener.storedJobFound(job.identity(), conflicted.unfinishedRecord(), accept);
-        } else {
+        if (!open) {
             accept.run();
+        } else if (!listener.storedJobFound(job.identity(), conflicted.unfinishedRecord(), accept)) {
+            answer(job.identity(), new CallerAnswers.Submission.Undecided("unreadable"));
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -114,7 +114,7 @@
                                 EventKey.STATE,
                                 answer);
                 links.send(sidecar, new JobFrame.JobOver(job));
-            } else if (openRecord != null) {
+            } else if (openRecord != null && isAssignedHere(job)) {
                 ensureOwner(job, openRecord, () -> {});
             }
         });
@@ -152,18 +152,19 @@
      * @param openRecord the stored job
      * @param owned called once an entry is known to own the job, or the job has finished; not if this entry stops
      *     before
+     * @return false if the record is unreadable, so that its owner stays unknown
      */
-    void ensureOwner(String identity, StoredRecord openRecord, Runnable owned) {
+    boolean ensureOwner(String identity, StoredRecord openRecord, Runnable owned) {
         JobRecord content;
         try {
             content = JobRecord.decode(openRecord.value());
         } catch (IOException e) {
             storedJobReader.handleUnreadable(openRecord, e);
-            return;
+            return false;
         }
         if (isOwnedOrAdopted(identity) || content.owner().equals(parameters.incarnation())) {
             owned.run();
-            return;
+            return true;
         }
         membership.verifyOwner(content.owner(), openRecord.version(), standing -> {
             switch (standing) {
@@ -177,6 +178,7 @@
                 }
             }
         });
+        return true;
     }
 
     private boolean isOwnedOrAdopted(String identity) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -75,8 +75,9 @@
          * @param job identity of the job
          * @param openRecord the stored job
          * @param owned called once an entry is known to own the job, or the job has finished
+         * @return false if the stored job is unreadable, so that its owner stays unknown
          */
-        void unownedJobFound(String job, StoredRecord openRecord, Runnable owned);
+        boolean unownedJobFound(String job, StoredRecord openRecord, Runnable owned);
     }
 
     Collection<OwnedJob> ownedJobs() {
@@ -382,8 +383,8 @@
         }
 
         @Override
-        public void storedJobFound(String job, StoredRecord openRecord, Runnable owned) {
-            listener.unownedJobFound(job, openRecord, owned);
+        public boolean storedJobFound(String job, StoredRecord openRecord, Runnable owned) {
+            return listener.unownedJobFound(job, openRecord, owned);
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -89,11 +89,11 @@
                     crashes.handleRetraction(task, report.run());
                     return; // the lapse was handled before
                 }
+                sidecar.ifPresent(SidecarView::endProbe);
                 if (isCurrent && report.reason().equals(JobFrame.Report.JOB_OVER)) {
                     handleOver(task, report.run());
                     return;
                 }
-                sidecar.ifPresent(SidecarView::endProbe);
                 boolean givenUp = CrashedRuns.isCrash(report) && crashes.handleCrash(task, report, sidecar);
                 if (isCurrent && !givenUp) {
                     sidecar.ifPresent(view -> recordRefusal(task, view, report));
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OddJobRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OddJobRecordTest.java
@@ -67,10 +67,7 @@
     @EnumSource(OddRecord.class)
     void otherJobsOfALostEntryAreCompleted(OddRecord odd) {
         SimulatedFleet fleet = new SimulatedFleet(/* entryCount= */ 3, /* sidecars= */ 2, task -> 300);
-        RecordKey key = new RecordKey(JobWriter.OPEN_TABLE, JobWriter.partOf(NAME), NAME);
-        fleet.store()
-                .viewFor(fleet.loop("entry-2"))
-                .transact(new RecordTransaction(Map.of(), Map.of(key, odd.value), List.of()), outcome -> {});
+        write(fleet, odd);
         for (int number = 0; number < JOBS; number++) {
             fleet.submit(0, "job-" + number, SampleJobs.plan(2, /* durable= */ true));
         }
@@ -86,4 +83,26 @@
                     "job-" + number);
         }
     }
+
+    private static void write(SimulatedFleet fleet, OddRecord odd) {
+        RecordKey key = new RecordKey(JobWriter.OPEN_TABLE, JobWriter.partOf(NAME), NAME);
+        fleet.store()
+                .viewFor(fleet.loop("entry-2"))
+                .transact(new RecordTransaction(Map.of(), Map.of(key, odd.value), List.of()), outcome -> {});
+    }
+
+    /** Guards against a job that is accepted although its stored record is unreadable, so that no entry can run it. */
+    @ParameterizedTest
+    @EnumSource(
+            value = OddRecord.class,
+            names = {"NESTED", "TRUNCATED"})
+    void jobWithAnUnreadableRecordIsNotAccepted(OddRecord odd) {
+        SimulatedFleet fleet = new SimulatedFleet(/* entryCount= */ 3, /* sidecars= */ 2, task -> 300);
+        write(fleet, odd);
+        fleet.time().runUntil(fleet.time().now() + 100);
+        List<CallerAnswers.Submission> answers = fleet.submit(0, NAME, SampleJobs.plan(2, /* durable= */ true));
+        fleet.time().runUntil(fleet.time().now() + 100);
+
+        assertEquals(List.of(new CallerAnswers.Submission.Undecided("unreadable")), answers, fleet::logLines);
+    }
 }
