--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameCountTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameCountTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.caperturn.jobs.record.JobWriter;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -25,6 +26,10 @@
     private static final double USUAL_LOAD_PER_UPSTREAM = 0.31;
 
     private static final int ARRIVAL_SECONDS = 3;
+    private static final int STORED_JOBS = 500;
+    /** Writes for each stored job: its insert, and its end. */
+    private static final int WRITES_PER_STORED_JOB = 2;
+
     private static final double[] SPEEDS = {0.55, 1.2, 1.2, 1.2};
 
     @ParameterizedTest
@@ -73,4 +78,28 @@
         assertEquals(counts.get("Lease"), counts.get("Status"), () -> "frames: " + counts);
         assertEquals(List.of(), fleet.recordOfStarts().violations());
     }
+
+    /**
+     * A stored job is written when it is accepted and when it ends; what is read besides, to find jobs without an
+     * owner, grows with the time only.
+     */
+    @ParameterizedTest
+    @CsvSource({"4, 11", "8, 40", "15, 80"})
+    void callsToTheStoreForEachStoredJobDoNotGrowWithTheNumberOfEntries(int entries, int sidecars) {
+        SimulatedFleet fleet = new SimulatedFleet(entries, sidecars, task -> 300);
+        fleet.time().runUntil(8_000); // The scans after the start of processes are over.
+        int writesBefore = fleet.store().callCount("write");
+        int readsBefore = fleet.store().callCount("read");
+        for (int number = 0; number < STORED_JOBS; number++) {
+            fleet.submit(number % entries, "job-" + number, SampleJobs.plan(2, /* durable= */ true));
+            fleet.time().runUntil(fleet.time().now() + 50);
+        }
+        fleet.time().runUntil(38_000);
+
+        assertEquals(2 * STORED_JOBS, fleet.recordOfStarts().succeededTaskCount());
+        int writes = fleet.store().callCount("write") - writesBefore;
+        assertTrue(writes <= WRITES_PER_STORED_JOB * STORED_JOBS, () -> writes + " writes");
+        int reads = fleet.store().callCount("read") - readsBefore;
+        assertTrue(reads <= JobWriter.PARTS * (30_000 / 5_000 + 1), () -> reads + " reads in 30 s");
+    }
 }
