Tell the owner of a cancelled job also if the store's answer to the cancellation was lost

Callers saw (in the simulation): a job that was cancelled with 200 at another entry ran on, although nothing was frozen; the answer to the write that closes its record was lost.

Cause: JobWriter repeats an unanswered write; the repetition finds no open job, which JobCancellation took for a job that had finished. It read the state, answered with it, and told nobody. A repeated request likewise found the job cancelled.

Change: whenever the state is read as cancelled, the owner of the last open record is told; a request that finds the job cancelled tells all entries.

Cost: none, but one frame for each other entry if a cancelled job is cancelled again.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
@@ -65,9 +65,9 @@
             storedJobReader.read(identity, (openRecord, answer) -> {
                 // The answer is the state before this cancellation, so the caller gets it only if the job is not open.
                 if (openRecord == null) {
-                    if (answer instanceof CallerAnswers.Lookup.Unknown) {
+                    if (answer instanceof CallerAnswers.Lookup.Unknown || isCancelled(answer)) {
                         // A job that is not stored is known only to the entry at which its caller waits, or which
-                        // is inserting it.
+                        // is inserting it. The owner of a cancelled one may not have been told.
                         notices.notifyAll(identity);
                         cancelForPeer(identity);
                     }
@@ -101,25 +101,35 @@
         ClosedRecord closedRecord = new ClosedRecord(JobState.CANCELLED, loop.wallClockMilliseconds());
         writer.close(identity, openRecord.version(), closedRecord, result -> {
             if (result instanceof JobWriter.Result.Stored) {
-                loop.log()
-                        .event(
-                                EventName.CANCELLED_FOREIGN,
-                                EventKey.JOB,
-                                identity,
-                                EventKey.VERSION,
-                                openRecord.version());
-                storedJobReader.ownerOf(openRecord).ifPresent(owner -> notices.notifyOwner(identity, owner));
-                cancelForPeer(identity); // this entry may have adopted the job meanwhile
+                handleClosed(identity, openRecord);
                 receiver.accept(new CallerAnswers.Lookup.Found(JobState.CANCELLED));
             } else if (result instanceof JobWriter.Result.Conflicted conflicted
                     && conflicted.unfinishedRecord() != null) {
                 cancelStored(identity, conflicted.unfinishedRecord(), receiver);
             } else {
-                storedJobReader.read(identity, (stored, answer) -> receiver.accept(answer));
+                // The job has finished, or the answer to an earlier attempt of this write was lost.
+                storedJobReader.read(identity, (stored, answer) -> {
+                    if (isCancelled(answer)) {
+                        handleClosed(identity, openRecord);
+                    }
+                    receiver.accept(answer);
+                });
             }
         });
     }
 
+    /** Handles that a job is closed in the store as cancelled; tells the owner that its last open record names. */
+    private void handleClosed(String identity, StoredRecord lastOpenRecord) {
+        loop.log()
+                .event(EventName.CANCELLED_FOREIGN, EventKey.JOB, identity, EventKey.VERSION, lastOpenRecord.version());
+        storedJobReader.ownerOf(lastOpenRecord).ifPresent(owner -> notices.notifyOwner(identity, owner));
+        cancelForPeer(identity); // this entry may have adopted the job meanwhile
+    }
+
+    private static boolean isCancelled(CallerAnswers.Lookup answer) {
+        return answer.equals(new CallerAnswers.Lookup.Found(JobState.CANCELLED));
+    }
+
     /** Cancels a job on behalf of another entry, if this entry owns it or is about to. */
     void cancelForPeer(String identity) {
         OwnedJob job = jobs.find(identity);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
@@ -6,6 +6,7 @@
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.owner.CallerAnswers;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -61,6 +62,30 @@
         assertEquals(JOBS, fleet.recordOfStarts().startCount(), fleet::logLines);
     }
 
+    /** Guards against an owner that is not told of a cancellation because the store's answer to it was lost. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 400, 1_000})
+    void jobStopsIfTheAnswerToItsCancellationIsLost(long faultMilliseconds) {
+        SimulatedFleet fleet = fleetWithRunningJobs();
+        fleet.store().setFault(MemoryStore.Fault.ANSWERS_LOST);
+        List<CallerAnswers.Lookup> answers = new ArrayList<>();
+        for (int number = 0; number < JOBS; number++) {
+            fleet.entry(1).cancel("job-" + number, answers::add);
+        }
+        fleet.time().runUntil(fleet.time().now() + faultMilliseconds);
+        fleet.store().setFault(MemoryStore.Fault.NONE);
+        while (answers.size() < JOBS) {
+            fleet.time().runUntil(fleet.time().now() + 10);
+        }
+        fleet.time().runUntil(fleet.time().now() + CANCEL_MILLISECONDS + STOP_MILLISECONDS);
+
+        assertEquals(
+                Collections.nCopies(JOBS, new CallerAnswers.Lookup.Found(JobState.CANCELLED)),
+                answers,
+                fleet::logLines);
+        assertEquals(0, activeRuns(fleet), fleet::logLines);
+    }
+
     /**
      * Guards against a cancelled job whose runs are taken over: it was cancelled after the adoption and before the end
      * of the recovery, which waits here for a sidecar that is cut off.
