Forget a cancellation with the insert that it met, and keep what is remembered of cancelled jobs in one place

Callers would have seen: a job whose insert was refused, and which was cancelled meanwhile, is cancelled again when it is submitted later.

Cause: only an insert that succeeded removed the mark.

Change: the end of an insertion removes it, whatever the outcome, unless the job is being adopted instead. RecentJobs holds what entries and sidecars remember of cancelled jobs for a while; the two had a copy each.

Tests: CancelledJobTest.jobRunsIfItIsSubmittedAgainAfterItsRefusedInsertWasCancelled, 2 cases.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CancelNotices.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CancelNotices.java
@@ -4,24 +4,20 @@
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
+import io.caperturn.jobs.RecentJobs;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.MemberRecord;
 import io.caperturn.jobs.message.ProcessRole;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Notices of cancelled jobs to the entries (processes that accept jobs) that may own them and send their tasks to
  * sidecars, the processes beside upstreams.
  *
  * <p>A notice is lost only with the link over which it is sent, as one that a frozen entry has not read. So each notice
- * is kept for a while and sent again to an entry that opens a link. If the owner of a stored job is declared lost
- * meanwhile, nobody adopts the job, and the sidecars are told that it is over.
+ * is kept for a while and sent again to an entry that opens a link. If the owner of a stored job is out of touch
+ * meanwhile, or lost, the sidecars are told that the job is over.
  */
 final class CancelNotices {
     /**
@@ -40,16 +36,17 @@
     private final LinkPort links;
     private final EntryParameters parameters;
     private final ProcessMembership membership;
-    /** Notices by the identity of the job, in the order in which they were sent first. */
-    private final Map<String, Notice> noticesByJob = new LinkedHashMap<>();
-    /** Jobs among them of which the sidecars were told, because their owner was out of touch. */
-    private final Set<String> jobsToldToSidecars = new HashSet<>();
+    private final RecentJobs<Notice> notices;
+    /** Notices of the stored jobs of which the sidecars were told, because their owner was out of touch. */
+    private final RecentJobs<Notice> noticesToSidecars;
 
     CancelNotices(DecisionLoop loop, LinkPort links, EntryParameters parameters, ProcessMembership membership) {
         this.loop = loop;
         this.links = links;
         this.parameters = parameters;
         this.membership = membership;
+        this.notices = new RecentJobs<>(loop, RETENTION_MILLISECONDS, MAXIMUM_NOTICES);
+        this.noticesToSidecars = new RecentJobs<>(loop, RETENTION_MILLISECONDS, MAXIMUM_NOTICES);
     }
 
     /**
@@ -75,8 +72,7 @@
     }
 
     private void send(String job, Notice notice) {
-        forgetOld();
-        noticesByJob.put(job, notice);
+        notices.put(job, notice);
         otherEntries().stream()
                 .filter(notice::isFor)
                 .forEach(incarnation -> links.send(incarnation, new JobFrame.CancelJob(job)));
@@ -86,12 +82,11 @@
      * Sends the notices again to an entry that has opened a link, or tells a sidecar that has of what the others were.
      */
     void linkOpened(JobFrame.Hello peer) {
-        forgetOld();
         if (peer.role() == ProcessRole.SIDECAR) {
-            jobsToldToSidecars.forEach(job -> links.send(peer.incarnation(), new JobFrame.JobOver(job)));
+            noticesToSidecars.forEach((job, notice) -> links.send(peer.incarnation(), new JobFrame.JobOver(job)));
             return;
         }
-        noticesByJob.forEach((job, notice) -> {
+        notices.forEach((job, notice) -> {
             if (notice.isFor(peer.incarnation())) {
                 links.send(peer.incarnation(), new JobFrame.CancelJob(job));
                 log(EventName.CANCEL_REPEATED, job, peer.incarnation(), notice);
@@ -101,21 +96,18 @@
 
     /** Tells all sidecars of the stored jobs whose owner is out of touch or lost. */
     void tick() {
-        if (noticesByJob.isEmpty()) {
-            return;
-        }
-        forgetOld();
-        noticesByJob.forEach((job, notice) -> {
-            if (notice.owner()
-                            .filter(owner -> !membership.isInContact(owner, OWNER_SILENCE_MILLISECONDS))
-                            .isPresent()
-                    && jobsToldToSidecars.add(job)) {
-                log(EventName.CANCEL_TOLD_SIDECARS, job, notice.owner().get(), notice);
-                membership
-                        .membersWithRole(ProcessRole.SIDECAR)
-                        .forEach(sidecar -> links.send(sidecar.incarnation(), new JobFrame.JobOver(job)));
-            }
-        });
+        notices.forEach((job, notice) -> notice.owner()
+                .filter(owner -> !membership.isInContact(owner, OWNER_SILENCE_MILLISECONDS))
+                .filter(owner -> !noticesToSidecars.contains(job))
+                .ifPresent(owner -> tellSidecars(job, owner, notice)));
+    }
+
+    private void tellSidecars(String job, String owner, Notice notice) {
+        noticesToSidecars.put(job, notice);
+        log(EventName.CANCEL_TOLD_SIDECARS, job, owner, notice);
+        membership
+                .membersWithRole(ProcessRole.SIDECAR)
+                .forEach(sidecar -> links.send(sidecar.incarnation(), new JobFrame.JobOver(job)));
     }
 
     private void log(EventName event, String job, String owner, Notice notice) {
@@ -136,19 +128,4 @@
                 .filter(incarnation -> !incarnation.equals(parameters.incarnation()))
                 .toList();
     }
-
-    private void forgetOld() {
-        long sentBefore = loop.monotonicMilliseconds() - RETENTION_MILLISECONDS;
-        Iterator<Map.Entry<String, Notice>> oldest = noticesByJob.entrySet().iterator();
-        int excess = noticesByJob.size() - MAXIMUM_NOTICES;
-        while (oldest.hasNext()) {
-            Map.Entry<String, Notice> notice = oldest.next();
-            if (notice.getValue().sentAt() >= sentBefore && excess <= 0) {
-                return;
-            }
-            jobsToldToSidecars.remove(notice.getKey());
-            oldest.remove();
-            excess--;
-        }
-    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
@@ -39,6 +39,9 @@
         /** The callers of a new job have been answered, so its tasks can start. */
         void jobAccepted(OwnedJob job);
 
+        /** The insertion of a job has ended, whatever its outcome, and its callers have been answered. */
+        void insertionEnded(String job);
+
         /**
          * The store holds an unfinished job of that identity already, which an earlier request submitted.
          *
@@ -121,6 +124,11 @@
     }
 
     private void answer(String job, CallerAnswers.Submission answer) {
-        receiversByJob.remove(job).forEach(receiver -> receiver.accept(answer));
+        List<Consumer<CallerAnswers.Submission>> receivers = receiversByJob.remove(job);
+        try {
+            receivers.forEach(receiver -> receiver.accept(answer));
+        } finally {
+            listener.insertionEnded(job);
+        }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OpenJobScans.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OpenJobScans.java
@@ -1,8 +1,6 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.DecisionLoop;
-import io.caperturn.jobs.message.MemberRecord;
-import io.caperturn.jobs.message.ProcessRole;
 import java.util.List;
 
 /**
@@ -119,12 +117,9 @@
     }
 
     private boolean isTurn() {
-        List<String> entryNames = membership.membersWithRole(ProcessRole.ENTRY).stream()
-                .map(MemberRecord::node)
-                .sorted()
-                .toList();
+        List<String> entryNodes = membership.entryNodes();
         long turn = loop.wallClockMilliseconds() / PERIOD_MILLISECONDS;
-        return !entryNames.isEmpty() && entryNames.indexOf(parameters.node()) == Math.floorMod(turn, entryNames.size());
+        return !entryNodes.isEmpty() && entryNodes.indexOf(parameters.node()) == Math.floorMod(turn, entryNodes.size());
     }
 
     private void scan(boolean onlyAssigned) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -6,8 +6,6 @@
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.message.JobRecord;
-import io.caperturn.jobs.message.MemberRecord;
-import io.caperturn.jobs.message.ProcessRole;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.record.JobWriter;
 import io.caperturn.jobs.record.StoredRecord;
@@ -215,12 +213,9 @@
      * of parts because its remainder already selects the part of the job.
      */
     private boolean isAssignedHere(String identity) {
-        List<String> entryNames = membership.membersWithRole(ProcessRole.ENTRY).stream()
-                .map(MemberRecord::node)
-                .sorted()
-                .toList();
-        int index = Math.floorMod(identity.hashCode() / JobWriter.PARTS, Math.max(1, entryNames.size()));
-        return !entryNames.isEmpty() && entryNames.get(index).equals(parameters.node());
+        List<String> entryNodes = membership.entryNodes();
+        int index = Math.floorMod(identity.hashCode() / JobWriter.PARTS, Math.max(1, entryNodes.size()));
+        return !entryNodes.isEmpty() && entryNodes.get(index).equals(parameters.node());
     }
 
     private LostEntryRecovery startRecovery(String lost) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -223,7 +223,8 @@
 
     /** Finishes a job that was cancelled before the outcome of its insertion or adoption was known. */
     private void finishIfCancelledBefore(String identity) {
-        if (jobsCancelledBefore.remove(identity) && ownedJobs.containsKey(identity)) {
+        boolean ended = !isInserting(identity) && !isAdopting(identity);
+        if (ended && jobsCancelledBefore.remove(identity) && ownedJobs.containsKey(identity)) {
             finish(ownedJobs.get(identity), JobState.CANCELLED);
         }
     }
@@ -376,12 +377,16 @@
 
         @Override
         public void jobAccepted(OwnedJob job) {
-            finishIfCancelledBefore(job.identity());
             if (job.finalState() == null) {
                 listener.jobAccepted(job);
             }
         }
 
+        @Override
+        public void insertionEnded(String job) {
+            finishIfCancelledBefore(job);
+        }
+
         @Override
         public boolean storedJobFound(String job, StoredRecord openRecord, Runnable owned) {
             return listener.unownedJobFound(job, openRecord, owned);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ProcessMembership.java
@@ -291,6 +291,14 @@
         ownerVerifier.verify(owner, recordVersion, receiver);
     }
 
+    /** Returns the instances of all entries in the table, in the order of their names. */
+    List<String> entryNodes() {
+        return membersWithRole(ProcessRole.ENTRY).stream()
+                .map(MemberRecord::node)
+                .sorted()
+                .toList();
+    }
+
     Collection<MemberRecord> membersWithRole(ProcessRole role) {
         return members.values().stream()
                 .map(member -> member.content)
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OverJobs.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/OverJobs.java
@@ -1,10 +1,8 @@
 package io.caperturn.jobs.upstream;
 
 import io.caperturn.jobs.DecisionLoop;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import io.caperturn.jobs.RecentJobs;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Stored jobs of which an entry (process that accepts jobs) has told a sidecar that they are over: their runs are
@@ -17,16 +15,14 @@
     /** Maximum number of jobs that are remembered; the earliest are forgotten. */
     private static final int MAXIMUM_JOBS = 10_000;
 
-    private final DecisionLoop loop;
     private final RunRegistry registry;
     private final FinishedRuns finishedRuns;
-    /** When each job was last told to be over, in milliseconds of the loop's clock, in the order of the first time. */
-    private final Map<String, Long> toldAtByJob = new LinkedHashMap<>();
+    private final RecentJobs<Boolean> jobs;
 
     OverJobs(DecisionLoop loop, RunRegistry registry, FinishedRuns finishedRuns) {
-        this.loop = loop;
         this.registry = registry;
         this.finishedRuns = finishedRuns;
+        this.jobs = new RecentJobs<>(loop, RETENTION_MILLISECONDS, MAXIMUM_JOBS);
     }
 
     /**
@@ -34,8 +30,7 @@
      * only its runs without an owner are discarded.
      */
     void add(String job) {
-        forgetOld();
-        toldAtByJob.put(job, loop.monotonicMilliseconds());
+        jobs.put(job, true);
         for (LocalRun run : List.copyOf(registry.allRuns())) {
             if (run.identity().task().job().equals(job)
                     && (run.isDurable() || run.owner().isEmpty())) {
@@ -46,17 +41,6 @@
 
     /** Returns whether a dispatched run belongs to a stored job that is over. */
     boolean contains(LocalRun run) {
-        forgetOld();
-        return run.isDurable() && toldAtByJob.containsKey(run.identity().task().job());
-    }
-
-    private void forgetOld() {
-        long toldBefore = loop.monotonicMilliseconds() - RETENTION_MILLISECONDS;
-        Iterator<Long> oldest = toldAtByJob.values().iterator();
-        int excess = toldAtByJob.size() - MAXIMUM_JOBS;
-        while (oldest.hasNext() && (oldest.next() < toldBefore || excess > 0)) {
-            oldest.remove();
-            excess--;
-        }
+        return run.isDurable() && jobs.contains(run.identity().task().job());
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CancelledJobTest.java
@@ -131,6 +131,23 @@
         assertEquals(0, fleet.recordOfStarts().startCount(), fleet::logLines);
     }
 
+    /** Guards against a cancellation that outlives the refused insert which it met, and meets a later one. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void jobRunsIfItIsSubmittedAgainAfterItsRefusedInsertWasCancelled(int cancellingEntry) {
+        SimulatedFleet fleet = new SimulatedFleet(3, SIDECARS, task -> 200);
+        fleet.store().setWritesRefused(fleet.loop("entry-0"), true);
+        submitAll(fleet, 200);
+        fleet.time().runUntil(fleet.time().now() + 20);
+        cancelAll(fleet, cancellingEntry);
+        fleet.time().runUntil(fleet.time().now() + 1_000);
+        fleet.store().setWritesRefused(fleet.loop("entry-0"), false);
+        submitAll(fleet, 200);
+        fleet.time().runUntil(fleet.time().now() + 2_000);
+
+        assertEquals(JOBS, fleet.recordOfStarts().succeededTaskCount(), fleet::logLines);
+    }
+
     /** Returns a fleet with jobs of one long task each, which run and are owned by entry 0. */
     private static SimulatedFleet fleetWithRunningJobs() {
         SimulatedFleet fleet = new SimulatedFleet(3, SIDECARS, task -> TASK_MILLISECONDS);
