--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -22,6 +22,9 @@
  * its tasks to sidecars, the processes beside the upstreams that run tasks. Each job of a lost owner is assigned to one
  * of the remaining entries, which adopts it: stores itself as the owner and recovers the runs from the sidecars.
  *
+ * <p>After a loss every entry adopts the jobs that their hash assigns to it. A job that is found without such an event,
+ * by a periodic scan or because a caller asks for it, is adopted by the entry that finds it.
+ *
  * <p>The stored table of open (unfinished) jobs is divided into parts, by the hash of the job.
  */
 final class OrphanedJobAdopter {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -43,8 +43,8 @@
     private final JobInsertion insertion;
     private final Listener listener;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
-    /** Jobs that were cancelled while the write was in progress that makes this entry their owner. */
-    private final Set<String> jobsCancelledBefore = new HashSet<>();
+    /** Jobs that were cancelled while the write that makes this entry their owner was in progress. */
+    private final Set<String> jobsToCancelOnceOwned = new HashSet<>();
 
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByTransientJob = new HashMap<>();
 
@@ -209,7 +209,7 @@
                 ownedJobs.put(identity, adopted.job());
             }
             receiver.accept(outcome);
-            finishIfCancelledBefore(identity);
+            cancelIfRequested(identity);
         });
     }
 
@@ -217,14 +217,14 @@
     void cancelOnceOwned(String identity) {
         if (isInserting(identity) || isAdopting(identity)) {
             loop.log().event(EventName.CANCEL, EventKey.JOB, identity);
-            jobsCancelledBefore.add(identity);
+            jobsToCancelOnceOwned.add(identity);
         }
     }
 
-    /** Finishes a job that was cancelled before the outcome of its insertion or adoption was known. */
-    private void finishIfCancelledBefore(String identity) {
+    /** Cancels a job for which that was requested before the outcome of its insertion or adoption was known. */
+    private void cancelIfRequested(String identity) {
         boolean ended = !isInserting(identity) && !isAdopting(identity);
-        if (ended && jobsCancelledBefore.remove(identity) && ownedJobs.containsKey(identity)) {
+        if (ended && jobsToCancelOnceOwned.remove(identity) && ownedJobs.containsKey(identity)) {
             finish(ownedJobs.get(identity), JobState.CANCELLED);
         }
     }
@@ -384,7 +384,7 @@
 
         @Override
         public void insertionEnded(String job) {
-            finishIfCancelledBefore(job);
+            cancelIfRequested(job);
         }
 
         @Override
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EntryFences.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EntryFences.java
@@ -42,13 +42,13 @@
         boolean refused = fenced.contains(sender);
         if (refused) {
             loop.log().event(EventName.DISPATCH_FENCED, EventKey.RUN, run, EventKey.OWNER, sender);
-            tellIfFenced(sender);
+            notifyIfFenced(sender);
         }
         return refused;
     }
 
     /** Tells an incarnation of an entry, if it is fenced, that nothing more is accepted from it. */
-    void tellIfFenced(String incarnation) {
+    void notifyIfFenced(String incarnation) {
         if (fenced.contains(incarnation)) {
             links.send(incarnation, new JobFrame.FenceOwner(incarnation));
         }
@@ -67,7 +67,7 @@
             if (fenced.size() > MAXIMUM_FENCES) {
                 fenced.remove(fenced.iterator().next());
             }
-            tellIfFenced(lost);
+            notifyIfFenced(lost);
         }
         for (LocalRun run : List.copyOf(registry.queuedRuns())) {
             if (run.owner().equals(lost)) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -183,7 +183,7 @@
         OwnerLease owner = owners.computeIfAbsent(incarnation, key -> new OwnerLease(key, timings));
         leases.endClaimsOf(owner);
         owner.openLink(loop.monotonicMilliseconds());
-        fences.tellIfFenced(incarnation);
+        fences.notifyIfFenced(incarnation);
         // The status requests a renewal, whose answer then arrives before the runs of the inventory are claimed.
         statusSender.sendStatus(owner);
         statusSender.sendInventory(owner, /* fencedEntry= */ "");
