Take runs of an upstream for ended only on proof, not on the notice of its stop

Cause: UpstreamController.handleDeparture reported all active runs as lapsed when the notice arrived (run-lapsed cause=upstream-gone 1 ms after it, again cause=LAPSED-upstream-gone 4 ms after it, run-found for the same runs 63 ms after it). An upstream without an acknowledgement goes on for some seconds. The next answer also restored the upstream as usable, from the sidecar's own record in the store.

Change: RunEndings alone decides whether a run has ended of which no completion is listed, and EndEvidence names what it is given. The notice proves nothing by itself; a connection that is refused after the notice does, and so do a complete listing and the end of the lease. The notice holds for the incarnation that sent it. A sidecar whose upstream has not listed its runs yet no longer reports an unknown run as stopped.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -161,7 +161,7 @@
     RUN_FAILED,
     /** An upstream has a run that the current incarnation of its sidecar did not order. */
     RUN_FOUND,
-    /** A run cannot be active any more, because its lease must have expired. */
+    /** A run cannot be active any more: its lease must have expired, or its upstream has stopped. */
     RUN_LAPSED,
     /** An upstream does not list a run that its sidecar considered active. */
     RUN_MISSING,
@@ -219,12 +219,14 @@
     UPSTREAM,
     /** A sidecar takes its upstream for crashed, with the number and the queues of the runs that were active there. */
     UPSTREAM_CRASHED,
-    /** An upstream has stopped. */
+    /** An upstream announced that it stops, with the number of runs that are still active there. */
     UPSTREAM_GONE,
     /** A sidecar learned which incarnation of its upstream answers its requests. */
     UPSTREAM_LIFE,
     /** A sidecar uses the description of the upstream that its earlier incarnation stored. */
     UPSTREAM_RECALLED,
+    /** A sidecar was told to stop a run that it does not know, before its upstream has listed its runs. */
+    WITHDRAWAL_DEFERRED,
     /** An entry ordered a sidecar to stop a run, with the cause and whether there was a link to send that over. */
     WITHDRAWN,
     /** A process learned that no task may be started in an availability zone. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -4,13 +4,10 @@
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.model.RunIdentity;
-import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.upstream.LocalRun.Phase;
 import io.caperturn.jobs.upstream.UpstreamPort.Answer;
 import io.caperturn.jobs.upstream.UpstreamPort.Order;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 
 /**
@@ -39,15 +36,11 @@
     private static final long SHORT_HOLD_WAIT_MILLISECONDS = 30;
     /** Minimum number of waits of hold requests, one after the other, within the lease that was requested last. */
     private static final long HOLD_WAITS_PER_LEASE = 3;
-    /** Maximum percentage by which the upstream's clock is slower than the local one. */
-    private static final long CLOCK_DRIFT_PERCENT = 2;
     /**
      * Minimum time without progress after which a run counts as stalled, in milliseconds: longer than the wait of a
      * hold request, because only its answer reports progress.
      */
     private static final long MINIMUM_STALL_MILLISECONDS = 300;
-    /** Margin added to a lease for timer delays, in milliseconds. */
-    private static final long LEASE_MARGIN_MILLISECONDS = 150;
 
     private final UpstreamPort port;
     private final DecisionLoop loop;
@@ -112,11 +105,9 @@
         lastLeaseSentAt = loop.monotonicMilliseconds();
     }
 
-    /** Returns whether the upstream has been silent for so long that the leases of all its runs must have expired. */
-    boolean hasLeaseExpired() {
-        long lease =
-                timings.upstreamLeaseMilliseconds() * (100 + CLOCK_DRIFT_PERCENT) / 100 + LEASE_MARGIN_MILLISECONDS;
-        return isUpstreamSilent() && loop.monotonicMilliseconds() > lastLeaseSentAt + lease;
+    /** Returns when an order that extends the lease was last sent, in milliseconds of the loop's clock. */
+    long lastLeaseSentAt() {
+        return lastLeaseSentAt;
     }
 
     /**
@@ -227,6 +218,9 @@
         if (becomesSilent) {
             handler.upstreamSilent(refusedConnection);
         }
+        if (refusedConnection) {
+            handler.endEvidenceFound(new EndEvidence.RefusedConnection(hold.sentAt()));
+        }
         if (isUpstreamSilent()) {
             pause(registry.activeCount() > 0 ? FAULT_PAUSE_MILLISECONDS : IDLE_FAULT_PAUSE_MILLISECONDS);
         } else {
@@ -300,7 +294,7 @@
             }
         }
         if (listing.complete()) {
-            expireMissing(running, order, sentAt);
+            handler.endEvidenceFound(new EndEvidence.CompleteListing(running, order.fenceToken(), sentAt));
         }
         boolean first = state.recordListing(order.fenceToken());
         if (changed || first) {
@@ -340,42 +334,4 @@
             registry.retainLocally(run);
         }
     }
-
-    /**
-     * Finishes a run with the outcome LAPSED if a complete listing shows it neither as active nor as finished. A run
-     * whose start was not answered (DOUBTFUL) counts as never started only if the listing was requested under the
-     * current fencing token.
-     */
-    private void expireMissing(Set<RunIdentity> running, Order order, long sentAt) {
-        List<LocalRun> missing = new ArrayList<>();
-        for (LocalRun run : registry.allRuns()) {
-            boolean neverStarted = run.isInPhase(Phase.DOUBTFUL) && order.fenceToken() == state.fenceToken();
-            // A listing need not include a run whose start was ordered shortly before or after the hold request.
-            boolean disappeared =
-                    run.isInPhase(Phase.RUNNING) && run.startedAt() < sentAt - timings.answerTimeoutMilliseconds();
-            if (!running.contains(run.identity()) && (neverStarted || disappeared)) {
-                missing.add(run);
-            }
-        }
-        for (LocalRun run : missing) {
-            loop.log()
-                    .event(
-                            EventName.RUN_MISSING,
-                            EventKey.RUN,
-                            run.identity(),
-                            EventKey.PHASE,
-                            run.phase(),
-                            EventKey.CONFIRMED,
-                            run.isStartConfirmed(),
-                            EventKey.FENCE,
-                            order.fenceToken());
-            registry.finish(
-                    run,
-                    RunOutcome.LAPSED,
-                    run.lapseReason("not-listed"),
-                    /* completionNumber= */ 0,
-                    loop.monotonicMilliseconds());
-            handler.runFinished(run);
-        }
-    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldHandler.java
@@ -28,6 +28,9 @@
      */
     void upstreamSilent(boolean connectionsRefused);
 
+    /** Called with an observation that may prove that active runs have ended. */
+    void endEvidenceFound(EndEvidence evidence);
+
     /** Called when the known incarnation of the upstream answers after it was silent or could not be reached. */
     void upstreamAnsweredAgain();
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -112,13 +112,13 @@
      * upstream by it before the upstream announces itself again.
      *
      * @param stored the description that is stored now
-     * @return the description; the stored one while the upstream is unknown, and empty if it is leaving, because the
-     *     next incarnation must not use it
+     * @return the description; the stored one while the upstream is unknown, and empty if it is leaving or has
+     *     announced that it stops, because the next incarnation must not use it
      */
     public Optional<UpstreamIncarnation> upstreamToStore(Optional<UpstreamIncarnation> stored) {
         UpstreamAnnouncement announcement = upstreamController.state().announcement();
         if (announcement == null) {
-            return stored;
+            return stored.filter(description -> !upstreamController.state().hasAnnouncedStop(description));
         }
         return announcement.leaving() ? Optional.empty() : Optional.of(announcement.description());
     }
@@ -133,12 +133,12 @@
     }
 
     /**
-     * Handles the upstream's notice that it has stopped.
+     * Handles the notice of the upstream that it stops.
      *
      * @param identity name of the upstream
      */
-    public void handleDeparture(String identity) {
-        upstreamController.handleDeparture(identity);
+    public void handleStopNotice(String identity) {
+        upstreamController.handleStopNotice(identity);
     }
 
     /**
@@ -299,10 +299,21 @@
 
     private void handleWithdrawal(OwnerLease owner, RunIdentity identity) {
         LocalRun run = registry.findRun(identity);
-        if (run == null) {
+        if (run != null) {
+            upstreamController.withdraw(run, "withdrawn");
+        } else if (upstreamController.isEndOfUnknownRunProved()) {
             reports.reportOutcome(owner, identity, RunOutcome.STOPPED, "unknown");
         } else {
-            upstreamController.withdraw(run, "withdrawn");
+            // The inventory after the first listing tells the owner whether the run is active.
+            loop.log()
+                    .event(
+                            EventName.WITHDRAWAL_DEFERRED,
+                            EventKey.RUN,
+                            identity,
+                            EventKey.OWNER,
+                            owner.incarnation(),
+                            EventKey.REASON,
+                            "upstream-not-listed");
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -5,7 +5,6 @@
 import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.UpstreamCrash;
-import io.caperturn.jobs.upstream.LocalRun.Phase;
 import java.util.List;
 import java.util.function.Predicate;
 
@@ -16,15 +15,13 @@
  * <p>Every order carries a fencing token; the upstream refuses a lower token than it has seen.
  */
 final class UpstreamController implements HoldHandler, StartOrders.Handler {
-    /** Maximum delay of an unanswered order, in milliseconds: the platform's limit of twelve seconds, plus a margin. */
-    private static final long MAXIMUM_ORDER_DELAY_MILLISECONDS = 13_000;
-
     private final DecisionLoop loop;
     private final RunRegistry registry;
     private final RunListener listener;
     private final UpstreamState state;
     private final HoldCycle holdCycle;
     private final UpstreamCrashes crashes;
+    private final RunEndings endings;
     private final StartOrders startOrders;
     private final StopOrders stopOrders;
     private boolean sidecarLeaving;
@@ -42,6 +39,7 @@
         this.state = new UpstreamState(loop, timings.upstreamLeaseMilliseconds(), leases::latestUpstreamExpiry);
         AnswerTimeout answerTimeout = new AnswerTimeout(timings.answerTimeoutMilliseconds());
         this.crashes = new UpstreamCrashes(loop, registry, state);
+        this.endings = new RunEndings(loop, timings, registry, state, crashes, listener);
         this.holdCycle = new HoldCycle(port, loop, timings, registry, state, leases, answerTimeout, this);
         this.startOrders = new StartOrders(port, loop, registry, state, holdCycle, answerTimeout, listener, this);
         this.stopOrders = new StopOrders(port, loop, state, answerTimeout, holdCycle);
@@ -58,6 +56,11 @@
         }
     }
 
+    /** Returns whether a run of which this process knows nothing cannot be active at the upstream. */
+    boolean isEndOfUnknownRunProved() {
+        return endings.isEndOfUnknownRunProved();
+    }
+
     /** Returns the crashes of the upstream of which entries are told. */
     List<UpstreamCrash> recentCrashes() {
         return crashes.recent();
@@ -71,7 +74,8 @@
     /** Handles an announcement of the upstream, unless it is older than the known one. */
     void handleAnnouncement(UpstreamAnnouncement announcement) {
         UpstreamAnnouncement known = state.announcement();
-        if (known != null && announcement.isOutdated(known)) {
+        boolean stopped = state.hasAnnouncedStop(announcement.description());
+        if (stopped || known != null && announcement.isOutdated(known)) {
             loop.log()
                     .event(
                             EventName.ANNOUNCEMENT_DROPPED,
@@ -80,7 +84,7 @@
                             EventKey.BORN,
                             announcement.startEpochMilliseconds(),
                             EventKey.CAUSE,
-                            "older");
+                            stopped ? "stop-announced" : "older");
             return;
         }
         if (known == null
@@ -113,17 +117,20 @@
         startQueued();
     }
 
-    /** Handles the stop of the upstream, with which all its runs have ended. */
-    void handleDeparture(String identity) {
-        if (state.announcement() == null || !state.announcement().identity().equals(identity)) {
+    /**
+     * Handles the notice of the upstream that it stops: it gets no more runs. Its active runs go on until their end is
+     * proved, as an upstream whose notice is not acknowledged stops only some seconds later.
+     */
+    void handleStopNotice(String identity) {
+        if (!state.recordStopNotice(identity)) {
             return;
         }
-        loop.log().event(EventName.UPSTREAM_GONE, EventKey.IDENTITY, identity);
-        state.setAnnouncement(null);
+        loop.log().event(EventName.UPSTREAM_GONE, EventKey.IDENTITY, identity, EventKey.RUNS, registry.activeCount());
         crashes.retract().forEach(listener::crashRetracted);
-        expireRuns(LocalRun::isActive, "upstream-gone");
+        endings.finishEndedRuns(new EndEvidence.StopNotice());
         refuseQueuedRuns("upstream-gone");
         listener.statusChanged();
+        holdCycle.startHoldIfNeeded();
     }
 
     /** Stops accepting runs and refuses the queued ones. */
@@ -167,12 +174,8 @@
 
     /** Finishes runs with an expired lease, and starts queued runs and a hold as needed; called at short intervals. */
     void tick() {
-        if (holdCycle.hasLeaseExpired()) {
-            expireRuns(run -> run.isInPhase(Phase.RUNNING), "upstream-silent");
-            expireRuns(
-                    run -> run.isInPhase(Phase.DOUBTFUL)
-                            && loop.monotonicMilliseconds() - run.startedAt() > MAXIMUM_ORDER_DELAY_MILLISECONDS,
-                    "upstream-silent");
+        if (holdCycle.isUpstreamSilent()) {
+            endings.finishEndedRuns(new EndEvidence.Silence(holdCycle.lastLeaseSentAt()));
         }
         startQueued();
         holdCycle.startHoldIfNeeded();
@@ -232,6 +235,11 @@
         listener.statusChanged();
     }
 
+    @Override
+    public void endEvidenceFound(EndEvidence evidence) {
+        endings.finishEndedRuns(evidence);
+    }
+
     @Override
     public void upstreamAnsweredAgain() {
         crashes.retract().forEach(listener::crashRetracted);
@@ -250,24 +258,6 @@
         }
     }
 
-    private void expireRuns(Predicate<LocalRun> selected, String cause) {
-        for (LocalRun run : registry.allRuns().stream().filter(selected).toList()) {
-            crashes.recordLapse(run);
-            String runCause = run.lapseReason(cause);
-            loop.log()
-                    .event(
-                            EventName.RUN_LAPSED,
-                            EventKey.RUN,
-                            run.identity(),
-                            EventKey.CAUSE,
-                            runCause,
-                            EventKey.CONFIRMED,
-                            run.isStartConfirmed());
-            registry.finish(run, RunOutcome.LAPSED, runCause, /* completionNumber= */ 0, loop.monotonicMilliseconds());
-            listener.runFinished(run);
-        }
-    }
-
     private void refuseQueuedRuns(String cause) {
         refuseQueuedRuns(run -> true, cause);
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -34,6 +34,9 @@
     /** Until when the upstream expects to be slow after its start, in milliseconds of the loop's clock. */
     private long coldUntil;
 
+    /** Last notice of an upstream that it stops; null if there was none. */
+    private StopNotice stopNotice;
+
     /** Description stored by an earlier incarnation of this sidecar; null if there is none. */
     private UpstreamIncarnation earlierDescription;
 
@@ -116,6 +119,44 @@
         coldUntil = latest == null ? 0 : loop.monotonicMilliseconds() + latest.coldMilliseconds();
     }
 
+    /**
+     * Notice of an incarnation of an upstream that it stops, received at a time in milliseconds of the loop's clock;
+     * its start, in milliseconds since 1970, is 0 if unknown.
+     */
+    private record StopNotice(String identity, long startEpochMilliseconds, long receivedAt) {}
+
+    /**
+     * Records a notice that an upstream stops, by its name; returns false if the known upstream is another one or has
+     * sent its notice before.
+     */
+    boolean recordStopNotice(String sender) {
+        boolean known = sender.equals(identity) || announcement != null && sender.equals(announcement.identity());
+        boolean unknownUpstream = identity.isEmpty() && announcement == null;
+        boolean repeated = known && hasAnnouncedStopBefore(Long.MAX_VALUE);
+        if (!known && !unknownUpstream || repeated) {
+            return false;
+        }
+        stopNotice = new StopNotice(sender, known ? startEpochMilliseconds : 0, loop.monotonicMilliseconds());
+        setAnnouncement(null);
+        return true;
+    }
+
+    /** Returns whether an incarnation of an upstream has announced that it stops. */
+    boolean hasAnnouncedStop(UpstreamIncarnation incarnation) {
+        return stopNotice != null
+                && stopNotice.identity().equals(incarnation.identity())
+                && stopNotice.startEpochMilliseconds() != 0
+                && stopNotice.startEpochMilliseconds() == incarnation.startEpochMilliseconds();
+    }
+
+    /** Returns whether the known incarnation announced, before a time of the loop's clock, that it stops. */
+    boolean hasAnnouncedStopBefore(long time) {
+        return stopNotice != null
+                && stopNotice.identity().equals(identity)
+                && stopNotice.startEpochMilliseconds() == startEpochMilliseconds
+                && stopNotice.receivedAt() <= time;
+    }
+
     /** Returns whether the upstream accepts runs: it is announced, not leaving, and its runs are listed. */
     boolean isAccepting() {
         return announcement != null && !announcement.leaving() && isListedUnderCurrentToken();
@@ -163,7 +204,8 @@
         if (announcement == null
                 && earlierDescription != null
                 && startEpochMilliseconds != 0
-                && earlierDescription.startEpochMilliseconds() == startEpochMilliseconds) {
+                && earlierDescription.startEpochMilliseconds() == startEpochMilliseconds
+                && (stopNotice == null || !stopNotice.identity().equals(earlierDescription.identity()))) {
             identity = earlierDescription.identity();
             announcement = new UpstreamAnnouncement(
                     earlierDescription, /* sequence= */ 0, /* leaving= */ false, /* coldMilliseconds= */ 0);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/StoredUpstreamTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/upstream/StoredUpstreamTest.java
@@ -49,6 +49,18 @@
         assertEquals(Optional.empty(), sidecar.upstreamToStore(Optional.of(UPSTREAM)));
     }
 
+    /** Guards against a restarted sidecar that sends tasks to an upstream which had announced its stop. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void upstreamThatAnnouncedItsStopIsNotStored(boolean lateHeartbeat) {
+        announce(/* sequence= */ 1, /* leaving= */ false);
+        sidecar.handleStopNotice(UPSTREAM.identity());
+        if (lateHeartbeat) {
+            announce(/* sequence= */ 2, /* leaving= */ false);
+        }
+        assertEquals(Optional.empty(), sidecar.upstreamToStore(Optional.of(UPSTREAM)));
+    }
+
     /** Loop that runs no actions and logs nothing. */
     private static final class IdleLoop implements DecisionLoop, DecisionLog {
         @Override
