Log what tasks that wait for long ask for, and how each sidecar is assessed as their place

For accepted tasks that do not start, logs did not tell whether no upstream could take them, all were full, or tasks before them kept them from being offered: there were no lines at all between accepted and placed.

Change: each second, one line for each of up to eight demands of waiting tasks whose jobs are more than a second old. POSSIBLE means that a sidecar could take the task now, but the task was not offered. TaskDemand names what a task asks of an upstream.

Test: WaitingTaskLogTest.

Cost: no frame, no store call; one look at the waiting tasks a second.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -76,6 +76,10 @@
     JOB("job"),
     /** Number of jobs. */
     JOBS("jobs"),
+    /** Label that a task requires of an upstream; empty for none. */
+    LABEL("label"),
+    /** Whether the job of a task fails if its next run fails. */
+    LAST_ATTEMPT("lastAttempt"),
     /** Whether an upstream is leaving. */
     LEAVING("leaving"),
     /** Whether a link to the process that is named was open. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -211,6 +211,11 @@
     SUSPENDED,
     /** An entry accepted a job that is not stored and whose caller waits. */
     TAKEN,
+    /**
+     * Tasks of jobs that are at least a second old wait at an entry: what they ask of an upstream, and how many
+     * sidecars are assessed as their place in which way.
+     */
+    TASKS_WAITING,
     /** A sidecar asked for the owner of a job, and an entry answered that the job has finished. */
     UNCLAIMED,
     /** A request sets a field that is not supported. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -214,6 +214,11 @@
         return failures;
     }
 
+    /** Returns whether the job of the task fails if the next run fails. */
+    boolean isLastAttempt() {
+        return failures() + 1 >= job.policy().maximumAttempts();
+    }
+
     /** Returns the number of runs under which the upstream crashed. */
     int crashes() {
         return crashes;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -97,6 +97,11 @@
         return positions.size();
     }
 
+    /** Returns the tasks in the order in which they should start. */
+    List<OwnedTask> tasks() {
+        return positions.stream().map(Position::task).toList();
+    }
+
     /** Returns the estimated work of selected waiting tasks, in thousandths of a core times milliseconds. */
     long totalWork(Predicate<OwnedTask> selected) {
         return positions.stream()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
@@ -23,6 +23,7 @@
     private final TaskPlacement placement;
     private final RunReportHandler reports;
     private final RunLossDetector lossDetector;
+    private final WaitingTaskLog waitingTaskLog;
 
     TaskDispatcher(DecisionLoop loop, LinkPort links, OwnedJobRepository jobs, ZoneEvacuations evacuations) {
         this.loop = loop;
@@ -33,6 +34,7 @@
         TaskRetry retry = new TaskRetry(loop, jobs, placement);
         this.reports = new RunReportHandler(loop, links, jobs, sidecars, placement, retry, durations);
         this.lossDetector = new RunLossDetector(jobs, sidecars, placement, retry, reports);
+        this.waitingTaskLog = new WaitingTaskLog(loop, placement, sidecars);
     }
 
     QueueConfinement confinement() {
@@ -120,6 +122,7 @@
         sidecars.confinement().refresh(/* newCrash= */ false);
         slowdowns.tick();
         placement.placeWaitingTasks();
+        waitingTaskLog.tick();
     }
 
     /** Abandons jobs that are not durable, have no task sent, and cannot complete while their caller still waits. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -132,8 +132,7 @@
             return ExclusionReason.CONFINEMENT.candidacy();
         }
         // The probe of an ejected upstream may fail; it must not be the last attempt that a task is allowed.
-        if (sidecar.isOnProbation()
-                && task.failures() + 1 >= task.job().policy().maximumAttempts()) {
+        if (sidecar.isOnProbation() && task.isLastAttempt()) {
             return ExclusionReason.LAST_ATTEMPT_PROBE.candidacy();
         }
         int limit = step.maximumPerUpstream();
