Offer each waiting task unless one that asks for the same was refused

Cause: a placement pass ended after six refusals, whatever the refused tasks asked for; the same overdue tasks ended each pass. Evidence: tasks-waiting shows sidecars={POSSIBLE=6, UNUSABLE=1} for the eight tasks, 16 s after their acceptance.

Change: the backlog keeps tasks apart by what they ask of an upstream, and a refusal leaves only those tasks out of the rest of the pass to which its reason applies: equal demands, the same step, or none. So every demand that has a place is offered in each pass.

All tests of caperturn-jobs and platform pass.

Cost: no frame, no store call. A pass assesses the sidecars once for each demand without room, where it did so six times in all.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
@@ -90,7 +90,7 @@
         }
         long criticalPathMilliseconds = job.plan().criticalPathMilliseconds();
         // Tasks of confined queues and all others use different upstreams.
-        Predicate<OwnedTask> competing = task -> confinement.isConfined(task) == confined;
+        Predicate<TaskDemand> competing = demand -> confinement.isConfined(demand.queue()) == confined;
         if (dispatcher.backlog().isEmpty() && freeCapacity > 0) {
             return criticalPathMilliseconds;
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -49,7 +49,7 @@
         remainingAssessments = maximumAssessments;
         explainedTasks.addAll(tasks);
         explainedTasks.forEach(task -> backlog.add(task, now));
-        backlog.offer(this::tryPlace, selector::isSetApart, now, TaskPlacement.MAX_UNPLACED_TASKS);
+        backlog.offer(this::tryPlace, now);
         List<PlacementExplanation.Placement> placements = new ArrayList<>();
         for (OwnedTask task : explainedTasks) {
             if (!endedEarly || selections.containsKey(task)) {
@@ -59,16 +59,16 @@
         return placements;
     }
 
-    private boolean tryPlace(OwnedTask task) {
+    private Selection tryPlace(OwnedTask task) {
         if (remainingAssessments < sidecars.size()) {
             endedEarly = true;
-            return false;
+            return WaitReason.NO_FREE_CAPACITY.selection(); // ends the pass for all tasks with the same demand
         }
         remainingAssessments -= sidecars.size();
         Selection selection = selector.select(task, sidecars, now);
         selections.put(task, selection);
         if (!(selection instanceof Selection.Chosen chosen)) {
-            return false;
+            return selection;
         }
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
         chosen.sidecar().startProbeIfOnProbation();
@@ -80,7 +80,7 @@
             interference.addRun(
                     chosen.sidecar().incarnation(), task.job().policy().name(), expectedMilliseconds);
         }
-        return true;
+        return selection;
     }
 
     private static PlacementExplanation.Placement toPlacement(OwnedTask task, Optional<Selection> selection) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -1,8 +1,15 @@
 package io.caperturn.jobs.owner;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -13,12 +20,23 @@
  * objective. Late tasks follow, because under overload they would take capacity from tasks that are on time. A task so
  * late that no caller waits for it any more is expired: it is ordered among the tasks that are on time, with a latest
  * start a fixed time ahead, so that its wait is bounded.
+ *
+ * <p>The tasks are kept apart by what they ask of an upstream, because the refusal of one task tells nothing about
+ * those that ask for something else.
  */
 final class TaskBacklog {
     /** Time from now until the latest start that an expired task is given, in milliseconds. */
     private static final long EXPIRED_TASK_WAIT_MILLISECONDS = 3_000;
 
-    private final TreeSet<Position> positions = new TreeSet<>();
+    /**
+     * Number of tasks with one demand that are offered in a pass although they were refused for reasons of their own;
+     * each refusal costs an assessment of all sidecars.
+     */
+    private static final int MAX_TASK_REFUSALS = 6;
+
+    /** Positions of the waiting tasks by what they asked for when they were added; no set is empty. */
+    private final Map<TaskDemand, TreeSet<Position>> positionsByDemand = new HashMap<>();
+
     private long nextInsertionNumber;
 
     /**
@@ -48,8 +66,18 @@
     /** Adds a task, which waits from now on; {@code now} is in milliseconds of the monotonic clock. */
     void add(OwnedTask task, long now) {
         task.setPhase(OwnedTask.Phase.WAITING);
-        positions.add(new Position(
-                isLate(task, now), latestStart(task, now), task.job().policy().urgency(), nextInsertionNumber++, task));
+        add(positionOf(task, nextInsertionNumber++, now));
+    }
+
+    private static Position positionOf(OwnedTask task, long insertionNumber, long now) {
+        return new Position(
+                isLate(task, now), latestStart(task, now), task.job().policy().urgency(), insertionNumber, task);
+    }
+
+    private void add(Position position) {
+        positionsByDemand
+                .computeIfAbsent(TaskDemand.of(position.task()), demand -> new TreeSet<>())
+                .add(position);
     }
 
     /**
@@ -84,44 +112,54 @@
     /** Returns a copy with the same tasks, whose changes leave this backlog as it is. */
     TaskBacklog copy() {
         TaskBacklog copy = new TaskBacklog();
-        copy.positions.addAll(positions);
+        positionsByDemand.forEach((demand, positions) -> copy.positionsByDemand.put(demand, new TreeSet<>(positions)));
         copy.nextInsertionNumber = nextInsertionNumber;
         return copy;
     }
 
     boolean isEmpty() {
-        return positions.isEmpty();
+        return positionsByDemand.isEmpty();
     }
 
     int size() {
-        return positions.size();
+        return positionsByDemand.values().stream().mapToInt(TreeSet::size).sum();
     }
 
     /** Returns the tasks in the order in which they should start. */
     List<OwnedTask> tasks() {
-        return positions.stream().map(Position::task).toList();
+        return positionsByDemand.values().stream()
+                .flatMap(TreeSet::stream)
+                .sorted()
+                .map(Position::task)
+                .toList();
     }
 
-    /** Returns the estimated work of selected waiting tasks, in thousandths of a core times milliseconds. */
-    long totalWork(Predicate<OwnedTask> selected) {
-        return positions.stream()
-                .filter(position -> selected.test(position.task()))
-                .mapToLong(position -> position.task().step().resourcesPerTask().processorMillis()
-                        * position.task().step().estimatedMilliseconds())
-                .sum();
+    /**
+     * Returns the estimated work of the waiting tasks with selected demands, in thousandths of a core times
+     * milliseconds.
+     */
+    long totalWork(Predicate<TaskDemand> selected) {
+        return workDueBy(Long.MAX_VALUE, /* lateIncluded= */ true, selected);
     }
 
     /**
-     * Returns the estimated work of the selected tasks whose latest start is a given time or earlier, without late
-     * tasks, in thousandths of a core times milliseconds.
+     * Returns the estimated work of the tasks with selected demands whose latest start is a given time or earlier,
+     * without late tasks, in thousandths of a core times milliseconds.
      */
-    long onTimeWorkDueBy(long latestStart, Predicate<OwnedTask> selected) {
+    long onTimeWorkDueBy(long latestStart, Predicate<TaskDemand> selected) {
+        return workDueBy(latestStart, /* lateIncluded= */ false, selected);
+    }
+
+    private long workDueBy(long latestStart, boolean lateIncluded, Predicate<TaskDemand> selected) {
         long work = 0;
-        for (Position position : positions) {
-            if (position.late() || position.latestStart() > latestStart) {
-                break;
+        for (Map.Entry<TaskDemand, TreeSet<Position>> entry : positionsByDemand.entrySet()) {
+            if (!selected.test(entry.getKey())) {
+                continue;
             }
-            if (selected.test(position.task())) {
+            for (Position position : entry.getValue()) {
+                if (position.latestStart() > latestStart || position.late() && !lateIncluded) {
+                    break;
+                }
                 work += position.task().step().resourcesPerTask().processorMillis()
                         * position.task().step().estimatedMilliseconds();
             }
@@ -129,52 +167,106 @@
         return work;
     }
 
+    /** Tasks with one demand that are still to be offered in a pass. */
+    private static final class Offers {
+        private final TaskDemand demand;
+        private final Iterator<Position> remaining;
+        /** Jobs and steps of which no more tasks can be sent now. */
+        private final Set<TaskGroup> refusedSteps = new HashSet<>();
+
+        private int taskRefusals;
+        /** Position of the task that is offered next. */
+        private Position next;
+
+        Offers(TaskDemand demand, Iterator<Position> remaining) {
+            this.demand = demand;
+            this.remaining = remaining;
+            this.next = remaining.next();
+        }
+
+        Position next() {
+            return next;
+        }
+
+        /** Advances to the next task; returns false if there is none. */
+        boolean advance() {
+            if (!remaining.hasNext()) {
+                return false;
+            }
+            next = remaining.next();
+            return true;
+        }
+
+        /** Records a refusal; returns whether further tasks with the same demand may be accepted. */
+        boolean recordRefusal(WaitReason reason) {
+            return switch (reason.scope()) {
+                case DEMAND -> false;
+                case STEP -> {
+                    refusedSteps.add(TaskGroup.of(next.task()));
+                    yield true;
+                }
+                case TASK -> ++taskRefusals < MAX_TASK_REFUSALS;
+            };
+        }
+
+        boolean isStepRefused() {
+            return !refusedSteps.isEmpty() && refusedSteps.contains(TaskGroup.of(next.task()));
+        }
+    }
+
+    /** Step of a job. */
+    private record TaskGroup(String job, int step) {
+        static TaskGroup of(OwnedTask task) {
+            return new TaskGroup(task.identity().job(), task.identity().step());
+        }
+    }
+
     /**
-     * Offers tasks in order to an acceptor, and removes those that it accepts and those that no longer wait. A task
-     * whose latest start has passed is not offered but moved to its new position.
+     * Makes a pass: offers tasks in order to an acceptor, and removes those that it accepts and those that no longer
+     * wait. After a refusal, tasks to which its reason applies as well are not offered; all others are. A task whose
+     * latest start has passed, or that asks for something else by now, is not offered but moved to its new position.
      *
-     * @param acceptor returns whether it accepts a task
-     * @param setApart whether a task may only be sent to upstreams that other tasks do not use, so that its refusal
-     *     says nothing about them; the number of such refusals is limited by itself
+     * @param acceptor returns where a task is sent, by which it is accepted, or why it has to wait
      * @param now the time of the monotonic clock, in milliseconds
-     * @param maxRefusals number of tasks that the acceptor can refuse before no more are offered
      */
-    void offer(Predicate<OwnedTask> acceptor, Predicate<OwnedTask> setApart, long now, int maxRefusals) {
-        List<Position> removed = new ArrayList<>();
+    void offer(Function<OwnedTask, Selection> acceptor, long now) {
+        PriorityQueue<Offers> queue =
+                new PriorityQueue<>((first, second) -> first.next().compareTo(second.next()));
+        positionsByDemand.forEach((demand, positions) -> queue.add(new Offers(demand, positions.iterator())));
         List<Position> moved = new ArrayList<>();
-        int refusals = 0;
-        int setApartRefusals = 0;
-        for (Position position : positions) {
-            OwnedTask task = position.task();
-            if (!task.isIn(OwnedTask.Phase.WAITING) || task.job().finalState() != null) {
-                removed.add(position);
-            } else if (position.latestStart() < now && latestStart(task, now) > position.latestStart()) {
-                removed.add(position);
-                moved.add(new Position(
-                        isLate(task, now),
-                        latestStart(task, now),
-                        position.urgency(),
-                        position.insertionNumber(),
-                        task));
-            } else if (setApart.test(task)) {
-                if (setApartRefusals < maxRefusals) {
-                    if (acceptor.test(task)) {
-                        removed.add(position);
-                    } else {
-                        setApartRefusals++;
-                    }
+        while (!queue.isEmpty()) {
+            Offers offers = queue.poll();
+            if (offer(offers, acceptor, now, moved) && offers.advance()) {
+                queue.add(offers);
+            }
+        }
+        positionsByDemand.values().removeIf(TreeSet::isEmpty);
+        moved.forEach(this::add);
+    }
+
+    /** Offers the next task with a demand; returns whether further ones may be accepted. */
+    private static boolean offer(
+            Offers offers, Function<OwnedTask, Selection> acceptor, long now, List<Position> moved) {
+        Position position = offers.next();
+        OwnedTask task = position.task();
+        boolean overdue = position.latestStart() < now && latestStart(task, now) > position.latestStart();
+        if (!task.isIn(OwnedTask.Phase.WAITING) || task.job().finalState() != null) {
+            offers.remaining.remove();
+        } else if (overdue || !offers.demand.equals(TaskDemand.of(task))) {
+            offers.remaining.remove();
+            moved.add(overdue ? positionOf(task, position.insertionNumber(), now) : position);
+        } else if (!offers.isStepRefused()) {
+            switch (acceptor.apply(task)) {
+                case Selection.Chosen chosen -> offers.remaining.remove();
+                case Selection.Waiting waiting -> {
+                    return offers.recordRefusal(waiting.reason());
                 }
-            } else if (acceptor.test(task)) {
-                removed.add(position);
-            } else if (++refusals >= maxRefusals) {
-                break;
             }
         }
-        removed.forEach(positions::remove);
-        positions.addAll(moved);
+        return true;
     }
 
     void clear() {
-        positions.clear();
+        positionsByDemand.clear();
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -15,9 +15,6 @@
  * upstreams, in passes over the backlog.
  */
 final class TaskPlacement {
-    /** A placement pass ends after this number of tasks that fit no upstream: later tasks are as unlikely to fit. */
-    static final int MAX_UNPLACED_TASKS = 6;
-
     private final DecisionLoop loop;
     private final LinkPort links;
     private final SidecarDirectory sidecars;
@@ -104,18 +101,16 @@
         passScheduled = false;
         if (!backlog.isEmpty()) {
             runningQueues.refresh();
-            backlog.offer(this::tryDispatch, selector::isSetApart, loop.monotonicMilliseconds(), MAX_UNPLACED_TASKS);
+            backlog.offer(this::tryDispatch, loop.monotonicMilliseconds());
         }
     }
 
-    private boolean tryDispatch(OwnedTask task) {
-        return switch (selector.select(task, sidecars.views(), loop.monotonicMilliseconds())) {
-            case Selection.Waiting waiting -> false;
-            case Selection.Chosen chosen -> {
-                dispatch(task, chosen);
-                yield true;
-            }
-        };
+    private Selection tryDispatch(OwnedTask task) {
+        Selection selection = selector.select(task, sidecars.views(), loop.monotonicMilliseconds());
+        if (selection instanceof Selection.Chosen chosen) {
+            dispatch(task, chosen);
+        }
+        return selection;
     }
 
     private void dispatch(OwnedTask task, Selection.Chosen chosen) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -68,12 +68,14 @@
         SidecarView best = null;
         PlacementCost lowestCost = null;
         long shortestMilliseconds = Long.MAX_VALUE;
+        boolean stepLimitReached = false;
         for (SidecarView sidecar : sidecars) {
             if (exclusive && !sidecar.node().equals(exclusivePlace)) {
                 continue;
             }
             switch (assess(task, sidecar, now)) {
-                case Candidacy.Excluded excluded -> {}
+                case Candidacy.Excluded excluded ->
+                    stepLimitReached |= excluded.reason() == ExclusionReason.STEP_LIMIT && hasRoom(task, sidecar);
                 case Candidacy.Full full ->
                     shortestMilliseconds = Math.min(shortestMilliseconds, full.expectedMilliseconds());
                 case Candidacy.Possible possible -> {
@@ -87,10 +89,7 @@
             }
         }
         if (best == null) {
-            WaitReason reason = exclusive
-                    ? WaitReason.EXCLUSIVE_PLACE_TAKEN
-                    : confinement.isConfined(task) ? WaitReason.QUEUE_CONFINED : WaitReason.NO_FREE_CAPACITY;
-            return reason.selection();
+            return reasonWithoutPlace(task, stepLimitReached).selection();
         }
         if (shouldWaitForFasterUpstream(task, lowestCost.expectedRunMilliseconds(), shortestMilliseconds, now)) {
             return WaitReason.FASTER_UPSTREAM_FULL.selection();
@@ -98,9 +97,18 @@
         return new Selection.Chosen(best, lowestCost);
     }
 
-    /** Returns whether a task may only be sent to upstreams that other tasks do not use. */
-    boolean isSetApart(OwnedTask task) {
-        return task.needsExclusiveRun() || confinement.isConfined(task);
+    private WaitReason reasonWithoutPlace(OwnedTask task, boolean stepLimitReached) {
+        if (stepLimitReached) {
+            return WaitReason.STEP_LIMIT_REACHED;
+        }
+        if (task.needsExclusiveRun()) {
+            return WaitReason.EXCLUSIVE_PLACE_TAKEN;
+        }
+        return confinement.isConfined(task) ? WaitReason.QUEUE_CONFINED : WaitReason.NO_FREE_CAPACITY;
+    }
+
+    private static boolean hasRoom(OwnedTask task, SidecarView sidecar) {
+        return sidecar.freeResources().covers(task.step().resourcesPerTask());
     }
 
     /**
@@ -142,7 +150,7 @@
         long expectedMilliseconds = ColdSpeed.predictMilliseconds(
                 durations.predictMilliseconds(task.job().policy().name(), sidecar.node(), step.estimatedMilliseconds()),
                 sidecar.coldMilliseconds(now));
-        return sidecar.freeResources().covers(step.resourcesPerTask())
+        return hasRoom(task, sidecar)
                 ? new Candidacy.Possible(new PlacementCost(
                         expectedMilliseconds,
                         loadPenalty(sidecar),
