Forecast the wait of a job from those waiting tasks only that compete with it

Callers saw (in the simulation): jobs that three idle upstreams could run were refused for load (expected 737, allowed 700) while tasks waited for a label or a size that no upstream has now.

Cause: LoadForecast counted all waiting tasks as work ahead of a new job, also those of other services and those that no available upstream can run.

Change: only the tasks count that ask for the service of the job, on the same side of a confinement, and that an available upstream could run. While sidecars are still expected after a loss, all of the service count, as before.

Tests: UnplaceableTasksTest.jobsAreNotRefusedForTasksThatCannotCompeteWithThem, 2 of 3 cases failed before (label, resources); the third, another service, passed before because those jobs had been refused themselves.

Cost: no frame, no store call; one look at the sidecars for each demand that waits, for each submitted job.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LoadForecast.java
@@ -89,9 +89,11 @@
             }
         }
         long criticalPathMilliseconds = job.plan().criticalPathMilliseconds();
-        // Tasks of confined queues and all others use different upstreams.
-        Predicate<TaskDemand> competing = demand -> confinement.isConfined(demand.queue()) == confined;
-        if (dispatcher.backlog().isEmpty() && freeCapacity > 0) {
+        // Tasks of confined queues and all others use different upstreams, as do tasks of different services.
+        Predicate<TaskDemand> sharesUpstreams = demand ->
+                demand.queue().service().equals(service) && confinement.isConfined(demand.queue()) == confined;
+        Predicate<TaskDemand> competing = demand -> sharesUpstreams.test(demand) && isAnyUpstreamSuitable(demand);
+        if (freeCapacity > 0 && !dispatcher.backlog().contains(competing)) {
             return criticalPathMilliseconds;
         }
         boolean expectsSidecars = expectsSidecars(service);
@@ -100,7 +102,7 @@
             // The whole backlog counts, because tasks that become late meanwhile still occupy capacity when they run.
             // Half of the critical path is added because capacity becomes free only when runs complete, which is half
             // a run later on average.
-            double combinedWork = work + dispatcher.backlog().totalWork(competing) + workOf(job);
+            double combinedWork = work + dispatcher.backlog().totalWork(sharesUpstreams) + workOf(job);
             return criticalPathMilliseconds
                     + criticalPathMilliseconds / 2
                     + waitWhileCapacityGrows(combinedWork, capacity, expectedCapacity);
@@ -114,6 +116,11 @@
         return criticalPathMilliseconds + Math.round((workAhead + workOf(job) / 2.0) / capacity);
     }
 
+    /** Returns whether an upstream that accepts tasks now could run a task with a demand if nothing else ran there. */
+    private boolean isAnyUpstreamSuitable(TaskDemand demand) {
+        return dispatcher.sidecars().stream().anyMatch(view -> view.isUsable() && demand.fits(view));
+    }
+
     /**
      * Returns the time in which some work is done, in milliseconds: with the present capacity until the expected
      * sidecars accept tasks, and with all expected capacity from then on.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -125,6 +125,11 @@
         return positionsByDemand.values().stream().mapToInt(TreeSet::size).sum();
     }
 
+    /** Returns whether a task with a selected demand waits. */
+    boolean contains(Predicate<TaskDemand> selected) {
+        return positionsByDemand.keySet().stream().anyMatch(selected);
+    }
+
     /** Returns the tasks in the order in which they should start. */
     List<OwnedTask> tasks() {
         return positionsByDemand.values().stream()
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDemand.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDemand.java
@@ -24,4 +24,9 @@
                 task.needsExclusiveRun(),
                 task.isLastAttempt());
     }
+
+    /** Returns whether the upstream of a sidecar could run a task with this demand if nothing else ran there. */
+    boolean fits(SidecarView sidecar) {
+        return UpstreamSelector.fits(resources, requiredLabel, queue.service(), sidecar);
+    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -2,6 +2,7 @@
 
 import io.caperturn.jobs.interference.InterferenceCost;
 import io.caperturn.jobs.model.QueuePolicy;
+import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.Collection;
 import java.util.HashMap;
@@ -132,7 +133,7 @@
         if (!sidecar.status().capacity().covers(step.resourcesPerTask())) {
             return ExclusionReason.TOO_SMALL.candidacy();
         }
-        if (!hasRequiredLabel(step, sidecar)) {
+        if (!hasLabel(step.requiredLabel(), sidecar)) {
             return ExclusionReason.LABEL_MISSING.candidacy();
         }
         // The place of exclusive runs is set apart by itself.
@@ -207,10 +208,15 @@
 
     /** Returns whether the upstream of a sidecar could run a task of a step if nothing else ran there. */
     static boolean fits(StepPlan step, String service, SidecarView sidecar) {
+        return fits(step.resourcesPerTask(), step.requiredLabel(), service, sidecar);
+    }
+
+    /** Returns whether the upstream of a sidecar could run a task with some needs if nothing else ran there. */
+    static boolean fits(Resources need, String requiredLabel, String service, SidecarView sidecar) {
         return sidecar.status() != null
                 && sidecar.status().service().equals(service)
-                && sidecar.status().capacity().covers(step.resourcesPerTask())
-                && hasRequiredLabel(step, sidecar);
+                && sidecar.status().capacity().covers(need)
+                && hasLabel(requiredLabel, sidecar);
     }
 
     /**
@@ -230,8 +236,8 @@
         return !anyKnown;
     }
 
-    private static boolean hasRequiredLabel(StepPlan step, SidecarView sidecar) {
-        return step.requiredLabel().isEmpty() || sidecar.status().labels().contains(step.requiredLabel());
+    private static boolean hasLabel(String requiredLabel, SidecarView sidecar) {
+        return requiredLabel.isEmpty() || sidecar.status().labels().contains(requiredLabel);
     }
 
     /** Returns the number of tasks of a task's step that were sent to a sidecar and have not completed. */
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnplaceableTasksTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnplaceableTasksTest.java
@@ -122,4 +122,25 @@
         }
         assertEquals(List.of(), fleet.recordOfStarts().violations());
     }
+
+    /** Guards against callers that are refused beside idle upstreams for work that these upstreams can't take. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Demand.class,
+            names = {"LABEL", "RESOURCES", "SERVICE"})
+    void jobsAreNotRefusedForTasksThatCannotCompeteWithThem(Demand demand) {
+        offerSpecially(demand);
+        for (int number = 0; number < JOBS; number++) {
+            submitUnplaceable(demand, number);
+        }
+        advance(100);
+        fleet.upstream(SPECIAL).crash(/* downtimeMilliseconds= */ 120_000);
+        for (int number = 0; number < 60; number++) {
+            advance(100);
+            List<CallerAnswers.Submission> answers =
+                    fleet.submit(0, "later" + number, SampleJobs.plan(2, /* durable= */ true, 200), SHORT_QUEUE);
+            advance(10);
+            assertEquals(List.of(new CallerAnswers.Submission.Accepted(false)), answers, fleet::logLines);
+        }
+    }
 }
