End each restriction of an ejected upstream by time, and each probe with its run

Cause: a task before its last attempt was never sent to an upstream on probation, and only a run could end the probation. Evidence: tasks-waiting shows lastAttempt=true tasks=5 sidecars={LAST_ATTEMPT_PROBE=3}, up to 18 s after the submission. Found beside it: a probe whose job was given up, or whose run was requeued without a report, counted as on its way for ever.

Change: UpstreamHealth holds what outcomes tell of an upstream. A task before its last attempt waits for another upstream for a second after the ejection, and only if a sound one may take it. A probe ends with its run, however that is learned, and after 10 s at the latest. Failures count by the set of their jobs, so neither order nor repetition of reports matters.

Cost: no frame, no store call.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusionReason.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ExclusionReason.java
@@ -14,7 +14,7 @@
     TOO_SMALL,
     /** The upstream lacks the label that the step requires. */
     LABEL_MISSING,
-    /** The task would be the probe of an ejected upstream, and is at its last allowed attempt. */
+    /** The task would be the probe of an ejected upstream, is at its last allowed attempt, and may run elsewhere. */
     LAST_ATTEMPT_PROBE,
     /** Either the queue of the task or the instance is set apart, because tasks of some queues crash upstreams. */
     CONFINEMENT,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/PlacementTrial.java
@@ -37,7 +37,7 @@
 
     /** Assesses a sidecar for a task as it is before the pass. */
     Candidacy assess(OwnedTask task, SidecarView sidecar) {
-        return selector.assess(task, sidecar, now);
+        return selector.assess(task, sidecar, sidecars, now);
     }
 
     /**
@@ -71,7 +71,7 @@
             return selection;
         }
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
-        chosen.sidecar().startProbeIfOnProbation();
+        chosen.sidecar().setHealth(chosen.sidecar().health().afterDispatch(task.currentRun(), now));
         TaskPlacement.takeCapacity(task, task.needsExclusiveRun(), chosen.sidecar(), expectedMilliseconds, now);
         if (explainedTasks.contains(task)) {
             task.assignNextRun(chosen.sidecar().incarnation(), now, expectedMilliseconds);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -57,7 +57,12 @@
         Optional<OwnedTask> current =
                 known.filter(task -> task.isIn(OwnedTask.Phase.SENT) && run.equals(task.currentRun()));
         // Also applies to a job that is over, because the sidecar does not tell this entry of the same room again.
-        sidecars.find(incarnation).ifPresent(view -> applyRoom(report, current, view));
+        sidecars.find(incarnation).ifPresent(view -> {
+            applyRoom(report, current, view);
+            if (report.outcome().isFinished()) {
+                view.setHealth(view.health().afterEnd(run));
+            }
+        });
         if (known.isPresent()) {
             handleReport(known.get(), incarnation, report, current.isPresent());
         } else if (report.outcome().isRecorded()
@@ -89,7 +94,6 @@
                     crashes.handleRetraction(task, report.run());
                     return; // the lapse was handled before
                 }
-                sidecar.ifPresent(SidecarView::endProbe);
                 if (isCurrent && report.reason().equals(JobFrame.Report.JOB_OVER)) {
                     handleOver(task, report.run());
                     return;
@@ -163,7 +167,7 @@
     private void handleSuccess(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         OwnedJob job = task.job();
         sidecars.find(incarnation).ifPresent(view -> {
-            view.recordSuccess();
+            view.setHealth(view.health().afterSuccess());
             // The duration of a run that started on a cold upstream says nothing about later ones.
             if (!view.wasColdAt(task.sentAt())) {
                 durations.recordRun(
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -14,9 +14,6 @@
  * <p>An entry is a process that accepts jobs and dispatches their tasks to sidecars. A sidecar is the process beside an
  * upstream; it orders the upstream to run tasks, and reports the free capacity in periodic status messages. It stops
  * the tasks of an entry that does not renew its lease on them.
- *
- * <p>After repeated failures, an upstream is ejected: it gets no tasks for a time, then a single one as a probe, whose
- * success ends the ejection.
  */
 final class SidecarView {
     /**
@@ -41,11 +38,7 @@
 
     private long lastSequence;
     private int currentLinkNumber;
-    private int consecutiveFailures;
-    private long successes;
-    private long ejectedUntil;
-    private boolean probeInProgress;
-    private String lastFailedJob = "";
+    private UpstreamHealth health = UpstreamHealth.UNKNOWN;
     private boolean statusOutdated;
 
     SidecarView(JobFrame.Hello hello, ZoneEvacuations evacuations) {
@@ -71,11 +64,7 @@
         copy.released = released;
         copy.lastSequence = lastSequence;
         copy.currentLinkNumber = currentLinkNumber;
-        copy.consecutiveFailures = consecutiveFailures;
-        copy.successes = successes;
-        copy.ejectedUntil = ejectedUntil;
-        copy.probeInProgress = probeInProgress;
-        copy.lastFailedJob = lastFailedJob;
+        copy.health = health;
         copy.statusOutdated = statusOutdated;
         return copy;
     }
@@ -266,56 +255,12 @@
                         .sum();
     }
 
-    /** Records a successful run, which also ends an ejection of the upstream. */
-    void recordSuccess() {
-        consecutiveFailures = 0;
-        successes++;
-        ejectedUntil = 0;
-        probeInProgress = false;
-    }
-
-    /**
-     * Records a failure and returns the number of consecutive failures. Consecutive failures of one job count once,
-     * because a job that always fails says nothing about the upstream.
-     */
-    int recordFailure(String job) {
-        probeInProgress = false;
-        if (!job.equals(lastFailedJob)) {
-            lastFailedJob = job;
-            consecutiveFailures++;
-        }
-        return consecutiveFailures;
-    }
-
-    /** Ends a probe that neither succeeded nor failed, so that another one can be sent. */
-    void endProbe() {
-        probeInProgress = false;
-    }
-
-    /** Returns whether a run has succeeded on the upstream and no failure has been counted since. */
-    boolean isKnownHealthy() {
-        return successes > 0 && consecutiveFailures == 0;
-    }
-
-    /** Ejects the upstream: no task is sent to it until a time of the monotonic clock, in milliseconds. */
-    void eject(long until) {
-        ejectedUntil = until;
-    }
-
-    /**
-     * Returns whether no task can be sent to the upstream now: it is ejected, or the task sent as a probe still runs.
-     */
-    boolean isEjected(long now) {
-        return ejectedUntil > 0 && (now < ejectedUntil || probeInProgress);
-    }
-
-    /** Returns whether the upstream was ejected and no run has succeeded on it since. */
-    boolean isOnProbation() {
-        return ejectedUntil > 0;
+    /** Returns the health of the upstream, as known from the outcomes of runs. */
+    UpstreamHealth health() {
+        return health;
     }
 
-    /** Records that a task is being sent as a probe, if the upstream is on probation. */
-    void startProbeIfOnProbation() {
-        probeInProgress |= isOnProbation();
+    void setHealth(UpstreamHealth newHealth) {
+        health = newHealth;
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -77,6 +77,8 @@
         }
         loop.log().event(EventName.AGAIN, EventKey.RUN, task.currentRun(), EventKey.CAUSE, cause);
         loop.log().count("again");
+        sidecars.find(task.sidecarIncarnation())
+                .ifPresent(view -> view.setHealth(view.health().afterEnd(task.currentRun())));
         backlog.add(task, loop.monotonicMilliseconds());
         schedulePass();
     }
@@ -116,8 +118,8 @@
     private void dispatch(OwnedTask task, Selection.Chosen chosen) {
         SidecarView view = chosen.sidecar();
         long expectedMilliseconds = chosen.cost().expectedRunMilliseconds();
-        view.startProbeIfOnProbation();
         task.assignNextRun(view.incarnation(), loop.monotonicMilliseconds(), expectedMilliseconds);
+        view.setHealth(view.health().afterDispatch(task.currentRun(), loop.monotonicMilliseconds()));
         loop.log()
                 .event(
                         EventName.PLACED,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -74,7 +74,7 @@
             if (exclusive && !sidecar.node().equals(exclusivePlace)) {
                 continue;
             }
-            switch (assess(task, sidecar, now)) {
+            switch (assess(task, sidecar, sidecars, now)) {
                 case Candidacy.Excluded excluded ->
                     stepLimitReached |= excluded.reason() == ExclusionReason.STEP_LIMIT && hasRoom(task, sidecar);
                 case Candidacy.Full full ->
@@ -113,10 +113,10 @@
     }
 
     /**
-     * Assesses a sidecar as the place for a task, at a time of the monotonic clock in milliseconds. The task is
-     * excluded if it cannot be sent there even once the upstream has free capacity.
+     * Assesses one of several sidecars as the place for a task, at a time of the monotonic clock in milliseconds. The
+     * task is excluded if it cannot be sent there even once the upstream has free capacity.
      */
-    Candidacy assess(OwnedTask task, SidecarView sidecar, long now) {
+    Candidacy assess(OwnedTask task, SidecarView sidecar, Collection<SidecarView> sidecars, long now) {
         StepPlan step = task.step();
         if (sidecar.isEvacuated()) {
             return ExclusionReason.ZONE_EVACUATED.candidacy();
@@ -124,7 +124,7 @@
         if (!sidecar.isUsable()) {
             return ExclusionReason.UNUSABLE.candidacy();
         }
-        if (sidecar.isEjected(now)) {
+        if (sidecar.health().isEjected(now)) {
             return ExclusionReason.EJECTED.candidacy();
         }
         if (!sidecar.status().service().equals(task.job().policy().service())) {
@@ -140,8 +140,10 @@
         if (!task.needsExclusiveRun() && confinement.excludes(task, sidecar)) {
             return ExclusionReason.CONFINEMENT.candidacy();
         }
-        // The probe of an ejected upstream may fail; it must not be the last attempt that a task is allowed.
-        if (sidecar.isOnProbation() && task.isLastAttempt()) {
+        // The probe of an ejected upstream may fail; it should not be the last attempt that a task is allowed.
+        if (task.isLastAttempt()
+                && sidecar.health().isAvoidedByLastAttempts(now)
+                && isSoundUpstreamKnown(task, sidecars)) {
             return ExclusionReason.LAST_ATTEMPT_PROBE.candidacy();
         }
         int limit = step.maximumPerUpstream();
@@ -161,6 +163,16 @@
                 : new Candidacy.Full(expectedMilliseconds);
     }
 
+    /** Returns whether a task may be sent to an upstream that has not been ejected, at least once it has room. */
+    private boolean isSoundUpstreamKnown(OwnedTask task, Collection<SidecarView> sidecars) {
+        String service = task.job().policy().service();
+        return sidecars.stream()
+                .anyMatch(view -> view.isUsable()
+                        && !view.health().isOnProbation()
+                        && fits(task.step(), service, view)
+                        && (task.needsExclusiveRun() || !confinement.excludes(task, view)));
+    }
+
     /** Records that tasks of a queue have become ready to start, at a time of the monotonic clock in milliseconds. */
     void recordArrival(QueuePolicy queue, long now) {
         lastArrivalByQueue.values().removeIf(arrivedAt -> now - arrivedAt >= RESERVATION_MILLISECONDS);
@@ -265,6 +277,6 @@
             return 0;
         }
         return (task.failedNodes().contains(sidecar.node()) ? 10.0 * expectedMilliseconds : 0)
-                + (sidecar.isKnownHealthy() ? 0 : 3.0 * expectedMilliseconds);
+                + (sidecar.health().isKnownGood() ? 0 : 3.0 * expectedMilliseconds);
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/WaitingTaskLog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/WaitingTaskLog.java
@@ -56,7 +56,7 @@
         Map<String, Integer> assessments = new TreeMap<>();
         Collection<SidecarView> views = sidecars.views();
         for (SidecarView view : views) {
-            String assessment = switch (placement.selector().assess(group.first(), view, now)) {
+            String assessment = switch (placement.selector().assess(group.first(), view, views, now)) {
                 case Candidacy.Excluded excluded -> excluded.reason().name();
                 case Candidacy.Full full -> FULL;
                 case Candidacy.Possible possible -> POSSIBLE;
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewCopyTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewCopyTest.java
@@ -36,6 +36,8 @@
                 field.set(view, field.getLong(view) + 7);
             } else if (field.getType() == String.class) {
                 field.set(view, "text");
+            } else if (field.getType() == UpstreamHealth.class) {
+                field.set(view, UpstreamHealth.UNKNOWN.afterFailure("job", /* now= */ 4));
             } else if (field.getType() == Resources.class) {
                 field.set(view, new Resources(7, 8, 9));
             } else {
@@ -75,7 +77,7 @@
         }
         SidecarView copy = view.copy();
         copy.recordDispatch(new Resources(1_600, 64, 0), 480_000, /* now= */ 4);
-        copy.startProbeIfOnProbation();
+        copy.setHealth(copy.health().afterFailure("other-job", /* now= */ 5));
         copy.setLinked(false);
         List<Object> after = new ArrayList<>();
         for (Field field : instanceFields()) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FleetFaultsTest.java
@@ -308,7 +308,7 @@
     void taskThatUsesUpItsAttemptsFailsItsJob() {
         SimulatedFleet fleet = fleet();
         for (int number = 0; number < 3; number++) {
-            fleet.upstream(number).setNextOutcome(RunOutcome.FAILED);
+            fleet.upstream(number).setOutcomes(run -> RunOutcome.FAILED);
         }
         fleet.submit(0, "hopeless", SampleJobs.plan(1, true));
         fleet.time().runUntil(fleet.time().now() + 5_000);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/PlacementExplanationTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/PlacementExplanationTest.java
@@ -108,7 +108,7 @@
             switch (fault) {
                 case NONE, QUEUES_INTERFERE -> {}
                 case SIDECAR_KILLED -> fleet.kill("sidecar-1");
-                case UPSTREAM_FAILS -> fleet.upstream(1).setNextOutcome(RunOutcome.FAILED);
+                case UPSTREAM_FAILS -> fleet.upstream(1).setOutcomes(run -> RunOutcome.FAILED);
                 case LINKS_CLOSED -> fleet.closeLinksBriefly("sidecar-1");
             }
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstream.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
 import java.util.function.ToLongFunction;
@@ -84,7 +85,8 @@
     /** Virtual time until which the upstream announces that it is cold, in milliseconds. */
     private long coldUntil;
 
-    private RunOutcome nextOutcome = RunOutcome.DONE;
+    /** Outcomes of runs that are not ended otherwise, decided at their start. */
+    private Function<RunIdentity, RunOutcome> outcomes = run -> RunOutcome.DONE;
 
     SimulatedUpstream(
             VirtualTime time, String identity, StartRecord record, ToLongFunction<TaskIdentity> taskDurations) {
@@ -192,9 +194,9 @@
         nextRunsStall = stall;
     }
 
-    /** Sets the outcome of the next runs. */
-    void setNextOutcome(RunOutcome outcome) {
-        nextOutcome = outcome;
+    /** Sets the outcome of each of the next runs. */
+    void setOutcomes(Function<RunIdentity, RunOutcome> newOutcomes) {
+        outcomes = newOutcomes;
     }
 
     /** Sets the service and labels, from the next announcement on. */
@@ -295,7 +297,7 @@
         highestRunNumbers.put(run.task(), run.number());
         startTimesOfActiveRuns.put(run, time.now());
         startRecord.recordStart(run, identity, time.now());
-        RunOutcome outcome = nextOutcome;
+        RunOutcome outcome = outcomes.apply(run);
         long restartCountAtStart = restartCount;
         if (crashingTasks.test(run.task())) {
             crashSoon();
