Count each run of a task once, in whatever order and however often its end is reported

Cause: a failure counted only if its run number was above that of the last one counted, and the adopter applies the runs that sidecars list in the order of a hash map. Evidence: run-failed at the adopter shows run 3 with failures=1, and nothing for runs 1 and 2.

Change: RunHistory holds the fate of each run, and two reports on one run are merged by a fixed precedence. The same holds for crashes and their retraction, for what is learned from successes, and for the active runs of an adopted task, of which the latest is kept.

OwnedTaskTest.crashUnderOneRunCountsOnce had asked for the fault (a crash under run 2 that is reported after one under run 3 did not count); it now asks that each counts once.

Cost: no frame, no store call; about 8 bytes in the record for each range of failed runs.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -33,6 +33,9 @@
     /** Multiplier of {@link QueuePolicy#objectiveFactor} in the stored form, which holds only integers. */
     private static final double OBJECTIVE_FACTOR_SCALE = 1_000;
 
+    /** Maximum number of runs in the progress of all tasks: far more than a row of the store holds one by one. */
+    private static final long MAXIMUM_RUNS = 100_000;
+
     /** Maximum number of owners before the present one; the numbers of runs stay within 32 bits. */
     private static final int MAXIMUM_GENERATION = 1_000_000;
 
@@ -54,28 +57,6 @@
         progress = List.copyOf(progress);
     }
 
-    /**
-     * Stored progress of one task.
-     *
-     * @param taskNumber number of the task, counted across all steps of its job
-     * @param succeeded whether it succeeded
-     * @param failedRunCount number of its failed runs
-     * @param lastFailedRun number of the run that failed last; 0 if none failed
-     * @param crashedRunCount number of its runs under which the upstream crashed
-     * @param lastCrashedRun number of the run under which the upstream crashed last, confirmed or not; 0 if it never
-     *     did
-     * @param unconfirmedCrashCount number of its runs that were lost in a crash of the upstream before which their
-     *     start was not confirmed
-     */
-    public record TaskProgress(
-            int taskNumber,
-            boolean succeeded,
-            int failedRunCount,
-            int lastFailedRun,
-            int crashedRunCount,
-            int lastCrashedRun,
-            int unconfirmedCrashCount) {}
-
     /**
      * Encodes this record.
      *
@@ -91,15 +72,7 @@
                 .writeBoolean(8, started)
                 .writeMessage(9, nested -> writePolicy(nested, policy));
         plan.steps().forEach(step -> writer.writeMessage(6, nested -> writeStep(nested, step)));
-        progress.forEach(task -> writer.writeMessage(
-                7,
-                nested -> nested.writeLong(1, task.taskNumber())
-                        .writeBoolean(2, task.succeeded())
-                        .writeLong(3, task.failedRunCount())
-                        .writeLong(4, task.lastFailedRun())
-                        .writeLong(5, task.crashedRunCount())
-                        .writeLong(6, task.lastCrashedRun())
-                        .writeLong(7, task.unconfirmedCrashCount())));
+        progress.forEach(task -> writer.writeMessage(7, task::write));
         return writer.toBytes();
     }
 
@@ -129,12 +102,19 @@
                 case 4 -> payload = reader.readText();
                 case 5 -> acceptedMilliseconds = reader.readLong();
                 case 6 -> steps.add(readStep(reader.readMessage()));
-                case 7 -> progress.add(readProgress(reader.readMessage()));
+                case 7 -> progress.add(TaskProgress.read(reader.readMessage()));
                 case 8 -> started = reader.readBoolean();
                 case 9 -> policyFields = reader.readMessage();
                 default -> reader.skip();
             }
         }
+        long runs = progress.stream()
+                .flatMap(task -> task.runs().stream())
+                .mapToLong(TaskProgress.RunRange::count)
+                .sum();
+        if (runs > MAXIMUM_RUNS) {
+            throw new IOException("the record of a job has " + runs + " runs");
+        }
         if (generation == MAXIMUM_GENERATION) {
             throw new IOException("the job has had too many owners for another one");
         }
@@ -231,34 +211,4 @@
             throw new IOException("invalid step in the record of a job: " + e.getMessage(), e);
         }
     }
-
-    private static TaskProgress readProgress(FieldReader reader) throws IOException {
-        int taskNumber = 0;
-        boolean succeeded = false;
-        int failedRunCount = 0;
-        int lastFailedRun = 0;
-        int crashedRunCount = 0;
-        int lastCrashedRun = 0;
-        int unconfirmedCrashCount = 0;
-        for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
-            switch (field) {
-                case 1 -> taskNumber = reader.readInt();
-                case 2 -> succeeded = reader.readBoolean();
-                case 3 -> failedRunCount = reader.readInt();
-                case 4 -> lastFailedRun = reader.readInt();
-                case 5 -> crashedRunCount = reader.readInt();
-                case 6 -> lastCrashedRun = reader.readInt();
-                case 7 -> unconfirmedCrashCount = reader.readInt();
-                default -> reader.skip();
-            }
-        }
-        return new TaskProgress(
-                taskNumber,
-                succeeded,
-                failedRunCount,
-                lastFailedRun,
-                crashedRunCount,
-                lastCrashedRun,
-                unconfirmedCrashCount);
-    }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LostEntryRecovery.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/LostEntryRecovery.java
@@ -9,6 +9,7 @@
 import io.caperturn.jobs.message.ProcessRole;
 import io.caperturn.jobs.model.RunIdentity;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -63,7 +64,22 @@
     }
 
     /** Run that a sidecar has listed in its inventory. */
-    private record ListedRun(String sidecarIncarnation, JobFrame.Report report) {}
+    private record ListedRun(String sidecarIncarnation, JobFrame.Report report) {
+        /** Returns which of two reports on the same run to keep: the one that tells most of its end. */
+        ListedRun merge(ListedRun other) {
+            return rank() >= other.rank() ? this : other;
+        }
+
+        private int rank() {
+            return switch (report.outcome()) {
+                case DONE -> 4;
+                case FAILED -> 3;
+                case STOPPED, LAPSED, REFUSED -> 2;
+                case RUNNING -> 1;
+                case QUEUED -> 0;
+            };
+        }
+    }
 
     void start() {
         loop.log().event(EventName.RECOVERY, EventKey.OWNER, lostEntry);
@@ -94,7 +110,7 @@
 
     /**
      * Records the answer of a sidecar; an incomplete inventory, which lacks the upstream's own list of runs, is
-     * ignored. If several sidecars list a run, a report that it has finished is kept.
+     * ignored.
      */
     void handleInventory(String sidecar, JobFrame.Inventory inventory) {
         if (complete || !inventory.complete()) {
@@ -104,9 +120,7 @@
         inventory
                 .runs()
                 .forEach(report -> listedRuns.merge(
-                        report.run(),
-                        new ListedRun(sidecar, report),
-                        (old, received) -> old.report().outcome().isFinished() ? old : received));
+                        report.run(), new ListedRun(sidecar, report), (old, received) -> old.merge(received)));
         boolean allAnswered = membership.membersWithRole(ProcessRole.SIDECAR).stream()
                 .allMatch(member -> answeredSidecars.contains(member.incarnation()));
         if (allAnswered) {
@@ -146,30 +160,40 @@
      * cancelled meanwhile, its active runs are stopped; if it has another owner by now, nothing is done.
      */
     private void restoreRuns(OwnedJob job) {
-        boolean over = job.finalState() != null;
-        if (!over && jobs.find(job.identity()) != job) {
+        if (job.finalState() == null && jobs.find(job.identity()) != job) {
             return;
         }
         job.setRecovering(true);
-        listedRuns.forEach((run, listedRun) -> {
-            if (run.task().job().equals(job.identity()) && job.findTask(run.task()) != null) {
-                restoreRun(job, job.findTask(run.task()), run, listedRun, over);
-            }
-        });
+        // The ends come first, so that what counts under a task is known before a run of it is taken over.
+        List<ListedRun> runsOfJob = listedRuns.values().stream()
+                .filter(listed -> listed.report().run().task().job().equals(job.identity()))
+                .filter(listed -> job.findTask(listed.report().run().task()) != null)
+                .sorted(Comparator.comparing(
+                                (ListedRun listed) -> !listed.report().outcome().isFinished())
+                        .thenComparing(listed -> -listed.report().run().number()))
+                .toList();
+        runsOfJob.forEach(
+                listed -> restoreRun(job, job.findTask(listed.report().run().task()), listed));
         job.setRecovering(false);
         if (job.finalState() == null) {
             dispatcher.enqueueReadyTasks(job);
         }
     }
 
-    private void restoreRun(OwnedJob job, OwnedTask task, RunIdentity run, ListedRun listedRun, boolean over) {
-        if (listedRun.report().outcome().isFinished()) {
-            dispatcher.handleReport(listedRun.sidecarIncarnation(), listedRun.report());
-        } else if (over) {
-            dispatcher.withdraw(run, listedRun.sidecarIncarnation(), "job-over");
-        } else if (!task.isIn(OwnedTask.Phase.DONE)) {
+    /** Applies a listed run to its task; of several active ones, the task keeps the first that is applied. */
+    private void restoreRun(OwnedJob job, OwnedTask task, ListedRun listed) {
+        RunIdentity run = listed.report().run();
+        if (listed.report().outcome().isFinished()) {
+            dispatcher.handleReport(listed.sidecarIncarnation(), listed.report());
+        } else if (job.finalState() != null) {
+            dispatcher.withdraw(run, listed.sidecarIncarnation(), "job-over");
+        } else if (task.isIn(OwnedTask.Phase.DONE)) {
+            dispatcher.withdraw(run, listed.sidecarIncarnation(), "other-run-done");
+        } else if (!task.isIn(OwnedTask.Phase.SENT)) {
             job.markStarted();
-            dispatcher.takeOverRun(task, run, listedRun.sidecarIncarnation());
+            dispatcher.takeOverRun(task, run, listed.sidecarIncarnation());
+        } else if (!run.equals(task.currentRun())) {
+            dispatcher.withdraw(run, listed.sidecarIncarnation(), "superseded");
         }
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.message.TaskProgress;
 import io.caperturn.jobs.model.JobPlan;
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
@@ -83,7 +84,7 @@
         OwnedJob job = new OwnedJob(
                 identity, stored.plan(), policy, stored.generation(), stored.acceptedMilliseconds(), arrivedAt);
         job.started = stored.started();
-        for (JobRecord.TaskProgress progress : stored.progress()) {
+        for (TaskProgress progress : stored.progress()) {
             if (progress.taskNumber() >= 0 && progress.taskNumber() < job.tasks.size()) {
                 job.tasks.get(progress.taskNumber()).restore(progress);
             }
@@ -93,9 +94,9 @@
 
     /** Returns the record to store, which names an incarnation of an entry as the owner. */
     JobRecord toRecord(String owner) {
-        List<JobRecord.TaskProgress> progress = new ArrayList<>();
+        List<TaskProgress> progress = new ArrayList<>();
         for (OwnedTask task : tasks) {
-            if (task.isIn(OwnedTask.Phase.DONE) || task.failures() > 0 || task.hasLostRuns()) {
+            if (task.isIn(OwnedTask.Phase.DONE) || !task.history().isEmpty()) {
                 progress.add(task.progress());
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedTask.java
@@ -1,10 +1,12 @@
 package io.caperturn.jobs.owner;
 
-import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.message.TaskProgress;
+import io.caperturn.jobs.model.RunFate;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.model.TaskIdentity;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -31,19 +33,13 @@
     private long expectedRunMilliseconds;
     private int dispatchLinkNumber;
     private long dispatchSequence;
+    private RunHistory history = RunHistory.EMPTY;
+    /** Number of failed runs in the history, which each assessment of a sidecar asks for. */
     private int failures;
-    private int lastFailedRun;
-    private int crashes;
-    private int unconfirmedCrashes;
-    /** Number of the last run that was lost in a crash, confirmed or not. */
-    private int lastCrashedRun;
-
-    /** Numbers of the runs whose crashes this entry has counted. */
-    private final Set<Integer> crashedRuns = new HashSet<>();
-    /** Numbers of the runs that this entry has counted in {@link #unconfirmedCrashes}. */
-    private final Set<Integer> unconfirmedCrashedRuns = new HashSet<>();
-    /** Whether a crash was left uncounted because another task was its likely cause. */
-    private boolean explainedCrashPassed;
+    /**
+     * Number of the run whose success was reported first, which is kept apart as nearly all tasks have just this one.
+     */
+    private int firstSuccessfulRun;
 
     /** Whether the next run has to be the only one on its upstream. */
     private boolean exclusiveRunRequired;
@@ -209,11 +205,21 @@
         stopOrdered = true;
     }
 
+    /** Returns the runs whose ends count. */
+    RunHistory history() {
+        return history;
+    }
+
     /** Returns the number of failed runs. */
     int failures() {
         return failures;
     }
 
+    private void setHistory(RunHistory newHistory) {
+        history = newHistory;
+        failures = newHistory.failures();
+    }
+
     /** Returns whether the job of the task fails if the next run fails. */
     boolean isLastAttempt() {
         return failures() + 1 >= job.policy().maximumAttempts();
@@ -221,84 +227,60 @@
 
     /** Returns the number of runs under which the upstream crashed. */
     int crashes() {
-        return crashes;
+        return history.crashes();
     }
 
     /** Returns the number of runs that were lost in a crash, but are not known to have been active then. */
     int unconfirmedCrashes() {
-        return unconfirmedCrashes;
+        return history.unconfirmedCrashes();
     }
 
-    /** Returns whether a run was lost in a crash of its upstream. */
-    boolean hasLostRuns() {
-        return crashes + unconfirmedCrashes > 0;
-    }
-
-    /** Returns the stored form of the progress. */
-    JobRecord.TaskProgress progress() {
-        return new JobRecord.TaskProgress(
-                number, phase == Phase.DONE, failures, lastFailedRun, crashes, lastCrashedRun, unconfirmedCrashes);
+    /** Returns the stored form of the progress; the runs of a task that succeeded no longer matter. */
+    TaskProgress progress() {
+        boolean succeeded = phase == Phase.DONE;
+        return new TaskProgress(number, succeeded, succeeded ? List.of() : history.toRanges());
     }
 
     /** Restores the stored progress of the task. */
-    void restore(JobRecord.TaskProgress stored) {
-        failures = stored.failedRunCount();
-        lastFailedRun = stored.lastFailedRun();
-        crashes = stored.crashedRunCount();
-        lastCrashedRun = stored.lastCrashedRun();
-        unconfirmedCrashes = stored.unconfirmedCrashCount();
-        exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes);
-        recordRunNumber(Math.max(lastFailedRun, lastCrashedRun));
+    void restore(TaskProgress stored) {
+        setHistory(RunHistory.of(stored.runs()));
+        exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes());
+        recordRunNumber(history.highestRunNumber());
         if (stored.succeeded()) {
             phase = Phase.DONE;
         }
     }
 
     /**
-     * Counts a crash of the upstream under a run, unless it was handled before; returns whether it was counted now.
+     * Records a crash of the upstream under a run; returns whether it counts now and did not before.
      *
-     * @param explained whether another task is the likely cause; such a crash is not counted, but only once
+     * @param explained whether another task is the likely cause; of such crashes, one is not counted
      */
     boolean recordCrash(int runNumber, boolean explained) {
-        if (runNumber <= lastCrashedRun) {
-            return false;
-        }
-        lastCrashedRun = runNumber;
-        if (explained && !explainedCrashPassed) {
-            explainedCrashPassed = true;
-            return false;
+        if (history.isCrashKnown(runNumber)) {
+            return false; // the cause was judged by what was known at the first report
         }
-        crashes++;
-        crashedRuns.add(runNumber);
-        return true;
+        int before = crashes();
+        setHistory(history.with(runNumber, explained ? RunFate.CRASH_EXPLAINED : RunFate.CRASHED));
+        return crashes() > before;
     }
 
-    /**
-     * Takes back a crash under a run, confirmed or not; returns whether it had been counted. Counts that were restored
-     * stay, as the runs are not known.
-     */
+    /** Takes back a crash under a run, confirmed or not; returns whether it had been counted. */
     boolean retractCrash(int runNumber) {
-        if (unconfirmedCrashedRuns.remove(runNumber)) {
-            unconfirmedCrashes--;
-            return true;
+        int before = crashes() + unconfirmedCrashes();
+        setHistory(history.with(runNumber, RunFate.CRASH_RETRACTED));
+        boolean retracted = crashes() + unconfirmedCrashes() < before;
+        if (retracted) {
+            exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes());
         }
-        if (!crashedRuns.remove(runNumber)) {
-            return false;
-        }
-        crashes--;
-        exclusiveRunRequired = CrashedRuns.isExclusiveRunRequiredAfter(crashes);
-        return true;
+        return retracted;
     }
 
-    /** Counts a run that was lost in a crash but not known to have been active; returns whether it was counted now. */
+    /** Records a run that was lost in a crash but not known to have been active; returns whether it counts anew. */
     boolean recordUnconfirmedCrash(int runNumber) {
-        if (runNumber <= lastCrashedRun) {
-            return false;
-        }
-        lastCrashedRun = runNumber;
-        unconfirmedCrashes++;
-        unconfirmedCrashedRuns.add(runNumber);
-        return true;
+        int before = unconfirmedCrashes();
+        setHistory(history.with(runNumber, RunFate.LOST_UNCONFIRMED));
+        return unconfirmedCrashes() > before;
     }
 
     /** Requires that the next runs are the only ones on their upstreams, because upstreams crashed under the task. */
@@ -318,7 +300,7 @@
 
     /** Returns whether an upstream crashed under the last run that was sent as the only one. */
     boolean hasExclusiveRunCrashed() {
-        return lastExclusiveRun != 0 && crashedRuns.contains(lastExclusiveRun);
+        return lastExclusiveRun != 0 && history.hasCrashed(lastExclusiveRun);
     }
 
     /** Returns whether a run was sent as the only one to its upstream. */
@@ -326,15 +308,26 @@
         return lastExclusiveRun != 0 && lastExclusiveRun == runNumber;
     }
 
-    /** Counts a failed run on an instance, unless it was counted before; returns whether it was counted now. */
+    /** Records a failed run on an instance; returns whether it counts now and did not before. */
     boolean recordFailure(int runNumber, String node) {
         failedNodes.add(node);
-        if (runNumber <= lastFailedRun) {
+        int before = failures();
+        setHistory(history.with(runNumber, RunFate.FAILED));
+        return failures() > before;
+    }
+
+    /** Records a successful run; returns false if it was recorded before. */
+    boolean recordSuccess(int runNumber) {
+        if (firstSuccessfulRun == 0) {
+            firstSuccessfulRun = runNumber;
+            return true;
+        }
+        if (runNumber == firstSuccessfulRun) {
             return false;
         }
-        lastFailedRun = runNumber;
-        failures++;
-        return true;
+        RunHistory before = history;
+        setHistory(history.with(runNumber, RunFate.SUCCEEDED));
+        return history != before;
     }
 
     /** Returns the names of the instances on which runs of the task failed or stalled. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -166,17 +166,9 @@
 
     private void handleSuccess(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         OwnedJob job = task.job();
-        sidecars.find(incarnation).ifPresent(view -> {
-            view.setHealth(view.health().afterSuccess());
-            // The duration of a run that started on a cold upstream says nothing about later ones.
-            if (!view.wasColdAt(task.sentAt())) {
-                durations.recordRun(
-                        job.policy().name(),
-                        view.node(),
-                        task.step().estimatedMilliseconds(),
-                        report.runMilliseconds());
-            }
-        });
+        if (task.recordSuccess(report.run().number())) {
+            sidecars.find(incarnation).ifPresent(view -> learnFromSuccess(task, view, report));
+        }
         job.markStarted();
         if (task.isIn(OwnedTask.Phase.DONE)) {
             jobs.recordCompletion(job, report.run(), incarnation);
@@ -194,6 +186,19 @@
         }
     }
 
+    /** Learns from the first report on a successful run; a repetition tells nothing new of the upstream. */
+    private void learnFromSuccess(OwnedTask task, SidecarView view, JobFrame.Report report) {
+        view.setHealth(view.health().afterSuccess());
+        // The duration of a run that started on a cold upstream says nothing about later ones.
+        if (!view.wasColdAt(task.sentAt())) {
+            durations.recordRun(
+                    task.job().policy().name(),
+                    view.node(),
+                    task.step().estimatedMilliseconds(),
+                    report.runMilliseconds());
+        }
+    }
+
     private void handleFailure(OwnedTask task, String incarnation, JobFrame.Report report, boolean isCurrent) {
         Optional<SidecarView> sidecar = sidecars.find(incarnation);
         String node = sidecar.map(SidecarView::node).orElse("");
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskBacklog.java
@@ -257,7 +257,7 @@
         boolean overdue = position.latestStart() < now && latestStart(task, now) > position.latestStart();
         if (!task.isIn(OwnedTask.Phase.WAITING) || task.job().finalState() != null) {
             offers.remaining.remove();
-        } else if (overdue || !offers.demand.equals(TaskDemand.of(task))) {
+        } else if (overdue || !offers.demand.isCurrentOf(task)) {
             offers.remaining.remove();
             moved.add(overdue ? positionOf(task, position.insertionNumber(), now) : position);
         } else if (!offers.isStepRefused()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDemand.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDemand.java
@@ -25,6 +25,11 @@
                 task.isLastAttempt());
     }
 
+    /** Returns whether this is still what a task asks for that asked for it when it was added to the backlog. */
+    boolean isCurrentOf(OwnedTask task) {
+        return exclusive == task.needsExclusiveRun() && lastAttempt == task.isLastAttempt();
+    }
+
     /** Returns whether the upstream of a sidecar could run a task with this demand if nothing else ran there. */
     boolean fits(SidecarView sidecar) {
         return UpstreamSelector.fits(resources, requiredLabel, queue.service(), sidecar);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -141,8 +141,8 @@
             return ExclusionReason.CONFINEMENT.candidacy();
         }
         // The probe of an ejected upstream may fail; it should not be the last attempt that a task is allowed.
-        if (task.isLastAttempt()
-                && sidecar.health().isAvoidedByLastAttempts(now)
+        if (sidecar.health().isAvoidedByLastAttempts(now)
+                && task.isLastAttempt()
                 && isSoundUpstreamKnown(task, sidecars)) {
             return ExclusionReason.LAST_ATTEMPT_PROBE.candidacy();
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/MalformedRecordTest.java
@@ -6,6 +6,7 @@
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.RunFate;
 import io.caperturn.jobs.model.StepPlan;
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import java.io.IOException;
@@ -52,7 +53,9 @@
                 new QueuePolicy("queue", "", "", "service", 2, 3, 1.6, 400),
                 1_700_000_000_000L,
                 true,
-                List.of(new JobRecord.TaskProgress(2, true, 1, 3_001, 0, 0, 0)));
+                List.of(
+                        new TaskProgress(2, true, List.of()),
+                        new TaskProgress(3, false, List.of(new TaskProgress.RunRange(3_001, 1, RunFate.FAILED)))));
         return Stream.of(
                 new Sample("member", member.toBytes(), bytes -> MemberRecord.decode("node", bytes)),
                 new Sample("open job", job.toBytes(), JobRecord::decode),
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/OwnedTaskTest.java
@@ -2,10 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.caperturn.jobs.message.JobRecord;
+import io.caperturn.jobs.message.TaskProgress;
 import io.caperturn.jobs.model.JobPlan;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.RunFate;
 import io.caperturn.jobs.model.StepPlan;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -32,8 +33,10 @@
     void crashUnderOneRunCountsOnce() {
         task.recordCrash(3, /* explained= */ false);
         task.recordCrash(3, /* explained= */ false);
-        task.recordCrash(2, /* explained= */ false);
         assertEquals(1, task.crashes());
+        task.recordCrash(2, /* explained= */ false);
+        task.recordCrash(3, /* explained= */ true);
+        assertEquals(2, task.crashes());
     }
 
     /** Guards against a task without a bound on its starts because each crash is put down to another queue. */
@@ -47,7 +50,12 @@
 
     @Test
     void crashesAreRestoredWithTheProgress() {
-        task.restore(new JobRecord.TaskProgress(0, /* succeeded= */ false, 0, 0, /* crashedRunCount= */ 2, 7, 1));
+        task.restore(new TaskProgress(
+                0,
+                /* succeeded= */ false,
+                List.of(
+                        new TaskProgress.RunRange(5, 1, RunFate.LOST_UNCONFIRMED),
+                        new TaskProgress.RunRange(6, 2, RunFate.CRASHED))));
         assertEquals(2, task.crashes());
         assertEquals(1, task.unconfirmedCrashes());
         assertEquals(true, task.needsExclusiveRun());
@@ -88,4 +96,38 @@
         assertEquals(1, task.crashes());
         assertEquals(false, task.needsExclusiveRun());
     }
+
+    /** Guards against failures that are missed because an adopter learns of a later run first. */
+    @Test
+    void eachFailedRunCountsOnceWhateverItsNumber() {
+        for (int run : new int[] {3, 1, 3, 2, 1}) {
+            task.recordFailure(run, "node");
+        }
+        assertEquals(3, task.failures());
+    }
+
+    /** Guards against a duration that is learned several times from one run. */
+    @Test
+    void repeatedReportOfASuccessTellsNothingNew() {
+        assertEquals(true, task.recordSuccess(2));
+        assertEquals(false, task.recordSuccess(2));
+    }
+
+    /** Guards against two counts for one run that its sidecar took for lost before the upstream listed its failure. */
+    @Test
+    void runThatFailedBeforeTheUpstreamFellSilentDoesNotCountAsACrash() {
+        task.recordUnconfirmedCrash(1);
+        task.recordFailure(1, "node");
+        task.recordUnconfirmedCrash(1);
+        assertEquals(0, task.unconfirmedCrashes());
+        assertEquals(1, task.failures());
+    }
+
+    /** Guards against a crash that counts although it was taken back, because the reports overtook each other. */
+    @Test
+    void crashThatWasTakenBackBeforeItWasReportedDoesNotCount() {
+        task.retractCrash(1);
+        assertEquals(false, task.recordCrash(1, /* explained= */ false));
+        assertEquals(0, task.crashes());
+    }
 }
