Drop a listing of the upstream that a later one has overtaken

Callers would have seen: tasks that wait at an idle upstream. Found by reading, while looking for what depends on the order of reports.

Cause: after a raise of the fencing token two holds can be under way, over two connections. If the answer that was made first arrives last, runs that have ended since are found again as active, with unknown needs, which keep others from starting until the next listing.

Change: the clock of the upstream, which every listing tells, orders the listings of an incarnation. A listing that is behind by less than five seconds is dropped, and another one asked for.

Cost: none, but one more hold after such an answer.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -95,6 +95,8 @@
     LISTED_RUN_UNREADABLE,
     /** A process accepts requests. */
     LISTENING,
+    /** A listing of an upstream was dropped, because a later one had arrived before. */
+    LISTING_OUTDATED,
     /** A request is malformed. */
     MALFORMED,
     /** The record of a new process, or of a new incarnation of one, appeared in the table of processes. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -187,6 +187,18 @@
                         handler.upstreamAnsweredAgain();
                     }
                 }
+                if (!state.recordListingClock(listing.clock())) {
+                    loop.log()
+                            .event(
+                                    EventName.LISTING_OUTDATED,
+                                    EventKey.CLOCK,
+                                    listing.clock(),
+                                    EventKey.FENCE,
+                                    hold.order().fenceToken());
+                    loop.log().count("listing-outdated");
+                    scheduleNextHold(0);
+                    return;
+                }
                 handler.clockRead(listing.clock());
                 boolean changed = applyListing(listing, hold.order(), hold.sentAt());
                 boolean answeredEarly = loop.monotonicMilliseconds() - hold.sentAt() < hold.waitMilliseconds() / 2;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -23,6 +23,12 @@
      */
     private static final long MAXIMUM_CLOCK_AGE_MILLISECONDS = 1_000;
 
+    /**
+     * Maximum time by which the answer to a hold overtakes another one, in milliseconds. A larger difference shows that
+     * the upstream has restarted without telling when.
+     */
+    private static final long MAXIMUM_OVERTAKING_MILLISECONDS = 5_000;
+
     private final DecisionLoop loop;
     private final long leaseMilliseconds;
     /** Returns up to when the upstream's lease may be extended, in milliseconds of the loop's clock. */
@@ -56,6 +62,8 @@
     private long fenceToken;
     /** Fencing token of the last listing; 0 if the known incarnation has not been listed. */
     private long lastListingFenceToken;
+    /** Reading of the upstream's clock in its latest listing. */
+    private long lastListingClock;
 
     /**
      * Creates the state of an unknown upstream.
@@ -98,6 +106,19 @@
         return fenceToken > 0 && lastListingFenceToken == fenceToken;
     }
 
+    /**
+     * Records the reading of the upstream's clock in a listing; returns false if a later listing of the same
+     * incarnation has arrived before.
+     */
+    boolean recordListingClock(long clockReading) {
+        long lag = lastListingClock - clockReading;
+        if (lag > 0 && lag < MAXIMUM_OVERTAKING_MILLISECONDS) {
+            return false;
+        }
+        lastListingClock = clockReading;
+        return true;
+    }
+
     /** Records a listing; returns true if it is the first under its fencing token. */
     boolean recordListing(long listingFenceToken) {
         boolean first = listingFenceToken > lastListingFenceToken;
@@ -255,6 +276,7 @@
                 raiseFenceToken("upstream-reborn");
             }
             lastListingFenceToken = 0;
+            lastListingClock = 0;
         }
         return wasKnown;
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SingleSidecar.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SingleSidecar.java
@@ -4,12 +4,14 @@
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.upstream.SidecarController;
 import io.caperturn.jobs.upstream.SidecarTimings;
+import io.caperturn.jobs.upstream.UpstreamPort;
 import io.caperturn.jobs.zone.EvacuatedZones;
 import io.caperturn.jobs.zone.ZoneEvacuations;
 import io.caperturn.jobs.zone.ZoneStartGate;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiFunction;
 
 /** Sidecar with a simulated upstream, linked to an entry that the test plays; the frames that it sends are kept. */
 final class SingleSidecar {
@@ -23,12 +25,17 @@
 
     /** Starts a sidecar whose upstream takes a time in milliseconds for each task. */
     SingleSidecar(long taskMilliseconds) {
+        this(taskMilliseconds, (time, port) -> port);
+    }
+
+    /** Starts a sidecar that reaches its upstream through another port than the usual one, made from the latter. */
+    SingleSidecar(long taskMilliseconds, BiFunction<VirtualTime, UpstreamPort, UpstreamPort> portChange) {
         ZoneEvacuations evacuations = new ZoneEvacuations(loop);
         evacuations.update(EvacuatedZones.NONE);
         upstream = new SimulatedUpstream(time, "upstream", new StartRecord(), task -> taskMilliseconds);
         controller = new SidecarController(
                 loop,
-                upstream.portFor(loop),
+                portChange.apply(time, upstream.portFor(loop)),
                 (entry, frame) -> receive(frame),
                 SidecarTimings.forLease(/* upstreamLeaseMilliseconds= */ 1_000),
                 "sidecar",
