Require unanswered holds before a refused connection ends the runs of a stopping upstream

One refused connection after the notice of the stop was enough for run-lapsed. Found by reading; nothing showed it.

Tests: StoppingUpstreamTest passes, whose runs are still repeated within 0.2 s of the end of the upstream. No test refuses one connection only.

Cost: one more hold after the end of an upstream that announced its stop.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EndEvidence.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/EndEvidence.java
@@ -30,7 +30,7 @@
     record Silence(long leaseRequestedAt) implements EndEvidence {}
 
     /**
-     * Refusal of a connection, as by the port of a process that has ended.
+     * Refusal of a connection, as by the port of a process that has ended, after several unanswered hold requests.
      *
      * @param requestedAt when the request was made for which the connection was to be opened
      */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -230,7 +230,7 @@
         if (becomesSilent) {
             handler.upstreamSilent(refusedConnection);
         }
-        if (refusedConnection) {
+        if (refusedConnection && isUpstreamSilent()) {
             handler.endEvidenceFound(new EndEvidence.RefusedConnection(hold.sentAt()));
         }
         if (isUpstreamSilent()) {
