Add review case 11: tasks run again after the release of an executor (TWICE)

A sidecar that is killed while its executor drains has no description of it when it is back. It takes the executor's next incarnation under the same id for the one that it has listed, keeps the number of that one's last end, and acknowledges the ends of the next one unread.

--- a/review/harness-3/io/caperturn/review/Case.java
+++ b/review/harness-3/io/caperturn/review/Case.java
@@ -39,6 +39,7 @@
 
     private static Scenario scenario(String name) {
         return switch (name) {
+            case "released-executor" -> new ReleasedExecutor();
             // Shown or known faults that are no cases of this review; see REPORT-3.md.
             case "blocked-writer" -> new BlockedWriter();
             case "crashed-executors" -> new CrashedExecutors();
