Add review case 12: ends that nobody acknowledges after an executor was cut off (LOST)

Ends that are listed after their runs were given up have no owner, and the entry that owns the job ignores the question about them. The cursor of acknowledged ends stays behind them while the job lasts; after 500 ends none is seen at that executor, and jobs of other callers stop between their steps.

--- a/review/harness-3/io/caperturn/review/Case.java
+++ b/review/harness-3/io/caperturn/review/Case.java
@@ -40,6 +40,7 @@
     private static Scenario scenario(String name) {
         return switch (name) {
             case "released-executor" -> new ReleasedExecutor();
+            case "unclaimed-end" -> new UnclaimedEnd();
             // Shown or known faults that are no cases of this review; see REPORT-3.md.
             case "blocked-writer" -> new BlockedWriter();
             case "crashed-executors" -> new CrashedExecutors();
