--- a/review/harness-3/io/caperturn/review/Case.java
+++ b/review/harness-3/io/caperturn/review/Case.java
@@ -41,6 +41,7 @@
         return switch (name) {
             case "released-executor" -> new ReleasedExecutor();
             case "unclaimed-end" -> new UnclaimedEnd();
+            case "healed-entry" -> new HealedEntry();
             // Shown or known faults that are no cases of this review; see REPORT-3.md.
             case "blocked-writer" -> new BlockedWriter();
             case "crashed-executors" -> new CrashedExecutors();
