Add review case 15: tasks start on a reborn executor without their label (ROUTE)

The first listing of an executor's next incarnation makes it usable again with the labels of the one before, until its first heartbeat, here 0.12 s after its port has opened.

--- a/review/harness-3/io/caperturn/review/Case.java
+++ b/review/harness-3/io/caperturn/review/Case.java
@@ -43,6 +43,7 @@
             case "unclaimed-end" -> new UnclaimedEnd();
             case "healed-entry" -> new HealedEntry();
             case "cancelled-run" -> new CancelledRun();
+            case "reborn-executor" -> new RebornExecutor();
             // Shown or known faults that are no cases of this review; see REPORT-3.md.
             case "blocked-writer" -> new BlockedWriter();
             case "crashed-executors" -> new CrashedExecutors();
