--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventKey.java
@@ -44,10 +44,14 @@
     CRASHES("crashes"),
     /** Maximum time that a caller waits, in milliseconds; 0 if unknown. */
     DEADLINE("deadline"),
+    /** Start of the incarnation of an upstream of which a description is, in milliseconds since 1970. */
+    DESCRIBED("described"),
     /** Periodic duty of an entry. */
     DUTY("duty"),
     /** Consequence of a change of settings. */
     EFFECT("effect"),
+    /** Number of runs that have ended. */
+    ENDED("ended"),
     /** Whether a run was sent as the only one to its upstream. */
     EXCLUSIVE("exclusive"),
     /** Expected duration of a run, in milliseconds. */
@@ -78,6 +82,8 @@
     JOBS("jobs"),
     /** Label that a task requires of an upstream; empty for none. */
     LABEL("label"),
+    /** Labels of an upstream. */
+    LABELS("labels"),
     /** Whether the job of a task fails if its next run fails. */
     LAST_ATTEMPT("lastAttempt"),
     /** Whether an upstream is leaving. */
@@ -164,6 +170,8 @@
     UNCONFIRMED("unconfirmed"),
     /** Name of the upstream in an announcement or order. */
     UPSTREAM("upstream"),
+    /** Whether an upstream takes tasks. */
+    USABLE("usable"),
     /** Version of a table, record or configuration. */
     VERSION("version"),
     /** Time that a run was queued at its sidecar, in milliseconds. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -71,6 +71,8 @@
     HOLD_REFUSED,
     /** An upstream did not answer a hold. */
     HOLD_UNANSWERED,
+    /** A write of a stored job met a record that another entry had written, with what the store holds. */
+    JOB_CONFLICT,
     /** An entry found that another entry now owns a stored job that it owned itself. */
     JOB_LOST,
     /** A request submitted a job that was submitted before, and gets the answer for that job. */
@@ -230,6 +232,8 @@
     UPSTREAM_GONE,
     /** A sidecar learned which incarnation of its upstream answers its requests. */
     UPSTREAM_LIFE,
+    /** A sidecar tells entries that its upstream takes tasks or takes none, by which description of it. */
+    UPSTREAM_OFFERED,
     /** A sidecar uses the description of the upstream that its earlier incarnation stored. */
     UPSTREAM_RECALLED,
     /** A sidecar was told to stop a run that it does not know, before its upstream has listed its runs. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -101,19 +101,12 @@
     /** Handles a job whose runs at a sidecar have no owner: adopts it if eligible, or reports it there as finished. */
     void handleUnclaimed(String sidecar, String job) {
         if (jobs.find(job) != null) {
+            logUnclaimed(sidecar, job, "owned-here");
             return;
         }
         storedJobReader.read(job, (openRecord, answer) -> {
+            logUnclaimed(sidecar, job, answer);
             if (openRecord == null && !(answer instanceof CallerAnswers.Lookup.Unavailable)) {
-                loop.log()
-                        .event(
-                                EventName.UNCLAIMED,
-                                EventKey.JOB,
-                                job,
-                                EventKey.SIDECAR,
-                                sidecar,
-                                EventKey.STATE,
-                                answer);
                 links.send(sidecar, new JobFrame.JobOver(job));
             } else if (openRecord != null && isAssignedHere(job)) {
                 ensureOwner(job, openRecord, () -> {});
@@ -121,6 +114,11 @@
         });
     }
 
+    /** Logs what this entry knows of a job about whose runs without an owner a sidecar asks. */
+    private void logUnclaimed(String sidecar, String job, Object state) {
+        loop.log().event(EventName.UNCLAIMED, EventKey.JOB, job, EventKey.SIDECAR, sidecar, EventKey.STATE, state);
+    }
+
     /**
      * Reads all open jobs from the store, adopts those whose owner is lost, and checks that those which this entry owns
      * are among them.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -42,6 +42,7 @@
     private final AdoptionWriter adoptions;
     private final JobInsertion insertion;
     private final Listener listener;
+    private final JobConflicts conflicts;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
     /** Jobs that were cancelled while the write that makes this entry their owner was in progress. */
     private final Set<String> jobsToCancelOnceOwned = new HashSet<>();
@@ -55,6 +56,7 @@
         this.finishedJobs = new FinishedJobs(loop, parameters.finishedJobRetentionMilliseconds());
         this.adoptions = new AdoptionWriter(loop, writer, parameters);
         this.listener = listener;
+        this.conflicts = new JobConflicts(loop);
         this.insertion = new JobInsertion(loop, writer, incarnation, new InsertionListener());
     }
 
@@ -319,6 +321,7 @@
             JobState stateIfClosed,
             List<OwnedJob.PendingCompletion> completions,
             JobWriter.Result.Conflicted conflicted) {
+        conflicts.log(job, stateIfClosed, conflicted);
         if (conflicted.unfinishedRecord() == null) {
             publishFinalState(job, stateIfClosed, completions);
             return;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/RunRegistry.java
@@ -170,6 +170,11 @@
         return unconfirmedCompletions.remove(run.completionNumber()) != null;
     }
 
+    /** Returns the number of listed completions that the upstream must not discard yet. */
+    int unconfirmedCompletionCount() {
+        return unconfirmedCompletions.size();
+    }
+
     /** Returns the number up to which the upstream may discard completions. */
     long acknowledgeableUpTo() {
         return unconfirmedCompletions.isEmpty() ? highestCompletionNumber : unconfirmedCompletions.firstKey() - 1;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -1,6 +1,8 @@
 package io.caperturn.jobs.upstream;
 
 import io.caperturn.jobs.DecisionLoop;
+import io.caperturn.jobs.EventKey;
+import io.caperturn.jobs.EventName;
 import io.caperturn.jobs.LinkPort;
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
@@ -105,6 +107,7 @@
         lastStatus = current;
         Set<String> ownersOfRuns = ownersOfRuns();
         if (previous == null || !acceptsSameTasks(current, previous)) {
+            logOffer(current);
             owners.values().stream().filter(OwnerLease::isLinked).forEach(owner -> sendStatus(owner, ownersOfRuns));
         } else {
             promptRecipients
@@ -113,6 +116,28 @@
         }
     }
 
+    private void logOffer(JobFrame.Status current) {
+        UpstreamState state = upstreamController.state();
+        UpstreamAnnouncement announcement = state.announcement();
+        loop.log()
+                .event(
+                        EventName.UPSTREAM_OFFERED,
+                        EventKey.IDENTITY,
+                        state.identity(),
+                        EventKey.BORN,
+                        state.startEpochMilliseconds(),
+                        EventKey.DESCRIBED,
+                        announcement == null ? 0 : announcement.startEpochMilliseconds(),
+                        EventKey.USABLE,
+                        current.usable(),
+                        EventKey.SERVICE,
+                        current.service(),
+                        EventKey.LABELS,
+                        current.labels(),
+                        EventKey.CAPACITY,
+                        current.capacity().processorMillis());
+    }
+
     private void sendStatusUnlessKnown(OwnerLease owner, JobFrame.Status current, Set<String> ownersOfRuns) {
         if (owner.knowsRoom(current.free(), current.waitingWork())) {
             loop.log().count("status-known");
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UnclaimedRuns.java
@@ -65,12 +65,16 @@
         }
         lastQuestionAt = now;
         Set<String> jobs = new LinkedHashSet<>();
+        long longestWait = 0;
+        int ended = 0;
         for (LocalRun run : registry.allRuns()) {
             boolean unclaimed = run.owner().isEmpty() || !owners.containsKey(run.owner());
             if (unclaimed && now - run.ownerChangedOrFinishedAt() > UNCLAIMED_AGE_MILLISECONDS) {
                 // Keeps the time of the last change, since which the run counts as unclaimed.
                 run.setOwner(/* incarnation= */ "", run.ownerChangedOrFinishedAt());
                 jobs.add(run.identity().task().job());
+                longestWait = Math.max(longestWait, now - run.ownerChangedOrFinishedAt());
+                ended += run.isInPhase(LocalRun.Phase.ENDED) ? 1 : 0;
             }
         }
         if (!jobs.isEmpty()) {
@@ -80,7 +84,19 @@
             if (!linked.isEmpty()) {
                 questionsSent++;
                 String entry = linked.get(questionsSent % linked.size()).incarnation();
-                loop.log().event(EventName.OWNER_ASKED, EventKey.JOBS, jobs.size(), EventKey.OWNER, entry);
+                loop.log()
+                        .event(
+                                EventName.OWNER_ASKED,
+                                EventKey.JOBS,
+                                jobs.size(),
+                                EventKey.OWNER,
+                                entry,
+                                EventKey.ENDED,
+                                ended,
+                                EventKey.WAITED,
+                                longestWait,
+                                EventKey.UNCONFIRMED,
+                                registry.unconfirmedCompletionCount());
                 links.send(entry, new JobFrame.Unclaimed(List.copyOf(jobs)));
             }
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -206,6 +206,11 @@
         return identity;
     }
 
+    /** Returns when the known incarnation of the upstream started, in milliseconds since 1970; 0 if unknown. */
+    long startEpochMilliseconds() {
+        return startEpochMilliseconds;
+    }
+
     /** Records that another upstream, or another incarnation, answered an order addressed to the known one. */
     void recordIdentityMismatch() {
         addressAnyUpstream = true;
