Find an owner, or a proof that nobody needs it, for each end that an upstream lists

Tasks that had ended there were given up and ran again elsewhere. Once it had listed 500 further ends, jobs of other callers stopped between their steps until a task of 100 s ended.

Cause: the end of a run that had been given up has no owner at its sidecar. The upstream discards ends in their order, so all later ones waited behind it.

Change: - The question carries the reports on the ends (Unclaimed).

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -264,15 +264,20 @@
     record FenceOwner(String incarnation) implements JobFrame {}
 
     /**
-     * Question of a sidecar to an entry about jobs whose runs have no owner; answered by {@link JobOver} for each job
-     * that has finished.
+     * Question of a sidecar to an entry about jobs whose runs have no owner, or whose ends nobody has confirmed for
+     * long; answered by {@link JobOver} for each job that has finished, and by {@link Settled} for each end that is
+     * stored or need not be. An entry that does not own such a job sends the question on to the one that does.
      *
      * @param jobs identities of the jobs
+     * @param ends reports on the runs among them that have ended; empty from older builds
+     * @param sidecar incarnation of the sidecar that asks; empty if it is the sender
      */
-    record Unclaimed(List<String> jobs) implements JobFrame {
-        /** Copies the list. */
+    record Unclaimed(List<String> jobs, List<Report> ends, String sidecar) implements JobFrame {
+        /** Copies the lists. */
         public Unclaimed {
+            Objects.requireNonNull(sidecar, "sidecar");
             jobs = List.copyOf(jobs);
+            ends = List.copyOf(ends);
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrameCodec.java
@@ -75,7 +75,11 @@
                 inventory.runs().forEach(run -> writer.writeMessage(3, nested -> RunFields.writeReport(nested, run)));
             }
             case JobFrame.FenceOwner fence -> writer.writeText(1, fence.incarnation());
-            case JobFrame.Unclaimed unclaimed -> unclaimed.jobs().forEach(job -> writer.writeText(1, job));
+            case JobFrame.Unclaimed unclaimed -> {
+                unclaimed.jobs().forEach(job -> writer.writeText(1, job));
+                unclaimed.ends().forEach(end -> writer.writeMessage(2, nested -> RunFields.writeReport(nested, end)));
+                writer.writeText(3, unclaimed.sidecar());
+            }
             case JobFrame.JobOver over -> writer.writeText(1, over.job());
             case JobFrame.EntryState state -> CountFields.write(writer, /* field= */ 1, state.waitingJobs());
             case JobFrame.CancelJob cancel -> writer.writeText(1, cancel.job());
@@ -125,7 +129,7 @@
                 case REPORT -> RunFields.readReport(reader);
                 case INVENTORY -> readInventory(reader);
                 case FENCE_OWNER -> new JobFrame.FenceOwner(readText(reader));
-                case UNCLAIMED -> new JobFrame.Unclaimed(readTexts(reader));
+                case UNCLAIMED -> readUnclaimed(reader);
                 case JOB_OVER -> new JobFrame.JobOver(readText(reader));
                 case ENTRY_STATE -> readEntryState(reader);
                 case CANCEL_JOB -> new JobFrame.CancelJob(readText(reader));
@@ -154,6 +158,21 @@
         return new JobFrame.Inventory(fenced, complete, dispatchesSeen, runs);
     }
 
+    private static JobFrame readUnclaimed(FieldReader reader) throws IOException {
+        List<String> jobs = new ArrayList<>();
+        List<JobFrame.Report> ends = new ArrayList<>();
+        String sidecar = "";
+        for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
+            switch (field) {
+                case 1 -> jobs.add(reader.readText());
+                case 2 -> ends.add(RunFields.readReport(reader.readMessage()));
+                case 3 -> sidecar = reader.readText();
+                default -> reader.skip();
+            }
+        }
+        return new JobFrame.Unclaimed(jobs, ends, sidecar);
+    }
+
     private static JobFrame readHello(FieldReader reader) throws IOException {
         int role = 0;
         String node = null;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -3,11 +3,14 @@
 import io.caperturn.jobs.model.JobPlan;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
+import io.caperturn.jobs.model.RunFate;
+import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.model.StepPlan;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalInt;
 
 /**
  * Stored record of an unfinished job, encoded as a protobuf message.
@@ -57,6 +60,24 @@
         progress = List.copyOf(progress);
     }
 
+    /**
+     * Returns whether the end of a run need not be stored any more: the record holds it, the task has succeeded by
+     * another run, or the job has no such task.
+     *
+     * @param run the run
+     * @param fate what became of the run
+     * @return true if nobody needs the end
+     */
+    public boolean includesEnd(RunIdentity run, RunFate fate) {
+        OptionalInt taskNumber = plan.taskNumber(run.task());
+        if (taskNumber.isEmpty()) {
+            return true;
+        }
+        return progress.stream()
+                .filter(task -> task.taskNumber() == taskNumber.getAsInt())
+                .anyMatch(task -> task.succeeded() || task.includes(run.number(), fate));
+    }
+
     /**
      * Encodes this record.
      *
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/TaskProgress.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/TaskProgress.java
@@ -65,6 +65,13 @@
                 .sum();
     }
 
+    /** Returns whether the progress holds this fate of a run, or one that takes precedence over it. */
+    boolean includes(int run, RunFate fate) {
+        return runs.stream()
+                .filter(range -> range.first() <= run && run <= range.last())
+                .anyMatch(range -> range.fate().merge(fate) == range.fate());
+    }
+
     private int lastRun(RunFate... fates) {
         return runs.stream()
                 .filter(range -> List.of(fates).contains(range.fate()))
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/model/JobPlan.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/model/JobPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalInt;
 
 /**
  * Work that a caller submits as one job: steps, each of which consists of identical tasks that upstreams run.
@@ -49,6 +50,26 @@
         return steps.stream().mapToInt(StepPlan::taskCount).sum();
     }
 
+    /**
+     * Returns the number of a task, counted over all steps.
+     *
+     * @param task identity of the task; that of the job is not compared
+     * @return the number, from 0; empty if the plan has no such task
+     */
+    public OptionalInt taskNumber(TaskIdentity task) {
+        boolean exists = task.repetition() == 0
+                && task.step() >= 0
+                && task.step() < steps.size()
+                && task.index() >= 0
+                && task.index() < steps.get(task.step()).taskCount();
+        return exists
+                ? OptionalInt.of(task.index()
+                        + steps.subList(0, task.step()).stream()
+                                .mapToInt(StepPlan::taskCount)
+                                .sum())
+                : OptionalInt.empty();
+    }
+
     /**
      * Returns the estimated duration of the critical path: the longest chain of steps that depend on one another.
      *
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -38,6 +38,7 @@
     private final Function<String, Optional<QueuePolicy>> policyByQueueName;
     private final Map<String, LostEntryRecovery> recoveries = new HashMap<>();
     private final OpenJobScans scans;
+    private final UnclaimedRunAnswers unclaimedRuns;
     private final OwnedJobCheck ownedJobCheck;
     private boolean stopped;
 
@@ -59,6 +60,7 @@
         this.jobs = jobs;
         this.policyByQueueName = policyByQueueName;
         this.ownedJobCheck = new OwnedJobCheck(loop, jobs);
+        this.unclaimedRuns = new UnclaimedRunAnswers(loop, links, jobs, dispatcher, storedJobReader, this);
         this.scans = new OpenJobScans(loop, parameters, membership, this::scan);
     }
 
@@ -98,25 +100,9 @@
         }
     }
 
-    /** Handles a job whose runs at a sidecar have no owner: adopts it if eligible, or reports it there as finished. */
-    void handleUnclaimed(String sidecar, String job) {
-        if (jobs.find(job) != null) {
-            logUnclaimed(sidecar, job, "owned-here");
-            return;
-        }
-        storedJobReader.read(job, (openRecord, answer) -> {
-            logUnclaimed(sidecar, job, answer);
-            if (openRecord == null && !(answer instanceof CallerAnswers.Lookup.Unavailable)) {
-                links.send(sidecar, new JobFrame.JobOver(job));
-            } else if (openRecord != null && isAssignedHere(job)) {
-                ensureOwner(job, openRecord, () -> {});
-            }
-        });
-    }
-
-    /** Logs what this entry knows of a job about whose runs without an owner a sidecar asks. */
-    private void logUnclaimed(String sidecar, String job, Object state) {
-        loop.log().event(EventName.UNCLAIMED, EventKey.JOB, job, EventKey.SIDECAR, sidecar, EventKey.STATE, state);
+    /** Returns the answers to sidecars that ask about runs without an owner. */
+    UnclaimedRunAnswers unclaimedRuns() {
+        return unclaimedRuns;
     }
 
     /**
@@ -213,7 +199,7 @@
      * Returns whether the hash of a job selects this entry among the known entries. The hash is divided by the number
      * of parts because its remainder already selects the part of the job.
      */
-    private boolean isAssignedHere(String identity) {
+    boolean isAssignedHere(String identity) {
         List<String> entryNodes = membership.entryNodes();
         int index = Math.floorMod(identity.hashCode() / JobWriter.PARTS, Math.max(1, entryNodes.size()));
         return !entryNodes.isEmpty() && entryNodes.get(index).equals(parameters.node());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ReceivedFrames.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/ReceivedFrames.java
@@ -56,8 +56,7 @@
                     dispatcher.handleInventory(incarnation, inventory);
                 }
             }
-            case JobFrame.Unclaimed unclaimed ->
-                unclaimed.jobs().forEach(job -> jobAdopter.handleUnclaimed(incarnation, job)); // without owner
+            case JobFrame.Unclaimed unclaimed -> jobAdopter.unclaimedRuns().handle(incarnation, unclaimed);
             case JobFrame.EntryState state -> waitingJobCounts.updatePeer(incarnation, state.waitingJobs());
             case JobFrame.Slowdowns slowdowns -> dispatcher.handleSlowdowns(incarnation, slowdowns);
             case JobFrame.CancelJob cancel -> cancellation.cancelForPeer(cancel.job());
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/RunReportHandler.java
@@ -71,6 +71,18 @@
         }
     }
 
+    /**
+     * Handles the end of a run of an owned job, of which the sidecar did not know the owner: an earlier process had
+     * started it there, or it was taken for lost. The sidecar does not know either whether the job is stored.
+     */
+    void handleUnclaimedEnd(String incarnation, JobFrame.Report report) {
+        Optional<OwnedTask> task = findTask(report.run());
+        handleReport(incarnation, report);
+        if (task.isEmpty() || !task.get().job().plan().durable()) {
+            links.send(incarnation, new JobFrame.Settled(report.run()));
+        }
+    }
+
     private Optional<OwnedTask> findTask(RunIdentity run) {
         OwnedJob job = jobs.find(run.task().job());
         return job == null ? Optional.empty() : Optional.ofNullable(job.findTask(run.task()));
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
@@ -31,6 +31,9 @@
     /** Limit of every delay before a part that could not be read is read again, in milliseconds. */
     private static final long LAST_RETRY_MILLISECONDS = 2_000;
 
+    /** Time after a failed read of a job for which reads that nobody waits for are left out, in milliseconds. */
+    private static final long FAILURE_PAUSE_MILLISECONDS = 400;
+
     private final DecisionLoop loop;
     private final RecordStore store;
     private final StoreRetryBudget retries;
@@ -39,6 +42,8 @@
     private final Map<String, String> unreadParts = new LinkedHashMap<>();
 
     private boolean retryScheduled;
+    /** When a read of a job last failed, in milliseconds of the loop's clock. */
+    private long lastFailureAt = Long.MIN_VALUE / 2;
 
     StoredJobReader(DecisionLoop loop, RecordStore store, StoreRetryBudget retries) {
         this.loop = loop;
@@ -105,8 +110,7 @@
         String nextName = identity + '\0';
         store.read(JobWriter.OPEN_TABLE, part, identity, nextName, openOutcome -> {
             switch (openOutcome) {
-                case RecordStore.ReadOutcome.Failed failed ->
-                    receiver.accept(null, new CallerAnswers.Lookup.Unavailable(failed.reason()));
+                case RecordStore.ReadOutcome.Failed failed -> handleFailure(failed, receiver);
                 case RecordStore.ReadOutcome.Found open
                 when !open.records().isEmpty() -> {
                     StoredRecord stored = open.records().getFirst();
@@ -115,8 +119,7 @@
                 case RecordStore.ReadOutcome.Found none ->
                     store.read(JobWriter.CLOSED_TABLE, part, identity, nextName, closedOutcome -> {
                         switch (closedOutcome) {
-                            case RecordStore.ReadOutcome.Failed failed ->
-                                receiver.accept(null, new CallerAnswers.Lookup.Unavailable(failed.reason()));
+                            case RecordStore.ReadOutcome.Failed failed -> handleFailure(failed, receiver);
                             case RecordStore.ReadOutcome.Found closed ->
                                 receiver.accept(null, finalStateOf(closed.records()));
                         }
@@ -125,6 +128,16 @@
         });
     }
 
+    private void handleFailure(RecordStore.ReadOutcome.Failed failed, Receiver receiver) {
+        lastFailureAt = loop.monotonicMilliseconds();
+        receiver.accept(null, new CallerAnswers.Lookup.Unavailable(failed.reason()));
+    }
+
+    /** Returns whether no read of a job has failed lately, so that the next one can be expected to be answered. */
+    boolean isStoreResponsive() {
+        return loop.monotonicMilliseconds() - lastFailureAt >= FAILURE_PAUSE_MILLISECONDS;
+    }
+
     /** Reads all open jobs, and repeats what cannot be read until it has been. */
     void readOpenJobs(ScanReceiver receiver) {
         for (int number = 0; number < JobWriter.PARTS; number++) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskDispatcher.java
@@ -105,6 +105,11 @@
         reports.handleReport(incarnation, report);
     }
 
+    /** Handles the end of a run of an owned job, of which a sidecar did not know the owner. */
+    void handleUnclaimedEnd(String incarnation, JobFrame.Report report) {
+        reports.handleUnclaimedEnd(incarnation, report);
+    }
+
     /** Orders a sidecar to stop a run, for a cause that is logged. */
     void withdraw(RunIdentity run, String incarnation, String cause) {
         sidecars.withdraw(run, incarnation, cause);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/FinishedRuns.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/FinishedRuns.java
@@ -21,6 +21,7 @@
     void discardSettled(RunIdentity identity) {
         LocalRun run = registry.findRun(identity);
         if (run != null && run.isInPhase(Phase.ENDED)) {
+            registry.completions().recordStored(run.completionNumber(), identity);
             upstreamController.removeFinished(run);
         }
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/ListedCompletions.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/ListedCompletions.java
@@ -12,6 +12,8 @@
     private final TreeMap<Long, RunIdentity> unconfirmed = new TreeMap<>();
     /** Highest number of a completion that the upstream has listed. */
     private long highestNumber;
+    /** Highest number of a completion that an owner has confirmed as stored. */
+    private long highestStoredNumber;
 
     /** Number up to which completions have been acknowledged to the upstream. */
     private long acknowledgedUpTo;
@@ -34,6 +36,23 @@
         return unconfirmed.remove(number, run);
     }
 
+    /** Records that an owner has confirmed a completion as stored, in the present or an earlier incarnation. */
+    void recordStored(long number, RunIdentity run) {
+        if (isUnconfirmed(number, run)) {
+            highestStoredNumber = Math.max(highestStoredNumber, number);
+        }
+    }
+
+    /** Returns whether the upstream must not discard a completion yet. */
+    boolean isUnconfirmed(long number, RunIdentity run) {
+        return run.equals(unconfirmed.get(number));
+    }
+
+    /** Returns whether a completion is not confirmed, but a later one is stored. */
+    boolean isOvertaken(long number, RunIdentity run) {
+        return number < highestStoredNumber && isUnconfirmed(number, run);
+    }
+
     /** Returns the number of completions that the upstream must not discard yet. */
     int unconfirmedCount() {
         return unconfirmed.size();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/LocalRun.java
@@ -78,6 +78,12 @@
     /** Whether the owner needs no report of the start. */
     private boolean withoutStartReport;
 
+    /** Number of questions to entries about the end of the run. */
+    private int endQuestions;
+
+    /** When the next one is due, in milliseconds of the loop's clock. */
+    private long nextEndQuestionAt;
+
     LocalRun(RunIdentity identity, long createdAt) {
         this.identity = identity;
         this.ownerChangedOrFinishedAt = createdAt;
@@ -291,6 +297,27 @@
         return startConfirmed;
     }
 
+    /** Returns when the run finished, in milliseconds of the loop's clock; 0 if it has not. */
+    long finishedAt() {
+        return finishedAt;
+    }
+
+    /** Returns how often entries were asked about the end of the run. */
+    int endQuestions() {
+        return endQuestions;
+    }
+
+    /** Returns when the next question about the end of the run is due, in milliseconds of the loop's clock. */
+    long nextEndQuestionAt() {
+        return nextEndQuestionAt;
+    }
+
+    /** Records a question about the end of the run, and when the next one is due if it is not answered. */
+    void recordEndQuestion(long nextAt) {
+        endQuestions++;
+        nextEndQuestionAt = nextAt;
+    }
+
     void setCrashReason(String newCrashReason) {
         crashReason = newCrashReason;
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -324,6 +324,7 @@
         forgetSilentOwners();
         returnRunsOfEvacuatedZone();
         unclaimedRuns.retainCompletionsLocally();
+        unclaimedRuns.retainOvertakenCompletions();
         upstreamController.tick();
         unclaimedRuns.askEntries();
         statusSender.sendDueRenewalRequests();
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobFrameCodecTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/message/JobFrameCodecTest.java
@@ -63,7 +63,9 @@
                 new JobFrame.Inventory("lost", true, 12, List.of(report, report)),
                 new JobFrame.Inventory("", false, 0, List.of()),
                 new JobFrame.FenceOwner("lost"),
-                new JobFrame.Unclaimed(List.of("a", "b")),
+                new JobFrame.Unclaimed(List.of("a", "b"), List.of(), ""),
+                new JobFrame.Unclaimed(
+                        List.of("a"), List.of(new JobFrame.Report(RUN, RunOutcome.DONE, 20, "")), "sidecar~1"),
                 new JobFrame.JobOver("a"),
                 new JobFrame.EntryState(Map.of("queue", 3)),
                 new JobFrame.CancelJob("a"),
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
@@ -2,6 +2,7 @@
 
 import io.caperturn.jobs.message.JobFrame;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -15,6 +16,8 @@
     /** Numbers of the links that a process knows to be open, by its incarnation and then that of its peer. */
     private final Map<String, Map<String, Integer>> knownLinks = new HashMap<>();
 
+    /** Pairs of instances whose processes lose the frames between them. */
+    private final Set<Set<String>> silentPairs = new HashSet<>();
     /** Type of the frames that are lost; null if none are. */
     private Class<? extends JobFrame> lostFrames;
 
@@ -28,10 +31,19 @@
         lostFrames = type;
     }
 
-    /** Counts a frame; returns false if it is lost. */
-    boolean recordFrame(JobFrame frame) {
+    /** Loses all further frames between the processes of two instances; their links stay open. */
+    void loseFramesBetween(String first, String second) {
+        silentPairs.add(Set.of(first, second));
+    }
+
+    /** Counts a frame from an incarnation of a process to another one; returns false if it is lost. */
+    boolean recordFrame(String from, String to, JobFrame frame) {
         frameCounts.merge(frame.getClass().getSimpleName(), 1, Integer::sum);
-        return frame.getClass() != lostFrames;
+        return frame.getClass() != lostFrames && !silentPairs.contains(Set.of(nodeOf(from), nodeOf(to)));
+    }
+
+    private static String nodeOf(String incarnation) {
+        return incarnation.substring(0, incarnation.indexOf('~'));
     }
 
     void recordLink(String first, String second) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedFleet.java
@@ -350,7 +350,7 @@
 
         @Override
         public void send(String to, JobFrame frame) {
-            if (!traffic.recordFrame(frame)) {
+            if (!traffic.recordFrame(incarnation, to, frame)) {
                 return;
             }
             byte[] bytes = JobFrameCodec.encode(frame);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/SimulatedUpstreamPort.java
@@ -36,7 +36,7 @@
             refuseConnection(receiver);
             return;
         }
-        if (upstream.isDown()) {
+        if (isSilent()) {
             leaveUnanswered(timeoutMilliseconds, receiver);
             return;
         }
@@ -51,12 +51,16 @@
                     return;
                 }
                 Answer executed = action.get();
-                Answer answer = upstream.isDown() ? new Answer.Unanswered("connection closed") : executed;
+                Answer answer = isSilent() ? new Answer.Unanswered("connection closed") : executed;
                 loop.run(() -> receiver.accept(answer));
             });
         }
     }
 
+    private boolean isSilent() {
+        return upstream.isDown() || upstream.unansweredOrders().isCutOff();
+    }
+
     private void refuseConnection(Consumer<Answer> receiver) {
         time.after(
                 LATENCY_MILLISECONDS, () -> loop.run(() -> receiver.accept(new Answer.NotSent("connection refused"))));
@@ -78,7 +82,7 @@
             refuseConnection(receiver);
             return;
         }
-        if (upstream.isDown()) {
+        if (isSilent()) {
             leaveUnanswered(waitMilliseconds + timeoutMilliseconds, receiver);
             return;
         }
@@ -122,7 +126,7 @@
         public void answer() {
             if (!answered) {
                 answered = true;
-                Answer answer = upstream.isDown() ? new Answer.Unanswered("late") : upstream.listing();
+                Answer answer = isSilent() ? new Answer.Unanswered("late") : upstream.listing();
                 loop.run(() -> receiver.accept(answer));
             }
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnansweredOrders.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UnansweredOrders.java
@@ -7,6 +7,7 @@
     /** Delay after which an order of a share is executed. */
     private static final long LATE_MILLISECONDS = 3_000;
 
+    private boolean cutOff;
     private long delayOfAll;
     private long delayOfHolds;
     private double holdShare;
@@ -14,6 +15,15 @@
     private double share;
     private Random choice;
 
+    /** Sets whether no order reaches the upstream and no answer leaves it; what runs there goes on. */
+    void setCutOff(boolean newCutOff) {
+        cutOff = newCutOff;
+    }
+
+    boolean isCutOff() {
+        return cutOff;
+    }
+
     /** Delays all start and stop orders; 0 restores normal execution. */
     void delayAll(long milliseconds) {
         delayOfAll = milliseconds;
