Send no question about unclaimed ends from an entry to itself

A job whose adoption or insert is in doubt has a record that names the entry which asks the store about it. That entry sent the question on to itself. Such a question is now left to the next one, and the record of pairs no longer takes a frame to the sender for an error. DoubtfulAdoptionTest passes.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OrphanedJobAdopter.java
@@ -60,7 +60,7 @@
         this.jobs = jobs;
         this.policyByQueueName = policyByQueueName;
         this.ownedJobCheck = new OwnedJobCheck(loop, jobs);
-        this.unclaimedRuns = new UnclaimedRunAnswers(loop, links, jobs, dispatcher, storedJobReader, this);
+        this.unclaimedRuns = new UnclaimedRunAnswers(loop, links, parameters, jobs, dispatcher, storedJobReader, this);
         this.scans = new OpenJobScans(loop, parameters, membership, this::scan);
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UnclaimedRunAnswers.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UnclaimedRunAnswers.java
@@ -22,6 +22,7 @@
 final class UnclaimedRunAnswers {
     private final DecisionLoop loop;
     private final LinkPort links;
+    private final String incarnation;
     private final OwnedJobRepository jobs;
     private final TaskDispatcher dispatcher;
     private final StoredJobReader storedJobReader;
@@ -30,12 +31,14 @@
     UnclaimedRunAnswers(
             DecisionLoop loop,
             LinkPort links,
+            EntryParameters parameters,
             OwnedJobRepository jobs,
             TaskDispatcher dispatcher,
             StoredJobReader storedJobReader,
             OrphanedJobAdopter adopter) {
         this.loop = loop;
         this.links = links;
+        this.incarnation = parameters.incarnation();
         this.jobs = jobs;
         this.dispatcher = dispatcher;
         this.storedJobReader = storedJobReader;
@@ -105,7 +108,8 @@
         ends.stream()
                 .filter(end -> !needed.contains(end))
                 .forEach(end -> links.send(sidecar, new JobFrame.Settled(end.run())));
-        if (!needed.isEmpty()) {
+        // A record that names this entry is the effect of a write whose answer will make the job an owned one.
+        if (!needed.isEmpty() && !content.owner().equals(incarnation)) {
             links.send(content.owner(), new JobFrame.Unclaimed(List.of(job), needed, sidecar));
         }
     }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/FrameTraffic.java
@@ -39,7 +39,8 @@
     /** Counts a frame from an incarnation of a process to another one; returns false if it is lost. */
     boolean recordFrame(String from, String to, JobFrame frame) {
         frameCounts.merge(frame.getClass().getSimpleName(), 1, Integer::sum);
-        return frame.getClass() != lostFrames && !silentPairs.contains(Set.of(nodeOf(from), nodeOf(to)));
+        return frame.getClass() != lostFrames
+                && silentPairs.stream().noneMatch(pair -> pair.contains(nodeOf(from)) && pair.contains(nodeOf(to)));
     }
 
     private static String nodeOf(String incarnation) {
