Read the state of a job that another entry has closed, instead of inferring it from a refused write

Cause: a write of its former owner met no open record, and each such conflict was taken for a cancellation; a conflict of a write that closes a job was taken for the state that this entry had decided. The store's answer does not hold the closed record, as an update has no condition on it.

Change: OwnedJobWriter gives the job up at a conflict, so that callers are told what the store holds, and JobConflicts reads the closed record, one at a time, before a final state is shown. On the same path: - A cancellation that meets such a conflict is begun again by what the store holds; it had been answered with "owner-changed" or with a state that was not stored. - A record that names this entry at another version than it knew is this entry's: it is written again.

Cost: one or two reads for each job that another entry has closed, none otherwise.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobRecord.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.message;
 
 import io.caperturn.jobs.model.JobPlan;
+import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunFate;
@@ -60,6 +61,15 @@
         progress = List.copyOf(progress);
     }
 
+    /**
+     * Returns the state that the record shows to callers.
+     *
+     * @return whether the job was running when the record was written, or waited
+     */
+    public JobState state() {
+        return started ? JobState.RUNNING : JobState.QUEUED;
+    }
+
     /**
      * Returns whether the end of a run need not be stored any more: the record holds it, the task has succeeded by
      * another run, or the job has no such task.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CallerAnswers.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/CallerAnswers.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.owner;
 
 import io.caperturn.jobs.model.JobState;
+import java.util.Objects;
 
 /** Answers of an entry, a process that accepts jobs, to callers. */
 public final class CallerAnswers {
@@ -12,8 +13,14 @@
          * The job is stored; it will run, or has run already.
          *
          * @param alreadySubmitted whether the job had been submitted before this request
+         * @param state state of the job, as its owner or its stored record tells it
          */
-        record Accepted(boolean alreadySubmitted) implements Submission {}
+        record Accepted(boolean alreadySubmitted, JobState state) implements Submission {
+            /** Checks the state. */
+            public Accepted {
+                Objects.requireNonNull(state, "state");
+            }
+        }
 
         /**
          * The request neither stored nor started the job.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/EntryController.java
@@ -75,11 +75,11 @@
         this.parameters = parameters;
         this.host = host;
         JobWriter writer = new JobWriter(store, loop, retries);
-        this.jobs = new OwnedJobRepository(loop, writer, parameters, new JobListener());
+        this.storedJobReader = new StoredJobReader(loop, store, retries);
+        this.jobs = new OwnedJobRepository(loop, writer, retries, parameters, storedJobReader, new JobListener());
         this.dispatcher = new TaskDispatcher(loop, links, jobs, evacuations);
         this.waitingJobCounts = new WaitingJobCounts(loop, jobs);
         this.membership = new ProcessMembership(loop, store, retries, parameters, new MembershipListener());
-        this.storedJobReader = new StoredJobReader(loop, store, retries);
         this.cancellation =
                 new JobCancellation(loop, links, parameters, writer, jobs, dispatcher, membership, storedJobReader);
         this.admission = new JobAdmission(loop, writer, dispatcher, membership, jobs, evacuations);
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobCancellation.java
@@ -91,7 +91,7 @@
         if (finalState != null) {
             receiver.accept(new CallerAnswers.Lookup.Found(finalState));
         } else if (jobs.find(identity) == null) {
-            receiver.accept(new CallerAnswers.Lookup.Unavailable("owner-changed"));
+            cancel(identity, receiver); // the store tells who owns the job, or that it is closed
         } else {
             loop.after(POLL_MILLISECONDS, () -> awaitClosed(identity, receiver));
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobInsertion.java
@@ -3,14 +3,19 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.ClosedRecord;
+import io.caperturn.jobs.message.JobRecord;
 import io.caperturn.jobs.model.JobPlan;
+import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.record.JobWriter;
 import io.caperturn.jobs.record.StoredRecord;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -103,7 +108,7 @@
                         loop.monotonicMilliseconds() - job.arrivedAt(),
                         EventKey.OBJECTIVE,
                         job.objectiveMilliseconds());
-        answer(job.identity(), new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ false));
+        answer(job.identity(), new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ false, JobState.QUEUED));
         loop.log().duration("accept", loop.monotonicMilliseconds() - job.arrivedAt());
         listener.jobAccepted(job);
     }
@@ -115,11 +120,30 @@
     private void handleConflict(OwnedJob job, JobWriter.Result.Conflicted conflicted) {
         boolean open = conflicted.unfinishedRecord() != null;
         loop.log().event(EventName.JOINED, EventKey.JOB, job.identity(), EventKey.OPEN, open);
-        Runnable accept = () -> answer(job.identity(), new CallerAnswers.Submission.Accepted(true));
+        Optional<JobState> state = readState(conflicted);
+        Runnable accept = () -> answer(
+                job.identity(),
+                state.isPresent()
+                        ? new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ true, state.get())
+                        : new CallerAnswers.Submission.Undecided(StoredJobReader.UNREADABLE));
         if (!open) {
             accept.run();
         } else if (!listener.storedJobFound(job.identity(), conflicted.unfinishedRecord(), accept)) {
-            answer(job.identity(), new CallerAnswers.Submission.Undecided("unreadable"));
+            answer(job.identity(), new CallerAnswers.Submission.Undecided(StoredJobReader.UNREADABLE));
+        }
+    }
+
+    /** Returns the state in the record that the insert met; empty if that is unreadable. */
+    private static Optional<JobState> readState(JobWriter.Result.Conflicted conflicted) {
+        try {
+            return Optional.of(
+                    conflicted.unfinishedRecord() == null
+                            ? ClosedRecord.of(conflicted.finishedRecord().value())
+                                    .state()
+                            : JobRecord.decode(conflicted.unfinishedRecord().value())
+                                    .state());
+        } catch (IOException e) {
+            return Optional.empty();
         }
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobLookup.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobLookup.java
@@ -25,6 +25,9 @@
             receiver.accept(new CallerAnswers.Lookup.Found(finalState));
         } else {
             storedJobReader.read(identity, (openRecord, answer) -> {
+                if (openRecord == null && answer instanceof CallerAnswers.Lookup.Found found) {
+                    jobs.rememberFinalState(identity, found.state());
+                }
                 receiver.accept(answer);
                 if (openRecord != null) {
                     jobAdopter.ensureOwner(identity, openRecord, () -> {}); // a job that is shown has to run
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJob.java
@@ -236,8 +236,8 @@
     }
 
     /** Adds a completed run to be stored by the next write; {@code now} is in milliseconds of the monotonic clock. */
-    void addPendingCompletion(RunIdentity run, String sidecarIncarnation, long now) {
-        pendingCompletions.add(new PendingCompletion(run, sidecarIncarnation));
+    void addPendingCompletion(PendingCompletion completion, long now) {
+        pendingCompletions.add(completion);
         oldestPendingCompletionAt = Math.min(oldestPendingCompletionAt, now);
     }
 
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/OwnedJobRepository.java
@@ -3,13 +3,13 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
-import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
 import io.caperturn.jobs.model.JobPlan;
 import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.model.QueuePolicy;
 import io.caperturn.jobs.model.RunIdentity;
 import io.caperturn.jobs.record.JobWriter;
+import io.caperturn.jobs.record.StoreRetryBudget;
 import io.caperturn.jobs.record.StoredRecord;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -36,28 +36,31 @@
     private static final long TRANSIENT_GENERATION_COUNT = 2_000_000;
 
     private final DecisionLoop loop;
-    private final JobWriter writer;
-    private final String incarnation;
     private final FinishedJobs finishedJobs;
     private final AdoptionWriter adoptions;
     private final JobInsertion insertion;
     private final Listener listener;
-    private final JobConflicts conflicts;
+    private final OwnedJobWriter writer;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
     /** Jobs that were cancelled while the write that makes this entry their owner was in progress. */
     private final Set<String> jobsToCancelOnceOwned = new HashSet<>();
 
     private final Map<String, List<Consumer<CallerAnswers.Submission>>> receiversByTransientJob = new HashMap<>();
 
-    OwnedJobRepository(DecisionLoop loop, JobWriter writer, EntryParameters parameters, Listener listener) {
+    OwnedJobRepository(
+            DecisionLoop loop,
+            JobWriter writer,
+            StoreRetryBudget retries,
+            EntryParameters parameters,
+            StoredJobReader storedJobReader,
+            Listener listener) {
         this.loop = loop;
-        this.writer = writer;
-        this.incarnation = parameters.incarnation();
         this.finishedJobs = new FinishedJobs(loop, parameters.finishedJobRetentionMilliseconds());
         this.adoptions = new AdoptionWriter(loop, writer, parameters);
         this.listener = listener;
-        this.conflicts = new JobConflicts(loop);
-        this.insertion = new JobInsertion(loop, writer, incarnation, new InsertionListener());
+        JobConflicts conflicts = new JobConflicts(loop, parameters, storedJobReader, retries);
+        this.writer = new OwnedJobWriter(loop, writer, parameters, conflicts, new WriteListener());
+        this.insertion = new JobInsertion(loop, writer, parameters.incarnation(), new InsertionListener());
     }
 
     /** Listener for changes of the owned jobs. */
@@ -110,7 +113,9 @@
     void submitDurable(String identity, JobPlan plan, QueuePolicy policy, Consumer<CallerAnswers.Submission> receiver) {
         if (ownedJobs.containsKey(identity) || finishedJobs.contains(identity)) {
             logDuplicateSubmission(identity);
-            receiver.accept(new CallerAnswers.Submission.Accepted(/* alreadySubmitted= */ true));
+            OwnedJob known = ownedJobs.get(identity);
+            receiver.accept(new CallerAnswers.Submission.Accepted(
+                    /* alreadySubmitted= */ true, known == null ? finishedJobs.find(identity) : known.state()));
             return;
         }
         if (insertion.isInProgress(identity)) {
@@ -182,7 +187,14 @@
     /** Records a completed run of a durable job, to be stored; the sidecar discards others after the next renewal. */
     void recordCompletion(OwnedJob job, RunIdentity run, String sidecar) {
         if (job.plan().durable()) {
-            job.addPendingCompletion(run, sidecar, loop.monotonicMilliseconds());
+            job.addPendingCompletion(new OwnedJob.PendingCompletion(run, sidecar), loop.monotonicMilliseconds());
+        }
+    }
+
+    /** Remembers the final state of a job that was read from the store; it does not change any more. */
+    void rememberFinalState(String job, JobState state) {
+        if (!ownedJobs.containsKey(job) && !finishedJobs.contains(job)) {
+            finishedJobs.add(job, state);
         }
     }
 
@@ -190,7 +202,7 @@
     void storeProgress(OwnedJob job) {
         if (job.plan().durable()) {
             job.requireWrite();
-            write(job);
+            writer.write(job);
         }
     }
 
@@ -240,7 +252,7 @@
     void finish(OwnedJob job, JobState state) {
         job.decideFinalState(state);
         if (job.plan().durable()) {
-            write(job);
+            writer.write(job);
         } else {
             publishFinalState(job, job.finalState(), List.of());
         }
@@ -251,7 +263,7 @@
         long pendingBefore = loop.monotonicMilliseconds() - MAX_COMPLETION_DELAY_MILLISECONDS;
         for (OwnedJob job : List.copyOf(ownedJobs.values())) {
             if (job.oldestPendingCompletionAt() <= pendingBefore) {
-                write(job);
+                writer.write(job);
             }
         }
         finishedJobs.forgetOld();
@@ -261,85 +273,10 @@
     void clear() {
         abandonAll("entry-resigned");
         ownedJobs.clear();
+        writer.stop();
         finishedJobs.clear();
     }
 
-    private void write(OwnedJob job) {
-        if (job.isWriting()) {
-            return;
-        }
-        job.clearWriteRequirement();
-        List<OwnedJob.PendingCompletion> completions = job.drainPendingCompletions();
-        job.setWriting(true);
-        JobState state = job.finalState();
-        if (state != null) {
-            ClosedRecord closedRecord = new ClosedRecord(state, loop.wallClockMilliseconds());
-            writer.close(
-                    job.identity(),
-                    job.version(),
-                    closedRecord,
-                    result -> handleCloseResult(job, state, completions, result));
-        } else {
-            writer.update(
-                    job.identity(),
-                    job.version(),
-                    job.toRecord(incarnation),
-                    result -> handleUpdateResult(job, completions, result));
-        }
-    }
-
-    private void handleUpdateResult(
-            OwnedJob job, List<OwnedJob.PendingCompletion> completions, JobWriter.Result result) {
-        job.setWriting(false);
-        switch (result) {
-            case JobWriter.Result.Stored stored -> {
-                job.setVersion(stored.version());
-                listener.completionsDiscardable(completions);
-                if (job.finalState() != null || job.isWriteRequired()) {
-                    write(job);
-                }
-            }
-            case JobWriter.Result.Conflicted conflicted ->
-                handleConflict(job, /* stateIfClosed= */ JobState.CANCELLED, completions, conflicted);
-            case JobWriter.Result.Refused refused -> throw new IllegalStateException("only job inserts can be refused");
-        }
-    }
-
-    private void handleCloseResult(
-            OwnedJob job, JobState state, List<OwnedJob.PendingCompletion> completions, JobWriter.Result result) {
-        job.setWriting(false);
-        switch (result) {
-            case JobWriter.Result.Stored stored -> publishFinalState(job, state, completions);
-            case JobWriter.Result.Conflicted conflicted -> handleConflict(job, state, completions, conflicted);
-            case JobWriter.Result.Refused refused -> throw new IllegalStateException("only job inserts can be refused");
-        }
-    }
-
-    /** Handles a write refused because another entry closed the record, to cancel the job, or became its owner. */
-    private void handleConflict(
-            OwnedJob job,
-            JobState stateIfClosed,
-            List<OwnedJob.PendingCompletion> completions,
-            JobWriter.Result.Conflicted conflicted) {
-        conflicts.log(job, stateIfClosed, conflicted);
-        if (conflicted.unfinishedRecord() == null) {
-            publishFinalState(job, stateIfClosed, completions);
-            return;
-        }
-        loop.log()
-                .event(
-                        EventName.JOB_LOST,
-                        EventKey.JOB,
-                        job.identity(),
-                        EventKey.VERSION,
-                        job.version(),
-                        EventKey.STORED,
-                        conflicted.unfinishedRecord().version());
-        ownedJobs.remove(job.identity());
-        listener.jobFinished(job, JobState.CANCELLED);
-        listener.unownedJobFound(job.identity(), conflicted.unfinishedRecord(), () -> {});
-    }
-
     /** Reports a final state, which is stored if the job is durable, to the listener and to waiting callers. */
     private void publishFinalState(OwnedJob job, JobState state, List<OwnedJob.PendingCompletion> completions) {
         ownedJobs.remove(job.identity());
@@ -372,6 +309,36 @@
         }
     }
 
+    private final class WriteListener implements OwnedJobWriter.Listener {
+        @Override
+        public void completionsDiscardable(List<OwnedJob.PendingCompletion> completions) {
+            listener.completionsDiscardable(completions);
+        }
+
+        @Override
+        public void finalStateStored(OwnedJob job, JobState state, List<OwnedJob.PendingCompletion> completions) {
+            publishFinalState(job, state, completions);
+        }
+
+        @Override
+        public void jobReleased(OwnedJob job) {
+            ownedJobs.remove(job.identity());
+            listener.jobFinished(job, JobState.CANCELLED);
+        }
+
+        @Override
+        public void otherOwnerFound(OwnedJob job, StoredRecord openRecord) {
+            listener.unownedJobFound(job.identity(), openRecord, () -> {});
+        }
+
+        @Override
+        public void finalStateRead(OwnedJob job, JobState state) {
+            if (!ownedJobs.containsKey(job.identity())) {
+                publishFinalState(job, state, List.of());
+            }
+        }
+    }
+
     private final class InsertionListener implements JobInsertion.Listener {
         @Override
         public void jobStored(OwnedJob job) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/StoredJobReader.java
@@ -6,7 +6,6 @@
 import io.caperturn.jobs.UnexpectedExceptions;
 import io.caperturn.jobs.message.ClosedRecord;
 import io.caperturn.jobs.message.JobRecord;
-import io.caperturn.jobs.model.JobState;
 import io.caperturn.jobs.record.JobWriter;
 import io.caperturn.jobs.record.RecordStore;
 import io.caperturn.jobs.record.RetryBackoff;
@@ -34,6 +33,9 @@
     /** Time after a failed read of a job for which reads that nobody waits for are left out, in milliseconds. */
     private static final long FAILURE_PAUSE_MILLISECONDS = 400;
 
+    /** Reason for which the state of a job is not available: its record cannot be decoded. */
+    static final String UNREADABLE = "unreadable";
+
     private final DecisionLoop loop;
     private final RecordStore store;
     private final StoreRetryBudget retries;
@@ -212,8 +214,7 @@
 
     private CallerAnswers.Lookup stateOf(StoredRecord open) {
         try {
-            return new CallerAnswers.Lookup.Found(
-                    JobRecord.decode(open.value()).started() ? JobState.RUNNING : JobState.QUEUED);
+            return new CallerAnswers.Lookup.Found(JobRecord.decode(open.value()).state());
         } catch (IOException e) {
             return handleUnreadable(open, e);
         }
@@ -244,6 +245,6 @@
                         e.getMessage(),
                         EventKey.ACTION,
                         "ignored");
-        return new CallerAnswers.Lookup.Unavailable("unreadable");
+        return new CallerAnswers.Lookup.Unavailable(UNREADABLE);
     }
 }
