Choose, send and start tasks by the description of the upstream's present incarnation only

Cause: the sidecar learned of the next incarnation from its first listing, but kept the announcement of the one before, and offered the upstream by it. upstream-offered now tells: born and described differ.

Change: the announcement, with labels, service, capacity and cold time, is part of KnownIncarnation and ends with it. The same for what was decided by it elsewhere: - Each status names the incarnation by a number, each dispatch the one for which its task was chosen; a sidecar refuses others (upstream-replaced), and returns the runs that wait there when the incarnation is replaced. The entry sends them elsewhere. - An entry forgets the failed runs of an upstream, and its ejection, with the incarnation. - While an upstream answers that has not told what it is (awaitingDescription), no job is rejected for want of a fitting upstream. - A description that is restored from the store is told at once.

Until its first heartbeat a reborn upstream gets no tasks. No frame more; a status has up to four bytes more, a dispatch two.

Tests that make statuses and dispatches name the number.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/EventName.java
@@ -51,6 +51,8 @@
     DISPATCH_REFUSED,
     /** An entry stops sending tasks to an upstream for a time, because runs failed there. */
     EJECTED,
+    /** An entry sends tasks to an upstream that it had ejected, because another incarnation has taken its place. */
+    EJECTION_DROPPED,
     /** A sidecar keeps the outcome of a run, because the entry that owns its job is silent. */
     END_KEPT,
     /** A run has finished at its upstream. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/JobFrame.java
@@ -52,6 +52,9 @@
      * @param renewal number of the renewal request, answered by {@link Lease}; {@link #NO_RENEWAL} if none is requested
      * @param coldMilliseconds how much longer the upstream is expected to be slow after its start, in milliseconds
      * @param crashes crashes of the upstream in the last seconds; empty from older builds
+     * @param upstreamNumber number of the upstream's incarnation (the time from a start to the next stop), as this
+     *     sidecar process counts them from 1; 0 from older builds
+     * @param awaitingDescription whether an upstream answers that has not told yet what it is
      */
     record Status(
             boolean usable,
@@ -64,7 +67,9 @@
             long dispatchesSeen,
             long renewal,
             long coldMilliseconds,
-            List<UpstreamCrash> crashes)
+            List<UpstreamCrash> crashes,
+            long upstreamNumber,
+            boolean awaitingDescription)
             implements JobFrame {
         /** Number of a status that requests no renewal. */
         public static final long NO_RENEWAL = 0;
@@ -94,7 +99,9 @@
                     room.dispatchesSeen(),
                     NO_RENEWAL,
                     remainingColdMilliseconds,
-                    crashes);
+                    crashes,
+                    upstreamNumber,
+                    awaitingDescription);
         }
     }
 
@@ -122,6 +129,8 @@
      * @param withoutStartReport whether the owner needs no {@link Report} of the start; false from older builds
      * @param queue name of its job's queue; empty if the entry is too old to tell it and to accept {@link Slowdowns}
      * @param exclusive whether the run has to be the only one on the upstream; false from older builds
+     * @param upstreamNumber number of the upstream's incarnation for which the task was chosen, from its
+     *     {@link Status}; the run is refused by another one; 0 from older builds
      */
     record Dispatch(
             long sequence,
@@ -134,7 +143,8 @@
             boolean durable,
             boolean withoutStartReport,
             String queue,
-            boolean exclusive)
+            boolean exclusive,
+            long upstreamNumber)
             implements JobFrame {
         /** Checks that nothing is null. */
         public Dispatch {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/RunFields.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/RunFields.java
@@ -22,7 +22,8 @@
                 .writeBoolean(8, dispatch.durable())
                 .writeBoolean(9, dispatch.withoutStartReport())
                 .writeText(10, dispatch.queue())
-                .writeBoolean(11, dispatch.exclusive());
+                .writeBoolean(11, dispatch.exclusive())
+                .writeLong(12, dispatch.upstreamNumber());
     }
 
     static JobFrame.Dispatch readDispatch(FieldReader reader) throws IOException {
@@ -37,6 +38,7 @@
         boolean withoutStartReport = false;
         String queue = "";
         boolean exclusive = false;
+        long upstreamNumber = 0;
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> sequence = reader.readLong();
@@ -50,6 +52,7 @@
                 case 9 -> withoutStartReport = reader.readBoolean();
                 case 10 -> queue = reader.readText();
                 case 11 -> exclusive = reader.readBoolean();
+                case 12 -> upstreamNumber = reader.readLong();
                 default -> reader.skip();
             }
         }
@@ -64,7 +67,8 @@
                 durable,
                 withoutStartReport,
                 queue,
-                exclusive);
+                exclusive,
+                upstreamNumber);
     }
 
     static void writeReport(FieldWriter writer, JobFrame.Report report) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/message/StatusFields.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/message/StatusFields.java
@@ -26,6 +26,7 @@
                 .writeLong(9, status.renewal())
                 .writeLong(10, status.coldMilliseconds());
         status.crashes().forEach(crash -> writer.writeMessage(11, nested -> writeCrash(nested, crash)));
+        writer.writeLong(12, status.upstreamNumber()).writeBoolean(13, status.awaitingDescription());
     }
 
     static JobFrame read(FieldReader reader) throws IOException {
@@ -40,6 +41,8 @@
         long renewal = 0;
         long coldMilliseconds = 0;
         List<UpstreamCrash> crashes = new ArrayList<>();
+        long upstreamNumber = 0;
+        boolean awaitingDescription = false;
         for (int field = reader.nextFieldNumber(); field != 0; field = reader.nextFieldNumber()) {
             switch (field) {
                 case 1 -> usable = reader.readBoolean();
@@ -53,6 +56,8 @@
                 case 9 -> renewal = reader.readLong();
                 case 10 -> coldMilliseconds = reader.readLong();
                 case 11 -> crashes.add(readCrash(reader.readMessage()));
+                case 12 -> upstreamNumber = reader.readLong();
+                case 13 -> awaitingDescription = reader.readBoolean();
                 default -> reader.skip();
             }
         }
@@ -67,7 +72,9 @@
                 dispatchesSeen,
                 renewal,
                 coldMilliseconds,
-                crashes);
+                crashes,
+                upstreamNumber,
+                awaitingDescription);
     }
 
     private static void writeCrash(FieldWriter writer, UpstreamCrash crash) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarDirectory.java
@@ -69,6 +69,9 @@
 
     /** Applies a status to a sidecar, and renews the lease there soon if it requests that. */
     void applyStatus(SidecarView view, JobFrame.Status status, boolean renewStoredRuns) {
+        if (view.isOfAnotherUpstream(status)) {
+            forgetHealth(view);
+        }
         view.updateStatus(status, loop.monotonicMilliseconds());
         if (evidence.record(view.incarnation(), status.service(), status.crashes())) {
             confinement.refresh(/* newCrash= */ true);
@@ -78,6 +81,14 @@
         }
     }
 
+    /** Forgets the outcomes of runs on an upstream whose place another incarnation has taken. */
+    private void forgetHealth(SidecarView view) {
+        if (view.health().isOnProbation()) {
+            loop.log().event(EventName.EJECTION_DROPPED, EventKey.NODE, view.node());
+        }
+        view.setHealth(UpstreamHealth.UNKNOWN);
+    }
+
     /**
      * Runs an action once all is read that had arrived before this event, also if this process was held up meanwhile: a
      * caller may have gone, whose runs have to be withdrawn before the lease on them is renewed. The first timer may be
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Returns whether a status is about another incarnation of the upstream than the last one. */
+    boolean isOfAnotherUpstream(JobFrame.Status newStatus) {
+        return status != null && status.upstreamNumber() != newStatus.upstreamNumber();
+    }
+
     /**
      * Applies a status of the sidecar, which includes all dispatches up to the sequence number {@code dispatchesSeen}.
      * The entry renews its lease at once if the status requests it.
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -167,6 +167,7 @@
                         task.job().plan().durable(),
                         !task.isStartReportExpected(),
                         task.job().policy().name(),
-                        task.isCurrentRunExclusive()));
+                        task.isCurrentRunExclusive(),
+                        view.status().upstreamNumber()));
     }
 }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/UpstreamSelector.java
@@ -233,11 +233,16 @@
 
     /**
      * Returns whether any known upstream of a service (kind) outside evacuated zones could ever run a task of a step;
-     * true if none is known.
+     * true if none is known, or one has not told yet what it is.
      */
     static boolean canEverRun(StepPlan step, String service, Collection<SidecarView> sidecars) {
         boolean anyKnown = false;
         for (SidecarView sidecar : sidecars) {
+            if (sidecar.isLinked()
+                    && sidecar.status() != null
+                    && sidecar.status().awaitingDescription()) {
+                return true;
+            }
             if (sidecar.status() != null && sidecar.status().service().equals(service)) {
                 anyKnown = true;
                 if (!sidecar.isEvacuated() && fits(step, service, sidecar)) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/DispatchCheck.java
@@ -33,14 +33,19 @@
         this.zoneGate = zoneGate;
     }
 
-    /** Returns why a dispatched run is refused, and logs it; empty if the run is accepted. */
-    Optional<String> refuse(LocalRun run) {
-        Optional<String> refusal = findRefusal(run);
+    /**
+     * Returns why a dispatched run is refused, and logs it; empty if the run is accepted.
+     *
+     * @param run the run
+     * @param upstreamNumber number of the upstream's incarnation for which it was chosen; 0 if unknown
+     */
+    Optional<String> refuse(LocalRun run, long upstreamNumber) {
+        Optional<String> refusal = findRefusal(run, upstreamNumber);
         refusal.ifPresent(reason -> log(run, reason));
         return refusal;
     }
 
-    private Optional<String> findRefusal(LocalRun run) {
+    private Optional<String> findRefusal(LocalRun run, long upstreamNumber) {
         if (overJobs.contains(run)) {
             return Optional.of(JobFrame.Report.JOB_OVER);
         }
@@ -51,6 +56,9 @@
         if (!upstreamController.isUsable()) {
             return Optional.of(JobFrame.Report.UPSTREAM_UNUSABLE);
         }
+        if (upstreamNumber != 0 && upstreamNumber != upstreamController.state().incarnationNumber()) {
+            return Optional.of(JobFrame.Report.UPSTREAM_REPLACED);
+        }
         if (!upstreamController.state().capacity().covers(run.requiredResources())) {
             return Optional.of("larger-than-upstream");
         }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/HoldCycle.java
@@ -122,7 +122,7 @@
      */
     void startHoldIfNeeded() {
         if (!state.isListedUnderCurrentToken()
-                || !isUpstreamReachable() && state.announcement() != null
+                || !isUpstreamReachable() && state.description().isPresent()
                 || registry.activeCount() > 0
                 || registry.completions().acknowledgeableUpTo()
                         > registry.completions().acknowledgedUpTo()) {
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/KnownIncarnation.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/KnownIncarnation.java
@@ -1,6 +1,7 @@
 package io.caperturn.jobs.upstream;
 
 import io.caperturn.jobs.model.UpstreamIncarnation;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -24,6 +25,11 @@
     /** Highest number of an announcement; they increase within an incarnation. */
     private long lastAnnouncementNumber = Long.MIN_VALUE;
 
+    /** Latest announcement of this incarnation; empty if it has not announced itself, or has announced its stop. */
+    private Optional<UpstreamAnnouncement> announcement = Optional.empty();
+    /** Until when it expects to be slow after its start, in milliseconds of the loop's clock. */
+    private long coldUntil;
+
     private final UpstreamClock clock = new UpstreamClock();
     /** Fencing token of the last listing; 0 if the incarnation has not been listed. */
     private long lastListingFenceToken;
@@ -92,8 +98,27 @@
         return isDescribedBy(announcement.description()) && announcement.sequence() <= lastAnnouncementNumber;
     }
 
-    void recordAnnouncement(UpstreamAnnouncement announcement) {
-        lastAnnouncementNumber = announcement.sequence();
+    /** Records an announcement that was received, at a time in milliseconds of the loop's clock. */
+    void recordAnnouncement(UpstreamAnnouncement latest, long now) {
+        lastAnnouncementNumber = latest.sequence();
+        announcement = Optional.of(latest);
+        coldUntil = now + latest.coldMilliseconds();
+    }
+
+    /** Uses a description of this incarnation that was stored. */
+    void restoreDescription(UpstreamIncarnation stored) {
+        announcement = Optional.of(
+                new UpstreamAnnouncement(stored, /* sequence= */ 0, /* leaving= */ false, /* coldMilliseconds= */ 0));
+    }
+
+    /** Returns the latest announcement; empty if there is none, or the incarnation has announced that it stops. */
+    Optional<UpstreamAnnouncement> announcement() {
+        return announcement;
+    }
+
+    /** Returns until when the upstream expects to be slow after its start, in milliseconds of the loop's clock. */
+    long coldUntil() {
+        return coldUntil;
     }
 
     UpstreamClock clock() {
@@ -133,11 +158,16 @@
         return stopAnnouncedAt;
     }
 
-    /**
-     * Records when the incarnation announced that it stops, in milliseconds of the loop's clock, or takes that back.
-     */
-    void setStopAnnouncedAt(OptionalLong time) {
-        stopAnnouncedAt = time;
+    /** Records that the incarnation has announced its stop, at a time in milliseconds of the loop's clock. */
+    void recordStopNotice(long now) {
+        stopAnnouncedAt = OptionalLong.of(now);
+        announcement = Optional.empty();
+        coldUntil = 0;
+    }
+
+    /** Takes back that the incarnation has announced its stop. */
+    void liftStopNotice() {
+        stopAnnouncedAt = OptionalLong.empty();
     }
 
     /** Returns the latest expiry of the lease that was requested, in milliseconds of the loop's clock. */
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/SidecarController.java
@@ -105,6 +105,7 @@
      */
     public void restoreUpstream(UpstreamIncarnation earlier) {
         upstreamController.state().restoreDescription(earlier);
+        statusSender.scheduleStatus();
     }
 
     /**
@@ -116,11 +117,11 @@
      *     announced that it stops, because the next incarnation must not use it
      */
     public Optional<UpstreamIncarnation> upstreamToStore(Optional<UpstreamIncarnation> stored) {
-        UpstreamAnnouncement announcement = upstreamController.state().announcement();
-        if (announcement == null) {
-            return stored.filter(description -> !upstreamController.state().hasAnnouncedStop(description));
-        }
-        return announcement.leaving() ? Optional.empty() : Optional.of(announcement.description());
+        UpstreamState state = upstreamController.state();
+        return state.incarnation()
+                .announcement()
+                .map(latest -> Optional.of(latest.description()).filter(description -> !latest.leaving()))
+                .orElseGet(() -> stored.filter(description -> !state.hasAnnouncedStop(description)));
     }
 
     /**
@@ -279,7 +280,7 @@
                 dispatch.estimatedMilliseconds(),
                 latestStartAt,
                 dispatch.urgency());
-        Optional<String> refusal = dispatchCheck.refuse(run);
+        Optional<String> refusal = dispatchCheck.refuse(run, dispatch.upstreamNumber());
         if (refusal.isPresent()) {
             reports.reportOutcome(owner, identity, RunOutcome.REFUSED, refusal.get());
             return;
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/StatusSender.java
@@ -7,6 +7,7 @@
 import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.Resources;
 import io.caperturn.jobs.model.RunOutcome;
+import io.caperturn.jobs.model.UpstreamIncarnation;
 import io.caperturn.jobs.zone.ZoneStartGate;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -118,7 +119,6 @@
 
     private void logOffer(JobFrame.Status current) {
         UpstreamState state = upstreamController.state();
-        UpstreamAnnouncement announcement = state.announcement();
         loop.log()
                 .event(
                         EventName.UPSTREAM_OFFERED,
@@ -127,7 +127,9 @@
                         EventKey.BORN,
                         state.startEpochMilliseconds(),
                         EventKey.DESCRIBED,
-                        announcement == null ? 0 : announcement.startEpochMilliseconds(),
+                        state.description()
+                                .map(UpstreamIncarnation::startEpochMilliseconds)
+                                .orElse(0L),
                         EventKey.USABLE,
                         current.usable(),
                         EventKey.SERVICE,
@@ -152,7 +154,9 @@
                 && first.service().equals(second.service())
                 && first.capacity().equals(second.capacity())
                 && first.labels().equals(second.labels())
-                && first.coldMilliseconds() > 0 == second.coldMilliseconds() > 0;
+                && first.coldMilliseconds() > 0 == second.coldMilliseconds() > 0
+                && first.upstreamNumber() == second.upstreamNumber()
+                && first.awaitingDescription() == second.awaitingDescription();
     }
 
     /** Sends the periodic status, which requests a renewal of the lease, to the entries for which it is due. */
@@ -246,7 +250,9 @@
                 dispatchesSeen,
                 renewal,
                 upstreamController.state().coldMilliseconds(),
-                upstreamController.recentCrashes());
+                upstreamController.recentCrashes(),
+                upstreamController.state().incarnationNumber(),
+                upstreamController.state().isAwaitingDescription());
     }
 
     /**
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamController.java
@@ -3,9 +3,11 @@
 import io.caperturn.jobs.DecisionLoop;
 import io.caperturn.jobs.EventKey;
 import io.caperturn.jobs.EventName;
+import io.caperturn.jobs.message.JobFrame;
 import io.caperturn.jobs.model.RunOutcome;
 import io.caperturn.jobs.model.UpstreamCrash;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
@@ -73,7 +75,6 @@
 
     /** Handles an announcement of the upstream, unless it is older than the known one. */
     void handleAnnouncement(UpstreamAnnouncement announcement) {
-        UpstreamAnnouncement known = state.announcement();
         boolean outdated = state.isOutdated(announcement);
         if (!outdated && state.hasAnnouncedStop(announcement.description())) {
             state.liftStopNotice(announcement);
@@ -93,9 +94,10 @@
             holdCycle.startHold();
             return;
         }
-        if (known == null
-                || !known.identity().equals(announcement.identity())
-                || known.leaving() != announcement.leaving()) {
+        Optional<UpstreamAnnouncement> known = state.incarnation().announcement();
+        if (known.isEmpty()
+                || !known.get().identity().equals(announcement.identity())
+                || known.get().leaving() != announcement.leaving()) {
             loop.log()
                     .event(
                             EventName.UPSTREAM,
@@ -110,8 +112,7 @@
                             EventKey.CAPACITY,
                             announcement.description().capacity().processorMillis());
         }
-        state.recordAnnouncer(announcement);
-        state.setAnnouncement(announcement);
+        state.recordAnnouncement(announcement);
         if (announcement.leaving()) {
             refuseQueuedRuns("upstream-leaving");
         }
@@ -230,6 +231,9 @@
     @Override
     public void incarnationReplaced() {
         registry.replaceIncarnation();
+        // They were chosen by what the earlier incarnation was.
+        refuseQueuedRuns(JobFrame.Report.UPSTREAM_REPLACED);
+        listener.statusChanged();
         // An order may already have reached the new incarnation, so only its listing shows which runs are active.
         registry.allRuns().stream().filter(LocalRun::isActive).forEach(LocalRun::doubtAfterRestart);
     }
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamCrashes.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Crashes of the upstream beside a sidecar process: ends of an incarnation (the time from a start to the next stop)
@@ -59,8 +60,9 @@
      *     before the crash, or started in the next incarnation
      */
     void recordCrash(String cause, boolean justNow) {
-        UpstreamAnnouncement announcement = state.announcement();
-        if (crashed || announcement == null || announcement.leaving()) {
+        Optional<UpstreamAnnouncement> announcement =
+                state.incarnation().announcement().filter(latest -> !latest.leaving());
+        if (crashed || announcement.isEmpty()) {
             return;
         }
         crashed = true;
@@ -91,9 +93,9 @@
                 .event(
                         EventName.UPSTREAM_CRASHED,
                         EventKey.IDENTITY,
-                        announcement.identity(),
+                        announcement.get().identity(),
                         EventKey.BORN,
-                        announcement.startEpochMilliseconds(),
+                        announcement.get().startEpochMilliseconds(),
                         EventKey.CAUSE,
                         cause,
                         EventKey.RUNS,
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -7,6 +7,7 @@
 import io.caperturn.jobs.model.UpstreamIncarnation;
 import io.caperturn.jobs.upstream.UpstreamPort.Order;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
@@ -40,10 +41,8 @@
     /** The incarnation that is taken for the present one. */
     private KnownIncarnation incarnation = new KnownIncarnation(/* identity= */ "", /* startEpochMilliseconds= */ 0);
 
-    /** Latest announcement of the upstream; null if it has not announced itself or has stopped. */
-    private UpstreamAnnouncement announcement;
-    /** Until when the upstream expects to be slow after its start, in milliseconds of the loop's clock. */
-    private long coldUntil;
+    /** Number of that incarnation, from 1 over the lifetime of this process. */
+    private long incarnationNumber = 1;
 
     /** Description stored by an earlier incarnation of this sidecar; null if there is none. */
     private UpstreamIncarnation earlierDescription;
@@ -116,13 +115,16 @@
         return incarnation.lastListingFenceToken() != 0;
     }
 
-    UpstreamAnnouncement announcement() {
-        return announcement;
+    /** Returns the number of the known incarnation, from 1 over the lifetime of this process. */
+    long incarnationNumber() {
+        return incarnationNumber;
     }
 
-    void setAnnouncement(UpstreamAnnouncement latest) {
-        announcement = latest;
-        coldUntil = latest == null ? 0 : loop.monotonicMilliseconds() + latest.coldMilliseconds();
+    /** Returns whether the upstream answers, but has told neither what it is nor that it stops. */
+    boolean isAwaitingDescription() {
+        return isIncarnationListed()
+                && incarnation.announcement().isEmpty()
+                && incarnation.stopAnnouncedAt().isEmpty();
     }
 
     /**
@@ -138,8 +140,7 @@
             return false;
         }
         incarnation.complete(sender, /* senderStartEpochMilliseconds= */ 0);
-        incarnation.setStopAnnouncedAt(OptionalLong.of(loop.monotonicMilliseconds()));
-        setAnnouncement(null);
+        incarnation.recordStopNotice(loop.monotonicMilliseconds());
         return true;
     }
 
@@ -163,7 +164,7 @@
         if (announcedAt.isPresent()
                 && !heartbeat.leaving()
                 && loop.monotonicMilliseconds() > announcedAt.getAsLong() + MAXIMUM_HEARTBEAT_DELAY_MILLISECONDS) {
-            incarnation.setStopAnnouncedAt(OptionalLong.empty());
+            incarnation.liftStopNotice();
             loop.log()
                     .event(
                             EventName.STOP_NOTICE_LIFTED,
@@ -178,26 +179,30 @@
 
     /** Returns whether the upstream accepts runs: it is announced, not leaving, and its runs are listed. */
     boolean isAccepting() {
-        return announcement != null && !announcement.leaving() && isListedUnderCurrentToken();
+        return incarnation.announcement().filter(latest -> !latest.leaving()).isPresent()
+                && isListedUnderCurrentToken();
+    }
+
+    /** Returns the description of the known incarnation; empty if it has not told what it is, or stops. */
+    Optional<UpstreamIncarnation> description() {
+        return incarnation.announcement().map(UpstreamAnnouncement::description);
     }
 
     String service() {
-        return announcement == null ? "" : announcement.description().service();
+        return description().map(UpstreamIncarnation::service).orElse("");
     }
 
     List<String> labels() {
-        return announcement == null ? List.of() : announcement.description().labels();
+        return description().map(UpstreamIncarnation::labels).orElse(List.of());
     }
 
     Resources capacity() {
-        return announcement == null
-                ? Resources.NONE
-                : announcement.description().capacity();
+        return description().map(UpstreamIncarnation::capacity).orElse(Resources.NONE);
     }
 
     /** Returns how much longer the upstream expects to be slow after its start, in milliseconds; 0 if it is warm. */
     long coldMilliseconds() {
-        return Math.max(0, coldUntil - loop.monotonicMilliseconds());
+        return Math.max(0, incarnation.coldUntil() - loop.monotonicMilliseconds());
     }
 
     String identity() {
@@ -225,13 +230,12 @@
     }
 
     private void restoreIfSameIncarnation() {
-        if (announcement == null
+        if (incarnation.announcement().isEmpty()
                 && earlierDescription != null
                 && incarnation.isDescribedBy(earlierDescription)
                 && incarnation.stopAnnouncedAt().isEmpty()) {
             incarnation.complete(earlierDescription.identity(), earlierDescription.startEpochMilliseconds());
-            announcement = new UpstreamAnnouncement(
-                    earlierDescription, /* sequence= */ 0, /* leaving= */ false, /* coldMilliseconds= */ 0);
+            incarnation.restoreDescription(earlierDescription);
             loop.log()
                     .event(
                             EventName.UPSTREAM_RECALLED,
@@ -248,16 +252,16 @@
     boolean isOutdated(UpstreamAnnouncement latest) {
         return incarnation.startedAfter(latest.startEpochMilliseconds())
                 || incarnation.hasOvertaken(latest)
-                || announcement != null && latest.isOutdated(announcement);
+                || incarnation.announcement().filter(latest::isOutdated).isPresent();
     }
 
-    /** Records which incarnation has announced itself. */
-    void recordAnnouncer(UpstreamAnnouncement latest) {
+    /** Records an announcement, and which incarnation has sent it. */
+    void recordAnnouncement(UpstreamAnnouncement latest) {
         // A notice whose sender was not known can be that of an earlier incarnation.
         boolean afterNoticeOfUnknown =
                 incarnation.stopAnnouncedAt().isPresent() && incarnation.startEpochMilliseconds() == 0;
         recordSender(latest.identity(), latest.startEpochMilliseconds(), /* replaces= */ afterNoticeOfUnknown);
-        incarnation.recordAnnouncement(latest);
+        incarnation.recordAnnouncement(latest, loop.monotonicMilliseconds());
     }
 
     /**
@@ -290,6 +294,7 @@
         logIncarnation(senderIdentity, senderStartEpochMilliseconds);
         listener.incarnationEnding();
         incarnation = new KnownIncarnation(senderIdentity, senderStartEpochMilliseconds);
+        incarnationNumber++;
         if (fenceToken > 0) {
             raiseFenceToken("upstream-reborn");
         }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/QueueConfinementTest.java
@@ -66,7 +66,9 @@
                 /* dispatchesSeen= */ 0,
                 JobFrame.Status.NO_RENEWAL,
                 /* coldMilliseconds= */ 0,
-                crashes);
+                crashes,
+                /* upstreamNumber= */ 1,
+                /* awaitingDescription= */ false);
         directory.applyStatus(directory.find(node + "~1").orElseThrow(), status, /* renewStoredRuns= */ true);
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/owner/SidecarViewTest.java
@@ -42,7 +42,9 @@
                         0,
                         JobFrame.Status.NO_RENEWAL,
                         /* coldMilliseconds= */ 0,
-                        /* crashes= */ List.of()),
+                        /* crashes= */ List.of(),
+                        /* upstreamNumber= */ 1,
+                        /* awaitingDescription= */ false),
                 /* now= */ 1);
         for (int number = 0; number < DISPATCHES; number++) {
             view.recordDispatch(NEED, /* work= */ 100, /* now= */ 1);
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/CrashBeforeStartTest.java
@@ -87,7 +87,8 @@
                                 false,
                                 true,
                                 "queue-of-" + job,
-                                exclusive));
+                                exclusive,
+                                /* upstreamNumber= */ 0));
     }
 
     private void advance(long milliseconds) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ExclusiveRunTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/ExclusiveRunTest.java
@@ -29,7 +29,7 @@
                 .handleFrame(
                         SingleSidecar.ENTRY,
                         new JobFrame.Dispatch(
-                                sequence, run, "payload", NEED, 400, 5_000, 0, false, true, "queue", exclusive));
+                                sequence, run, "payload", NEED, 400, 5_000, 0, false, true, "queue", exclusive, 1));
         advance(5);
     }
 
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OvertakenListingTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/OvertakenListingTest.java
@@ -71,7 +71,7 @@
                 .handleFrame(
                         SingleSidecar.ENTRY,
                         new JobFrame.Dispatch(
-                                task + 1, run(task), "payload", NEED, 100, 5_000, 0, true, true, "queue", false));
+                                task + 1, run(task), "payload", NEED, 100, 5_000, 0, true, true, "queue", false, 1));
     }
 
     private void advance(long milliseconds) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RefusedElsewhereTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RefusedElsewhereTest.java
@@ -44,7 +44,7 @@
         RunIdentity run = new RunIdentity(new TaskIdentity("job", 0, 0, index), EARLIER_RUN);
         Resources need = new Resources(1, 1, 0);
         JobFrame.Dispatch dispatch =
-                new JobFrame.Dispatch(0, run, "payload", need, 10_000, 5_000, 0, false, true, "queue", false);
+                new JobFrame.Dispatch(0, run, "payload", need, 10_000, 5_000, 0, false, true, "queue", false, 1);
         fleet.loop("sidecar-0").run(() -> fleet.sidecar(0).handleFrame("entry-0~1", dispatch));
     }
 }
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/RoomInReportsTest.java
@@ -35,7 +35,8 @@
     private void dispatch(RunIdentity run, Resources need, String queue) {
         sequence++;
         sidecar.handleFrame(
-                ENTRY, new JobFrame.Dispatch(sequence, run, "payload", need, 100, 5_000, 0, false, true, queue, false));
+                ENTRY,
+                new JobFrame.Dispatch(sequence, run, "payload", need, 100, 5_000, 0, false, true, queue, false, 0));
     }
 
     private JobFrame.Report reportOn(RunIdentity run) {
--- a/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UpstreamIncarnationTest.java
+++ b/caperturn-jobs/src/test/java/io/caperturn/jobs/simulation/UpstreamIncarnationTest.java
@@ -95,11 +95,26 @@
     }
 
     private void dispatch(int task) {
+        dispatch(task, /* exclusive= */ false, sidecar.lastStatus().upstreamNumber());
+    }
+
+    private void dispatch(int task, boolean exclusive, long upstreamNumber) {
         sidecar.controller()
                 .handleFrame(
                         SingleSidecar.ENTRY,
                         new JobFrame.Dispatch(
-                                task + 1, run(task), "payload", NEED, 100, 5_000, 0, true, true, "queue", false));
+                                task + 1,
+                                run(task),
+                                "payload",
+                                NEED,
+                                100,
+                                5_000,
+                                0,
+                                true,
+                                true,
+                                "queue",
+                                exclusive,
+                                upstreamNumber));
     }
 
     private void dispatchTasks(int first) {
@@ -264,6 +279,69 @@
         assertTrue(sidecar.lastStatus().usable(), sidecar.logLines()::toString);
     }
 
+    /**
+     * Guards against tasks that start without the label that they require, by the description of the incarnation
+     * before.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void upstreamIsOfferedByItsOwnDescriptionOnly(boolean processRestarted) {
+        UpstreamIncarnation earlier = sidecar.upstream().description();
+        if (processRestarted) {
+            sidecar.restart();
+            sidecar.controller().restoreUpstream(earlier);
+            advance(50);
+            assertEquals(
+                    earlier.labels(), sidecar.lastStatus().labels(), "the stored description of a living upstream");
+        }
+        sidecar.upstream().restart();
+        sidecar.upstream().setDescription("service", List.of("b"));
+        sidecar.registerAgain();
+        advance(50);
+
+        assertFalse(sidecar.lastStatus().usable(), sidecar.logLines()::toString);
+        assertTrue(sidecar.lastStatus().awaitingDescription());
+        assertEquals(List.of(), sidecar.lastStatus().labels());
+        assertEquals(Resources.NONE, sidecar.lastStatus().capacity());
+        sidecar.announce();
+        advance(50);
+        assertTrue(sidecar.lastStatus().usable());
+        assertEquals(List.of("b"), sidecar.lastStatus().labels());
+    }
+
+    /** Guards against tasks on their way that start on another incarnation than the one for which they were chosen. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HEARTBEAT", "LISTING"})
+    void taskThatWasChosenForTheIncarnationBeforeIsRefused(Notice notice) {
+        long chosenFor = sidecar.lastStatus().upstreamNumber();
+        replaceUpstream(notice);
+        dispatch(0, /* exclusive= */ false, chosenFor);
+        advance(2 * TASK_MILLISECONDS);
+
+        assertEquals(
+                Optional.of(JobFrame.Report.UPSTREAM_REPLACED),
+                sidecar.finalReportOn(run(0)).map(JobFrame.Report::reason));
+        dispatch(1);
+        advance(2 * TASK_MILLISECONDS);
+        assertEquals(Optional.of(RunOutcome.DONE), outcomeOf(1), sidecar.logLines()::toString);
+    }
+
+    /** Guards against tasks that wait at the sidecar and start on another incarnation. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HEARTBEAT", "LISTING"})
+    void taskThatWaitedForTheIncarnationBeforeIsReturned(Notice notice) {
+        dispatch(0);
+        dispatch(1, /* exclusive= */ true, /* upstreamNumber= */ 0); // waits until the other one has ended
+        advance(10);
+        replaceUpstream(notice);
+        advance(3 * TASK_MILLISECONDS);
+
+        assertEquals(
+                Optional.of(JobFrame.Report.UPSTREAM_REPLACED),
+                sidecar.finalReportOn(run(1)).map(JobFrame.Report::reason),
+                sidecar.logLines()::toString);
+    }
+
     private long noticedIncarnations() {
         return sidecar.logLines().stream()
                 .filter(line -> line.contains(" upstream-life "))
--- a/caperturn-proofs/src/test/java/io/caperturn/proofs/placement/EntryWithMetrics.java
+++ b/caperturn-proofs/src/test/java/io/caperturn/proofs/placement/EntryWithMetrics.java
@@ -111,7 +111,9 @@
                 /* dispatchesSeen= */ 0,
                 JobFrame.Status.NO_RENEWAL,
                 /* coldMilliseconds= */ 0,
-                /* crashes= */ List.of());
+                /* crashes= */ List.of(),
+                /* upstreamNumber= */ 1,
+                /* awaitingDescription= */ false);
         run(() -> controller.handleFrame(from, status));
     }
 
