Take the number of an upstream's incarnation as unknown before the first status of its sidecar

Found by reading: a run that is taken over is dispatched without a look at the status. No order of frames is known in which an entry has none by then; the link brings the status before the inventory.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/SidecarView.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Returns the number of the upstream's incarnation that the last status tells; 0 if none tells it. */
+    long upstreamNumber() {
+        return status == null ? 0 : status.upstreamNumber();
+    }
+
     /** Returns whether a status is about another incarnation of the upstream than the last one. */
     boolean isOfAnotherUpstream(JobFrame.Status newStatus) {
         return status != null && status.upstreamNumber() != newStatus.upstreamNumber();
--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/TaskPlacement.java
@@ -168,6 +168,6 @@
                         !task.isStartReportExpected(),
                         task.job().policy().name(),
                         task.isCurrentRunExclusive(),
-                        view.status().upstreamNumber()));
+                        view.upstreamNumber()));
     }
 }
