Schedule one retry at a time for final states that could not be read

Found by reading: each job released while the store is away began a retry of its own. They were bounded by the budget of the process, but one is enough for all. ClosedElsewhereTest passes.

--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobConflicts.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/owner/JobConflicts.java
@@ -34,6 +34,8 @@
     private final Deque<WaitingRead> waiting = new ArrayDeque<>();
 
     private boolean reading;
+    /** Whether the next final state is read after a delay, because the last read failed. */
+    private boolean retryScheduled;
 
     JobConflicts(
             DecisionLoop loop, EntryParameters parameters, StoredJobReader storedJobReader, StoreRetryBudget retries) {
@@ -86,7 +88,7 @@
     }
 
     private void readNext() {
-        if (reading || waiting.isEmpty()) {
+        if (reading || retryScheduled || waiting.isEmpty()) {
             return;
         }
         reading = true;
@@ -95,11 +97,15 @@
             reading = false;
             if (answer instanceof CallerAnswers.Lookup.Unavailable unavailable
                     && !unavailable.reason().equals(StoredJobReader.UNREADABLE)) {
-                retries.retry(backoff, this::readNext);
+                retryScheduled = true;
+                retries.retry(backoff, () -> {
+                    retryScheduled = false;
+                    readNext();
+                });
                 return;
             }
             backoff.reset();
-            waiting.poll();
+            waiting.remove(next);
             readNext();
             if (openRecord == null && answer instanceof CallerAnswers.Lookup.Found found) {
                 next.receiver().accept(found.state());
