--- a/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
+++ b/caperturn-jobs/src/main/java/io/caperturn/jobs/upstream/UpstreamState.java
@@ -12,8 +12,11 @@
 import java.util.function.LongSupplier;
 
 /**
- * Known state of a sidecar's upstream: its current incarnation (the time from a start to the next stop), its clock, and
- * the fencing token of orders to it. The upstream refuses orders with a lower token than it has seen.
+ * Belief of a sidecar process about its upstream: which incarnation (the time from a start to the next stop) is the
+ * present one, what is known of it, and the fencing token of orders to it. The upstream refuses orders with a lower
+ * token than it has seen.
+ *
+ * <p>Each message of the upstream is recorded here, which replaces the known incarnation if another one has sent it.
  */
 final class UpstreamState {
     /** Number of fencing tokens that this process can assign itself between two registrations in the store. */
